--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is part of galenalock.
+package main
+
+func main() {}
--- /dev/null
+++ b/control/main.go
@@ -0,0 +1,4 @@
+// Command control is part of galenalock.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs builds the JSON-lines logger of a process.
+package logs
--- /dev/null
+++ b/core/logs/logs.go
@@ -0,0 +1,42 @@
+package logs
+
+import (
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+)
+
+// Field names shared by all processes.
+const (
+	FieldInstance   = "instance"
+	FieldRegion     = "region"
+	FieldDataCentre = "datacentre"
+	FieldRequest    = "request"
+	FieldError      = "error"
+)
+
+// New returns a logger that writes one JSON object a line. The message of a
+// line is a stable event name; particulars are fields.
+func New(out io.Writer, level string, fields map[string]string) (*logrus.Entry, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(err, "log level %q", level)
+	}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(parsed)
+	logger.SetFormatter(&logrus.JSONFormatter{
+		TimestampFormat: time.RFC3339Nano,
+		FieldMap: logrus.FieldMap{
+			logrus.FieldKeyTime: "time",
+			logrus.FieldKeyMsg:  "event",
+		},
+	})
+	entry := logrus.NewEntry(logger)
+	for name, value := range fields {
+		entry = entry.WithField(name, value)
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/core/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter sets up OpenTelemetry metrics with a Prometheus endpoint.
+package meter
--- /dev/null
+++ b/core/meter/table.go
@@ -0,0 +1,74 @@
+package meter
+
+import "slices"
+
+// Name is the name of a metric without the prefix of the exporter.
+type Name string
+
+// The metrics. A metric that is not in this table cannot be registered, and
+// docs/METRICS.md is checked against the table.
+const (
+	Requests    Name = "requests"
+	Refusals    Name = "refusals"
+	Retries     Name = "retries"
+	Durations   Name = "duration"
+	Inflight    Name = "inflight"
+	RevisionNow Name = "revision"
+	Links       Name = "links"
+	LinkBytes   Name = "linkbytes"
+	Ejections   Name = "ejections"
+	Claims      Name = "claims"
+	Crossing    Name = "crossing"
+	Commits     Name = "commits"
+	Syncs       Name = "syncs"
+	Dropped     Name = "dropped"
+)
+
+// Row documents one metric.
+type Row struct {
+	Name      Name
+	Kind      string
+	Unit      string
+	Attribute string
+	Help      string
+}
+
+type row struct{ kind, unit, attribute, help string }
+
+var table = map[Name]row{
+	Requests:    {"counter", "{request}", "service", "Requests answered, by service"},
+	Refusals:    {"counter", "{request}", "reason", "Requests refused, by reason"},
+	Retries:     {"counter", "{attempt}", "reason", "Further attempts, by reason"},
+	Durations:   {"histogram", "s", "service", "Time from the first byte of a request to the last byte of its answer"},
+	Inflight:    {"gauge", "{request}", "", "Requests in flight"},
+	RevisionNow: {"gauge", "1", "", "Revision of the configuration in force"},
+	Links:       {"gauge", "{link}", "", "Open links to other processes"},
+	LinkBytes:   {"counter", "By", "direction", "Bytes on links between processes"},
+	Ejections:   {"counter", "{event}", "event", "Events in the ejection of targets"},
+	Claims:      {"counter", "{claim}", "state", "Claims, by answer"},
+	Crossing:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
+	Commits:     {"counter", "{command}", "command", "Commands applied by a control replica"},
+	Syncs:       {"counter", "{sync}", "", "Calls of fsync by a control replica"},
+	Dropped:     {"counter", "{message}", "queue", "Messages dropped from full statistics queues"},
+}
+
+// Rows returns the table sorted by name.
+func Rows() []Row {
+	out := make([]Row, 0, len(table))
+	for name, r := range table {
+		out = append(out, Row{Name: name, Kind: r.kind, Unit: r.unit, Attribute: r.attribute, Help: r.help})
+	}
+	slices.SortFunc(out, func(a, b Row) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// UnknownError is a metric that is not in the table.
+type UnknownError struct{ Name Name }
+
+// Error names the metric.
+func (e *UnknownError) Error() string { return "meter: " + string(e.Name) + " is not in the table" }
--- /dev/null
+++ b/core/value/doc.go
@@ -0,0 +1,2 @@
+// Package value provides small generic value types.
+package value
--- /dev/null
+++ b/core/wire/doc.go
@@ -0,0 +1,3 @@
+// Package wire defines the messages between the processes of the fleet and
+// their CBOR encoding.
+package wire
--- /dev/null
+++ b/core/wire/message.go
@@ -0,0 +1,49 @@
+package wire
+
+import "github.com/fxamacker/cbor/v2"
+
+// Kind names the type of a message's body.
+type Kind string
+
+// The kinds of messages on a link.
+const (
+	KindHello    Kind = "hello"    // Hello, first message in each direction
+	KindPing     Kind = "ping"     // empty
+	KindPong     Kind = "pong"     // empty
+	KindFault    Kind = "fault"    // Fault, the answer to a call that failed
+	KindRevision Kind = "revision" // Revision, pushed by control and exchanged among peers
+	KindPull     Kind = "pull"     // Pull, answered by Revision
+	KindConfirm  Kind = "confirm"  // Confirm, answered by Confirmed
+	KindReport   Kind = "report"   // Report
+	KindClaim    Kind = "claim"    // Claim, answered by Claimed
+	KindClose    Kind = "close"    // Close, answered by Closed
+	KindEvidence Kind = "evidence" // Evidence
+	KindOrders   Kind = "orders"   // Orders
+	KindGossip   Kind = "gossip"   // body of core/gossip
+	KindRenew    Kind = "renew"    // Renew, a renewal passed to a target's owner
+	KindRaft     Kind = "raft"     // message of core/raft
+	KindPropose  Kind = "propose"  // Propose, forwarded to the leader, answered by Proposed
+)
+
+// Message is one frame on a link. Call is nonzero for a message that expects
+// an answer; the answer carries the same number and Answer set.
+type Message struct {
+	Kind   Kind            `cbor:"kind"`
+	Call   uint64          `cbor:"call,omitempty"`
+	Answer bool            `cbor:"answer,omitempty"`
+	Body   cbor.RawMessage `cbor:"body,omitempty"`
+}
+
+// Fault tells the other side why its call failed.
+type Fault struct {
+	Code   string `cbor:"code"` // one word, such as "notleader" or "unknown"
+	Detail string `cbor:"detail,omitempty"`
+}
+
+// Error returns the code and the detail.
+func (f *Fault) Error() string {
+	if f.Detail == "" {
+		return f.Code
+	}
+	return f.Code + ": " + f.Detail
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is part of galenalock.
+package main
+
+func main() {}
--- /dev/null
+++ b/galenactl/main.go
@@ -0,0 +1,4 @@
+// Command galenactl is part of galenalock.
+package main
+
+func main() {}
