--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -10,7 +10,7 @@
 	KindHello    Kind = "hello"    // Hello, first message in each direction
 	KindPing     Kind = "ping"     // empty
 	KindPong     Kind = "pong"     // empty
-	KindFault    Kind = "fault"    // Fault, the answer to a call that failed
+	KindFault    Kind = "fault"    // FaultError, the answer to a call that failed
 	KindRevision Kind = "revision" // Revision, pushed by control and exchanged among peers
 	KindPull     Kind = "pull"     // Pull, answered by Revision
 	KindConfirm  Kind = "confirm"  // Confirm, answered by Confirmed
@@ -34,14 +34,14 @@
 	Body   cbor.RawMessage `cbor:"body,omitempty"`
 }
 
-// Fault tells the other side why its call failed.
-type Fault struct {
+// FaultError tells the other side why its call failed.
+type FaultError struct {
 	Code   string `cbor:"code"` // one word, such as "notleader" or "unknown"
 	Detail string `cbor:"detail,omitempty"`
 }
 
 // Error returns the code and the detail.
-func (f *Fault) Error() string {
+func (f *FaultError) Error() string {
 	if f.Detail == "" {
 		return f.Code
 	}
