--- /dev/null
+++ b/core/link/link_test.go
@@ -0,0 +1,137 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+func hello(name, fleet string) link.Option {
+	return link.WithHello(func() wire.Hello { return wire.Hello{Instance: name, Fleet: fleet} })
+}
+
+func serve(t testing.TB, opts ...link.Option) netip.AddrPort {
+	s := link.NewServer(opts...)
+	server := httptest.NewServer(s)
+	t.Cleanup(func() { s.Close(); server.Close() })
+	return server.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against answers that reach another call, and against faults of the
+// other side that look like a broken link.
+func TestCall(t *testing.T) {
+	is := is.New(t)
+	to := serve(t, hello("a", "f"), link.WithHandler(func(_ *link.Conn, m wire.Message) (any, error) {
+		var pull wire.Pull
+		if err := wire.Decode(m.Body, &pull); err != nil {
+			return nil, err
+		}
+		if pull.Have == 13 {
+			return nil, &wire.FaultError{Code: "unlucky"}
+		}
+		return wire.Revision{Number: pull.Have + 1}, nil
+	}))
+	c, err := link.NewDialer(hello("b", "f")).Dial(t.Context(), to)
+	is.NoErr(err)
+	defer c.Close("test over")
+	is.Equal(c.Peer().Instance, "a")
+
+	errs := make(chan error)
+	for i := range uint64(100) {
+		go func() {
+			var got wire.Revision
+			err := c.Call(t.Context(), wire.KindPull, wire.Pull{Have: i}, &got)
+			var fault *wire.FaultError
+			if i == 13 && errors.As(err, &fault) && fault.Code == "unlucky" {
+				err = nil
+			} else if err == nil && got.Number != i+1 {
+				err = fmt.Errorf("asked %d, got %d", i, got.Number)
+			}
+			errs <- err
+		}()
+	}
+	for range 100 {
+		is.NoErr(<-errs)
+	}
+}
+
+// Guards against two fleets that exchange their configuration by a wrong
+// address in the settings.
+func TestHelloOfOtherFleetIsRefused(t *testing.T) {
+	is := is.New(t)
+	to := serve(t, hello("a", "one"))
+	_, err := link.NewDialer(hello("b", "two")).Dial(t.Context(), to)
+	var refused *link.HelloError
+	is.True(errors.As(err, &refused))
+}
+
+// Guards against a link that lasts for ever although the path from the peer
+// has gone silent.
+func TestSilentPeerIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	// The server never pings within the test, as if its messages were lost.
+	to := serve(t, hello("a", "f"), link.WithPing(time.Hour, time.Hour))
+	c, err := link.NewDialer(hello("b", "f"), link.WithPing(5*time.Millisecond, 20*time.Millisecond)).Dial(t.Context(), to)
+	is.NoErr(err)
+	<-c.Done()
+	is.Equal(c.Reason(), "nothing received for 20ms")
+}
+
+// Guards against a call that waits for ever on a link that has ended.
+func TestCallEndsWithTheLink(t *testing.T) {
+	is := is.New(t)
+	block := make(chan struct{})
+	defer close(block)
+	to := serve(t, hello("a", "f"), link.WithHandler(func(c *link.Conn, _ wire.Message) (any, error) {
+		c.Close("crash")
+		<-block
+		return nil, nil
+	}))
+	c, err := link.NewDialer(hello("b", "f")).Dial(t.Context(), to)
+	is.NoErr(err)
+	var closed *link.ClosedError
+	is.True(errors.As(c.Call(t.Context(), wire.KindConfirm, nil, nil), &closed))
+}
+
+// Guards against a dialer that gives up when the first attempt fails.
+func TestKeepDialsAgain(t *testing.T) {
+	is := is.New(t)
+	refuse := make(chan struct{}, 2)
+	refuse <- struct{}{}
+	refuse <- struct{}{}
+	s := link.NewServer(hello("a", "f"))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-refuse:
+			http.Error(w, "not yet", http.StatusServiceUnavailable)
+		default:
+			s.ServeHTTP(w, r)
+		}
+	}))
+	defer server.Close()
+	defer s.Close()
+	opened := make(chan *link.Conn, 1)
+	failures := 0
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		link.NewDialer(hello("b", "f"), link.WithOpened(func(c *link.Conn) { opened <- c })).
+			Keep(ctx, server.Listener.Addr().(*net.TCPAddr).AddrPort(), func(error) { failures++ })
+	}()
+	<-opened
+	cancel()
+	<-ended
+	is.Equal(failures, 2)
+}
--- /dev/null
+++ b/core/spec/parse.go
@@ -0,0 +1,154 @@
+package spec
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// MaxText bounds a service text in bytes.
+const MaxText = 8 << 20
+
+type rawText struct {
+	Service   []rawService   `toml:"service"`
+	Route     []rawRoute     `toml:"route"`
+	Workspace []rawWorkspace `toml:"workspace"`
+}
+
+type rawService struct {
+	Name    string    `toml:"name"`
+	Floor   string    `toml:"floor"`
+	Policy  string    `toml:"policy"`
+	Depends []string  `toml:"depends"`
+	Home    string    `toml:"home"`
+	Kind    []rawKind `toml:"kind"`
+}
+
+type rawKind struct {
+	Name    string   `toml:"name"`
+	Methods []string `toml:"methods"`
+	Path    string   `toml:"path"`
+	Repeat  *bool    `toml:"repeat"`
+	Key     string   `toml:"key"`
+	Weight  *float64 `toml:"weight"`
+	Timeout string   `toml:"timeout"`
+	Hedge   bool     `toml:"hedge"`
+	Upload  bool     `toml:"upload"`
+}
+
+type rawRoute struct {
+	Host    string `toml:"host"`
+	Prefix  string `toml:"prefix"`
+	Service string `toml:"service"`
+	Strip   bool   `toml:"strip"`
+}
+
+type rawWorkspace struct {
+	Name     string   `toml:"name"`
+	Services []string `toml:"services"`
+	Rate     float64  `toml:"rate"`
+}
+
+// Parse reads and checks a service text. Its error is of type Errors.
+func Parse(text []byte) (*Text, error) {
+	if len(text) > MaxText {
+		return nil, Errors{{Reason: fmt.Sprintf("the text has %d bytes, the limit is %d", len(text), MaxText)}}
+	}
+	var raw rawText
+	decoder := toml.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&raw); err != nil {
+		return nil, decodeErrors(err)
+	}
+	c := &checker{lines: keyLines(text)}
+	parsed := c.check(&raw)
+	if len(c.errors) > 0 {
+		return nil, c.sorted()
+	}
+	return parsed, nil
+}
+
+func decodeErrors(err error) Errors {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) {
+		out := make(Errors, 0, len(missing.Errors))
+		for i := range missing.Errors {
+			row, _ := missing.Errors[i].Position()
+			out = append(out, &Error{Line: row, Key: strings.Join(missing.Errors[i].Key(), "."), Reason: "unknown key"})
+		}
+		return out
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, _ := decode.Position()
+		reason := strings.TrimPrefix(decode.Error(), "toml: ")
+		return Errors{{Line: row, Key: strings.Join(decode.Key(), "."), Reason: reason}}
+	}
+	return Errors{{Reason: err.Error()}}
+}
+
+// keyLines maps each key path, such as service[0].floor, to its line. The text
+// has already been decoded without an error.
+func keyLines(text []byte) map[string]int {
+	lines := map[string]int{}
+	counts := map[string]int{}
+	prefix := ""
+	var parser unstable.Parser
+	parser.Reset(text)
+	for parser.NextExpression() {
+		node := parser.Expression()
+		parts, line := keyOf(&parser, node)
+		switch node.Kind {
+		case unstable.ArrayTable:
+			prefix = arrayPath(counts, parts)
+			lines[prefix] = line
+		case unstable.Table:
+			prefix = strings.Join(parts, ".")
+			lines[prefix] = line
+		case unstable.KeyValue:
+			lines[join(prefix, strings.Join(parts, "."))] = line
+		}
+	}
+	return lines
+}
+
+func keyOf(parser *unstable.Parser, node *unstable.Node) ([]string, int) {
+	var parts []string
+	line := 0
+	it := node.Key()
+	for it.Next() {
+		key := it.Node()
+		if line == 0 {
+			line = parser.Shape(key.Raw).Start.Line
+		}
+		parts = append(parts, string(key.Data))
+	}
+	return parts, line
+}
+
+// arrayPath returns the path of a new element of an array of tables. The
+// elements of the arrays before the last part are the latest ones.
+func arrayPath(counts map[string]int, parts []string) string {
+	path := ""
+	for i, part := range parts {
+		path = join(path, part)
+		if i == len(parts)-1 {
+			counts[path]++
+		}
+		if n := counts[path]; n > 0 {
+			path = fmt.Sprintf("%s[%d]", path, n-1)
+		}
+	}
+	return path
+}
+
+func join(prefix, key string) string {
+	if prefix == "" {
+		return key
+	}
+	return prefix + "." + key
+}
