Decide the revision in force at an entry

An entry takes revisions from control and peers and never a lower one; the property test shows the same schedule reverting with the rule turned off. A restarted entry waits for a confirmed revision, or for its peers when control does not answer within 3 s.

--- /dev/null
+++ b/core/update/core_test.go
@@ -0,0 +1,92 @@
+package update_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/galenalock/galenalock/core/delta"
+	"github.com/galenalock/galenalock/core/update"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func text(n uint64) []byte {
+	return fmt.Appendf(nil, "[[service]]\nname = \"s%d\"\nfloor = \"80%%\"\n", n)
+}
+
+func whole(t interface{ Fatal(...any) }, n uint64) wire.Revision {
+	r, err := delta.Whole(n, text(n))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against a restarted entry that serves an old revision while control
+// has a newer one, and against one that never serves while control is away.
+func TestReady(t *testing.T) {
+	is := is.New(t)
+	c := update.New(start)
+	is.NoErr(c.Restore(3, text(3)))
+	is.True(!c.Ready(start.Add(update.ControlWait - 1))) // control may still answer
+	c.Pull(start.Add(2900*time.Millisecond), "peer")
+	is.True(!c.Ready(start.Add(update.ControlWait))) // the peer may know more
+	_, err := c.Receive(start.Add(update.ControlWait), "peer", whole(t, 5))
+	is.NoErr(err)
+	is.True(c.Ready(start.Add(update.ControlWait)))
+	is.Equal(c.Number(), uint64(5))
+
+	c = update.New(start)
+	is.NoErr(c.Restore(3, text(3)))
+	c.Confirm(start, wire.Confirmed{Number: 9})
+	is.True(!c.Ready(start.Add(time.Hour))) // control has confirmed a newer one
+	_, err = c.Receive(start, "control", whole(t, 9))
+	is.NoErr(err)
+	is.True(c.Ready(start))
+}
+
+// Guards against late and reordered revisions that set an instance back: the
+// same schedule with the rule turned off goes back.
+func TestNeverReverts(t *testing.T) {
+	schedule := func(t interface{ Fatal(...any) }, numbers []uint64, opts ...update.Option) bool {
+		c := update.New(start, opts...)
+		for _, n := range numbers {
+			before := c.Number()
+			if _, err := c.Receive(start, "peer", whole(t, n)); err != nil {
+				t.Fatal(err)
+			}
+			if c.Number() < before {
+				return false
+			}
+		}
+		return true
+	}
+	is := is.New(t)
+	naive := update.WithLower(func(uint64, uint64) bool { return false })
+	is.True(!schedule(t, []uint64{2, 3, 2}, naive))
+	rapid.Check(t, func(t *rapid.T) {
+		if !schedule(t, rapid.SliceOf(rapid.Uint64Range(1, 9)).Draw(t, "numbers")) {
+			t.Fatal("the revision fell")
+		}
+	})
+}
+
+// Guards against an entry that stays behind when it misses the base of a
+// splice: it asks for the whole text.
+func TestSpliceOfUnknownBase(t *testing.T) {
+	is := is.New(t)
+	c := update.New(start)
+	splice, err := delta.Splice(1, text(1), 2, text(2))
+	is.NoErr(err)
+	result, err := c.Receive(start, "peer", splice)
+	is.NoErr(err)
+	is.Equal(*result.Pull, wire.Pull{})
+	result, err = c.Receive(start, "peer", wire.Revision{Number: 2, Sum: splice.Sum})
+	is.NoErr(err)
+	is.True(result.Pull != nil && result.Pull.Have == 0)
+}
