--- /dev/null
+++ b/core/mesh/owner.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/galenalock/galenalock/core/link"
+)
+
+// owned is a link opened on demand.
+type owned struct {
+	conn *link.Conn
+	idle *time.Timer
+}
+
+// Reach returns a link to the owner of a target, opening one when there is
+// none. Links that are not used for a minute end.
+func (m *Mesh) Reach(ctx context.Context, to netip.AddrPort) (*link.Conn, error) {
+	if c := m.reuse(to); c != nil {
+		return c, nil
+	}
+	c, err := m.owner.Dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		c.Close("shutdown")
+		return nil, &link.ClosedError{Reason: "shutdown"}
+	}
+	if prior := m.owners[to]; prior != nil && alive(prior.conn) {
+		c.Close("another link was opened meanwhile")
+		return prior.conn, nil
+	}
+	m.owners[to] = &owned{conn: c, idle: time.AfterFunc(idleTime, func() { m.expire(to, c) })}
+	return c, nil
+}
+
+func (m *Mesh) reuse(to netip.AddrPort) *link.Conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o := m.owners[to]
+	if o == nil || !alive(o.conn) {
+		return nil
+	}
+	o.idle.Reset(idleTime)
+	return o.conn
+}
+
+func (m *Mesh) expire(to netip.AddrPort, c *link.Conn) {
+	m.mu.Lock()
+	if o := m.owners[to]; o != nil && o.conn == c {
+		delete(m.owners, to)
+	}
+	m.mu.Unlock()
+	c.Close("idle")
+}
+
+func alive(c *link.Conn) bool {
+	select {
+	case <-c.Done():
+		return false
+	default:
+		return true
+	}
+}
