--- /dev/null
+++ b/core/group/disk.go
@@ -0,0 +1,118 @@
+package group
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/galenalock/galenalock/core/raft"
+	"github.com/galenalock/galenalock/core/store"
+)
+
+// job is work for the disk: a Persist of the core, or a snapshot of the machine.
+type job struct {
+	persist  *raft.Persist
+	snapshot *raft.Snapshot
+}
+
+// done tells the group that all Persist actions up to seq are durable, or a
+// snapshot is.
+type done struct {
+	seq      uint64
+	snapshot *raft.Snapshot
+	err      error
+}
+
+// disk owns the store. Its queue holds no more than the core lets in flight.
+type disk struct {
+	store *store.Store
+	wake  chan struct{}
+	done  chan done
+	syncs atomic.Uint64
+
+	mu   sync.Mutex
+	jobs []job
+}
+
+func newDisk(s *store.Store) *disk {
+	return &disk{store: s, wake: make(chan struct{}, 1), done: make(chan done)}
+}
+
+func (d *disk) add(j job) {
+	d.mu.Lock()
+	d.jobs = append(d.jobs, j)
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *disk) take() []job {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	jobs := d.jobs
+	d.jobs = nil
+	return jobs
+}
+
+// run works until stop is closed or the disk fails.
+func (d *disk) run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-d.wake:
+		}
+		jobs := d.take()
+		for len(jobs) > 0 {
+			var result done
+			result, jobs = d.work(jobs)
+			d.syncs.Store(d.store.Syncs())
+			select {
+			case d.done <- result:
+			case <-stop:
+				return
+			}
+			if result.err != nil {
+				return
+			}
+		}
+	}
+}
+
+// work does the first job, together with as many of the following ones as one
+// sync can cover.
+func (d *disk) work(jobs []job) (done, []job) {
+	if s := jobs[0].snapshot; s != nil {
+		return done{snapshot: s, err: d.store.Snapshot(*s)}, jobs[1:]
+	}
+	if p := jobs[0].persist; p.Snapshot != nil {
+		err := d.store.Install(*p.Snapshot, *p.Hard)
+		if err == nil && len(p.Entries) > 0 {
+			err = d.store.Save(*p.Hard, p.Entries)
+		}
+		return d.finish(done{seq: p.Seq, err: err}, p.Recovered), jobs[1:]
+	}
+	var entries []raft.Entry
+	var result done
+	var hard raft.HardState
+	recovered, n := false, 0
+	for _, j := range jobs {
+		if j.persist == nil || j.persist.Snapshot != nil {
+			break
+		}
+		entries = append(entries, j.persist.Entries...)
+		hard, result.seq = *j.persist.Hard, j.persist.Seq
+		recovered = recovered || j.persist.Recovered
+		n++
+	}
+	result.err = d.store.Save(hard, entries)
+	return d.finish(result, recovered), jobs[n:]
+}
+
+func (d *disk) finish(result done, recovered bool) done {
+	if result.err == nil && recovered {
+		result.err = d.store.Admitted()
+	}
+	return result
+}
--- /dev/null
+++ b/core/raft/elect.go
@@ -0,0 +1,128 @@
+package raft
+
+// campaign asks for votes: with pre, whether an election could be won, without
+// raising the term; with force, in spite of a live leader.
+func (c *Core) campaign(pre, force bool) {
+	c.become(c.term, 0)
+	c.role, c.pre, c.force = RoleCandidate, pre, force
+	c.resetElection()
+	c.votes = map[uint64]bool{c.cfg.ID: true}
+	kind, term := MessagePreVote, c.term+1
+	if !pre {
+		kind = MessageVote
+		c.setTerm(term, c.cfg.ID)
+		c.voteSeq = c.seq + 1
+	}
+	for _, member := range c.members() {
+		if member.ID == c.cfg.ID || member.Learner {
+			continue
+		}
+		c.send(Message{Kind: kind, To: member.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Force: force})
+	}
+}
+
+func (c *Core) countVotes() {
+	if c.role != RoleCandidate {
+		return
+	}
+	if !c.pre && c.acked < c.voteSeq {
+		return
+	}
+	won := c.members().quorum(func(id uint64) uint64 {
+		if c.votes[id] {
+			return 1
+		}
+		return 0
+	})
+	switch {
+	case won == 0:
+	case c.pre:
+		c.campaign(false, false)
+	default:
+		c.lead()
+	}
+}
+
+// handleVote answers a request for a vote or a pre-vote.
+func (c *Core) handleVote(m Message) {
+	pre := m.Kind == MessagePreVote
+	reply := Message{Kind: MessageVoteReply, To: m.From, Reject: true}
+	if pre {
+		reply.Kind = MessagePreVoteReply
+	}
+	live := c.leaderIsLive() && !m.Force && !c.cfg.Without.PreVote
+	// A replica without its former disk does not know what it voted for, and
+	// a vote request must not raise the term of a group with a live leader.
+	if live || c.recovering || c.installing != nil {
+		c.send(reply)
+		return
+	}
+	if pre {
+		if m.Term > c.term && c.log.upToDate(m.Index, m.LogTerm) {
+			reply.Reject, reply.Term = false, m.Term
+		}
+		c.send(reply)
+		return
+	}
+	if m.Term > c.term {
+		c.become(m.Term, 0)
+	}
+	free := c.vote == 0 || c.vote == m.From
+	if m.Term == c.term && free && c.log.upToDate(m.Index, m.LogTerm) {
+		c.become(c.term, 0)
+		c.setTerm(c.term, m.From)
+		c.resetElection()
+		reply.Reject = false
+	}
+	c.send(reply)
+}
+
+func (c *Core) leaderIsLive() bool {
+	if c.role == RoleLeader {
+		return true
+	}
+	return c.leader != 0 && c.now.Sub(c.contact) < c.cfg.Election
+}
+
+func (c *Core) handleVoteReply(m Message) {
+	pre := m.Kind == MessagePreVoteReply
+	if m.Reject && m.Term > c.term {
+		c.become(m.Term, 0)
+		return
+	}
+	want := c.term
+	if pre {
+		want++
+	}
+	if c.role != RoleCandidate || c.pre != pre || m.Reject || m.Term != want || m.Recovering {
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes()
+}
+
+// lead starts the term of this replica as leader.
+func (c *Core) lead() {
+	c.role, c.leader, c.votes = RoleLeader, c.cfg.ID, nil
+	c.confirmed = c.now
+	c.transfer, c.reads = 0, nil
+	c.peers = map[uint64]*progress{}
+	c.first = c.log.last() + 1
+	c.syncPeers()
+	c.appendLocal(Entry{Kind: EntryEmpty})
+	c.beat()
+}
+
+// syncPeers keeps one progress for each other member.
+func (c *Core) syncPeers() {
+	for _, member := range c.members() {
+		if member.ID != c.cfg.ID && c.peers[member.ID] == nil {
+			c.peers[member.ID] = &progress{next: c.log.last() + 1, probing: true, heard: c.now}
+		}
+	}
+	for id := range c.peers {
+		if _, ok := c.members().Find(id); !ok {
+			delete(c.peers, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/raft/log.go
@@ -0,0 +1,73 @@
+package raft
+
+// memLog is the part of the log after offset.
+type memLog struct {
+	offset     uint64
+	offsetTerm uint64
+	entries    []Entry
+}
+
+func (l *memLog) last() uint64 { return l.offset + uint64(len(l.entries)) }
+
+func (l *memLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of the entry at index, if it is known.
+func (l *memLog) term(index uint64) (uint64, bool) {
+	if index == l.offset {
+		return l.offsetTerm, true
+	}
+	if index < l.offset || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.offset-1].Term, true
+}
+
+// slice returns the entries after lo up to hi, at least one and as many as
+// limit bytes hold.
+func (l *memLog) slice(lo, hi uint64, limit int) []Entry {
+	hi = min(hi, l.last())
+	if lo < l.offset || lo >= hi {
+		return nil
+	}
+	all := l.entries[lo-l.offset : hi-l.offset]
+	size := 0
+	for i := range all {
+		size += all[i].size()
+		if size > limit && i > 0 {
+			return all[:i:i]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+// truncate drops the entries from index on. The remaining slice gets no spare
+// capacity, because entries handed out in actions share the array.
+func (l *memLog) truncate(index uint64) {
+	keep := index - l.offset - 1
+	l.entries = l.entries[:keep:keep]
+}
+
+func (l *memLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+
+// compact drops the entries up to index.
+func (l *memLog) compact(index uint64) {
+	term, ok := l.term(index)
+	if !ok || index <= l.offset {
+		return
+	}
+	l.entries = append([]Entry(nil), l.entries[index-l.offset:]...)
+	l.offset, l.offsetTerm = index, term
+}
+
+// reset empties the log and starts it after index.
+func (l *memLog) reset(index, term uint64) {
+	l.offset, l.offsetTerm, l.entries = index, term, nil
+}
+
+func (l *memLog) upToDate(index, term uint64) bool {
+	last := l.lastTerm()
+	return term > last || term == last && index >= l.last()
+}
