--- a/core/raft/core.go
+++ b/core/raft/core.go
@@ -107,7 +107,11 @@
 	c.unsaved = nil
 	c.durable = c.log.last()
 	c.commit = max(cfg.Snapshot.Index, min(cfg.Hard.Commit, c.log.last()))
-	c.term = max(c.term, c.log.lastTerm())
+	if last := c.log.lastTerm(); last > c.term {
+		// A crash came between a received snapshot and the hard state. Nothing
+		// was sent in the newer term, so no vote was cast in it.
+		c.term, c.vote = last, 0
+	}
 	c.resetElection()
 	if c.alone() {
 		c.election = now
--- a/core/store/segment.go
+++ b/core/store/segment.go
@@ -54,8 +54,8 @@
 	var collected []record
 	for at < len(data) {
 		r, size, reason := parseRecord(data[at:])
-		if reason == "" && left == 0 && r.batch != batch+1 || reason == "" && left > 0 && (r.batch != batch || r.left != left-1) {
-			reason = "record out of sequence"
+		if reason == "" && !follows(r, batch, left) {
+			return 0, damage(at, "record out of sequence")
 		}
 		if reason != "" {
 			torn := batch
@@ -87,6 +87,15 @@
 	return int64(whole), nil
 }
 
+// follows tells whether a record continues a batch that has records left, or
+// starts the next one.
+func follows(r record, batch uint64, left uint32) bool {
+	if left == 0 {
+		return r.batch == batch+1
+	}
+	return r.batch == batch && r.left == left-1
+}
+
 // later tells whether data holds a record of a batch after torn. Such a batch
 // was written after the sync of the torn one, so the torn one is damaged.
 func later(data []byte, torn uint64) bool {
--- a/core/store/snapshot.go
+++ b/core/store/snapshot.go
@@ -42,7 +42,7 @@
 	}
 	head, body := data[8:8+size], data[8+size:]
 	if crc32.Checksum(head, castagnoli) != binary.BigEndian.Uint32(data[4:]) {
-		return damage(8, "checksum mismatch in the header")
+		return damage(0, "checksum mismatch in the header")
 	}
 	var h header
 	if err := wire.Decode(head, &h); err != nil {
