--- /dev/null
+++ b/core/certs/certs.go
@@ -0,0 +1,143 @@
+package certs
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Files names the PEM files of one process.
+type Files struct {
+	Cert      string
+	Key       string
+	Authority string // certificates that peers must be signed by; empty: no client certificates
+}
+
+type material struct {
+	cert  tls.Certificate
+	roots *x509.CertPool
+}
+
+// Certs holds the current key and authority.
+type Certs struct {
+	files Files
+	now   atomic.Pointer[material]
+}
+
+// PeerError is a peer whose certificate is refused.
+type PeerError struct{ Reason string }
+
+// Error gives the reason.
+func (e *PeerError) Error() string { return "peer certificate: " + e.Reason }
+
+// New reads the files.
+func New(files Files) (*Certs, error) {
+	c := &Certs{files: files}
+	if err := c.Reload(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Reload reads the files again. When one is faulty the material read before
+// stays in use. Connections that are open are not affected.
+func (c *Certs) Reload() error {
+	cert, err := tls.LoadX509KeyPair(c.files.Cert, c.files.Key)
+	if err != nil {
+		return eris.Wrap(err, "certificate")
+	}
+	m := &material{cert: cert}
+	if c.files.Authority != "" {
+		pem, err := os.ReadFile(c.files.Authority)
+		if err != nil {
+			return eris.Wrap(err, "authority")
+		}
+		m.roots = x509.NewCertPool()
+		if !m.roots.AppendCertsFromPEM(pem) {
+			return eris.Errorf("authority: %s holds no certificate", c.files.Authority)
+		}
+	}
+	c.now.Store(m)
+	return nil
+}
+
+// Watch reloads the files at intervals until ctx ends and reports each failure.
+func (c *Certs) Watch(ctx context.Context, every time.Duration, failed func(error)) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if err := c.Reload(); err != nil {
+				failed(err)
+			}
+		}
+	}
+}
+
+// Server returns the configuration of a server. With an authority, clients
+// must present a certificate that it signed.
+func (c *Certs) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"h2", "http/1.1"},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			m := c.now.Load()
+			conf := &tls.Config{
+				MinVersion:   tls.VersionTLS12,
+				NextProtos:   []string{"h2", "http/1.1"},
+				Certificates: []tls.Certificate{m.cert},
+			}
+			if m.roots != nil {
+				conf.ClientCAs = m.roots
+				conf.ClientAuth = tls.RequireAndVerifyClientCert
+			}
+			return conf, nil
+		},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &c.now.Load().cert, nil },
+	}
+}
+
+// Client returns the configuration for links to other processes of the fleet.
+// It needs an authority.
+func (c *Certs) Client() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"http/1.1"}, // WebSocket runs over HTTP/1.1
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &c.now.Load().cert, nil
+		},
+		// The chain is verified below against the current authority; the
+		// standard check would hold on to the one read first.
+		InsecureSkipVerify: true,
+		VerifyConnection:   c.verify,
+	}
+}
+
+func (c *Certs) verify(state tls.ConnectionState) error {
+	m := c.now.Load()
+	if m.roots == nil {
+		return &PeerError{Reason: "no authority is set"}
+	}
+	if len(state.PeerCertificates) == 0 {
+		return &PeerError{Reason: "is missing"}
+	}
+	between := x509.NewCertPool()
+	for _, cert := range state.PeerCertificates[1:] {
+		between.AddCert(cert)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: m.roots, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	})
+	if err != nil {
+		return &PeerError{Reason: err.Error()}
+	}
+	return nil
+}
