Control replica with administration interface, links and forwarding

A replica opens the log, links to the other replicas, forwards commands to the leader, pushes revisions to entries as splices and answers pulls, claims and confirmations.

--- /dev/null
+++ b/control/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin is the administration interface of a control replica.
+package admin
--- /dev/null
+++ b/control/admin/status.go
@@ -0,0 +1,92 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/galenalock/galenalock/control/fleet"
+	"github.com/galenalock/galenalock/core/state"
+	"github.com/galenalock/galenalock/core/wire"
+
+	"github.com/galenalock/galenalock/core/serve"
+)
+
+func (a *Admin) status(w http.ResponseWriter, r *http.Request) error {
+	confirmed := a.fresh(r)
+	v, s := a.View(), a.Status()
+	newest := v.Newest()
+	doc := Status{
+		Confirmed: confirmed,
+		Replica: Local{
+			ID: s.ID, Leader: s.Leader, Role: fmt.Sprint(s.Role), Term: s.Term, Commit: s.Commit, Applied: s.Applied,
+			Age: seconds(s.Age), Running: v.Running, Unknown: v.Unknown, Keys: v.Keys,
+		},
+		Revision:  revision(newest),
+		Lowest:    newest.Number,
+		Instances: []Instance{},
+		Drains:    drainsOf(v),
+	}
+	drained := map[string]bool{}
+	for _, d := range v.Drains {
+		drained[d.Name] = true
+	}
+	for _, i := range a.Instances() {
+		line := instanceOf(i, v, a.Clock())
+		line.Drained = drained[i.Name]
+		doc.Instances = append(doc.Instances, line)
+		if i.Role == wire.RoleEntry && line.Lag > doc.Lag {
+			doc.Lag, doc.Slowest, doc.Lowest = line.Lag, i.Name, line.Revision
+		}
+	}
+	serve.WriteJSON(w, http.StatusOK, doc)
+	return nil
+}
+
+func instanceOf(i fleet.Instance, v *state.View, now time.Time) Instance {
+	line := Instance{
+		Name: i.Name, Role: string(i.Role), Region: i.Region, DataCentre: i.DataCentre, Address: i.Peer,
+		State: i.State, Revision: i.Number, Confirmed: seconds(i.Confirmed), Age: seconds(now.Sub(i.Heard)),
+		Inflight: i.Inflight, Linked: i.Linked,
+	}
+	newest := v.Newest().Number
+	if i.Role != wire.RoleEntry || i.Number >= newest {
+		return line
+	}
+	line.Lag = newest - i.Number
+	for _, h := range v.History() {
+		if h.Number > i.Number {
+			line.Behind = seconds(now.Sub(h.Time)) // ends at the oldest one that it lacks
+		}
+	}
+	return line
+}
+
+// seconds rounds to milliseconds.
+func seconds(d time.Duration) float64 { return d.Round(time.Millisecond).Seconds() }
+
+func (a *Admin) targets(w http.ResponseWriter, r *http.Request) error {
+	doc := Targets{Confirmed: a.fresh(r), Targets: a.Targets()}
+	if doc.Targets == nil {
+		doc.Targets = []Target{}
+	}
+	serve.WriteJSON(w, http.StatusOK, doc)
+	return nil
+}
+
+// TargetsOf lists the targets that the state itself knows: those out of
+// service. A replica without a registry of targets shows these.
+func TargetsOf(v *state.View, now time.Time) []Target {
+	out := []Target{}
+	for _, l := range v.Leases {
+		line := Target{
+			Service: l.Service, Address: l.Target.Address, Start: l.Target.Start,
+			State: "ejected", Left: seconds(max(0, l.Expires.Sub(now))), Score: l.Target.Score,
+		}
+		if !l.Current {
+			line.State = "withdrawn"
+		}
+		out = append(out, line)
+	}
+	return out
+}
--- /dev/null
+++ b/control/daemon/assemble.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"github.com/galenalock/galenalock/control/admin"
+	"github.com/galenalock/galenalock/control/fleet"
+	"github.com/galenalock/galenalock/control/relay"
+	"github.com/galenalock/galenalock/core/auth"
+	"github.com/galenalock/galenalock/core/certs"
+	"github.com/galenalock/galenalock/core/group"
+	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/meter"
+	"github.com/galenalock/galenalock/core/serve"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// parts are the assembled parts of a replica.
+type parts struct {
+	log      *logrus.Entry
+	meter    *meter.Meter
+	auth     *auth.Auth
+	certs    *certs.Certs // nil without TLS
+	machine  *machine
+	links    *relay.Links
+	relay    *relay.Relay
+	fleet    *fleet.Fleet
+	group    *group.Group // opened by Run
+	server   *link.Server
+	dialer   *link.Dialer
+	peer     *serve.Server
+	admin    *serve.Server
+	claims   *meter.Counter
+	syncs    *meter.Counter
+	stopping atomic.Bool
+}
+
+// counters are the counters of a replica.
+type counters struct {
+	dig.Out
+	Claims  *meter.Counter `name:"claims"`
+	Commits *meter.Counter `name:"commits"`
+	Syncs   *meter.Counter `name:"syncs"`
+	Bytes   *meter.Counter `name:"bytes"`
+}
+
+type common struct {
+	dig.In
+	Log     *logrus.Entry
+	Meter   *meter.Meter
+	Auth    *auth.Auth
+	Certs   *certs.Certs
+	Machine *machine
+	Links   *relay.Links
+	Claims  *meter.Counter `name:"claims"`
+	Syncs   *meter.Counter `name:"syncs"`
+	Bytes   *meter.Counter `name:"bytes"`
+}
+
+// assemble builds the parts that need no disk and no network.
+func (d *Daemon) assemble() error {
+	container := dig.New()
+	providers := []any{
+		d.newLog, meter.New, d.newAuth, d.newCerts, newCounters, relay.NewLinks,
+		func(in struct {
+			dig.In
+			Commits *meter.Counter `name:"commits"`
+		}) *machine {
+			return newMachine(in.Commits)
+		},
+	}
+	for _, provider := range providers {
+		if err := container.Provide(provider); err != nil {
+			return eris.Wrap(err, "assemble")
+		}
+	}
+	return eris.Wrap(dig.RootCause(container.Invoke(d.connect)), "assemble")
+}
+
+func (d *Daemon) newLog() (*logrus.Entry, error) {
+	s := &d.settings
+	return logs.New(s.Log, s.Level, map[string]string{
+		logs.FieldInstance: s.Instance, logs.FieldRegion: s.Region, logs.FieldDataCentre: s.DataCentre,
+	})
+}
+
+func (d *Daemon) newAuth() (*auth.Auth, error) { return auth.New(d.settings.Tokens) }
+
+func (d *Daemon) newCerts() (*certs.Certs, error) {
+	s := &d.settings
+	if s.Cert == "" {
+		return nil, nil
+	}
+	return certs.New(certs.Files{Cert: s.Cert, Key: s.Key, Authority: s.Authority})
+}
+
+func newCounters(m *meter.Meter) (counters, error) {
+	var c counters
+	for _, one := range []struct {
+		name meter.Name
+		into **meter.Counter
+	}{
+		{meter.Claims, &c.Claims}, {meter.Commits, &c.Commits}, {meter.Syncs, &c.Syncs}, {meter.LinkBytes, &c.Bytes},
+	} {
+		counter, err := m.Counter(one.name)
+		if err != nil {
+			return c, err
+		}
+		*one.into = counter
+	}
+	return c, nil
+}
+
+// connect joins the parts.
+func (d *Daemon) connect(in common) error {
+	s := &d.settings
+	p := &parts{
+		log: in.Log, meter: in.Meter, auth: in.Auth, certs: in.Certs, machine: in.Machine, links: in.Links,
+		claims: in.Claims, syncs: in.Syncs,
+	}
+	d.parts = p
+	p.relay = relay.New(p.relayGroup(), p.links, s.Clock)
+	p.fleet = fleet.New(fleet.Seams{
+		View:    p.machine.view.Load,
+		Leads:   func() bool { status := p.group.Status(); return status.Leader == status.ID },
+		Propose: p.relay.Propose,
+		PassOn:  func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
+		Clock:   s.Clock,
+		Log:     p.log,
+		Hooks:   func() fleet.Hooks { return d.Hooks.Hooks },
+	})
+	p.machine.changed = p.fleet.Changed
+	d.connectLinks(in.Bytes)
+	d.connectAdmin()
+	return p.gauges()
+}
+
+func (p *parts) gauges() error {
+	err := p.meter.Gauge(meter.RevisionNow, func() float64 { return float64(p.machine.view.Load().Newest().Number) })
+	if err != nil {
+		return err
+	}
+	return p.meter.Gauge(meter.Links, func() float64 {
+		open := 0
+		for _, i := range p.fleet.Instances() {
+			if i.Linked {
+				open++
+			}
+		}
+		return float64(open)
+	})
+}
+
+func (d *Daemon) connectLinks(bytes *meter.Counter) {
+	p := d.parts
+	opts := []link.Option{
+		link.WithHello(d.hello), link.WithHandler(d.handle),
+		link.WithOpened(d.opened), link.WithClosed(d.closed),
+		link.WithCount(func(direction string, n int) { bytes.Add(int64(n), direction) }),
+	}
+	peer := []serve.Option{serve.WithErrorLog(connLog{p.log})}
+	dialing := opts
+	if p.certs != nil {
+		dialing = append(dialing, link.WithTLS(p.certs.Client()))
+		peer = append(peer, serve.WithTLS(p.certs.Server()))
+	}
+	p.server = link.NewServer(opts...)
+	p.dialer = link.NewDialer(dialing...)
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, p.server)
+	p.peer = serve.New(append(peer, serve.WithHandler(mux))...)
+}
+
+func (d *Daemon) opened(c *link.Conn) {
+	if c.Peer().Role == wire.RoleControl && c.Peer().Replica != 0 {
+		d.parts.links.Add(c)
+	}
+	d.parts.fleet.Opened(c)
+	if d.Hooks.Opened != nil {
+		d.Hooks.Opened(c)
+	}
+}
+
+func (d *Daemon) closed(c *link.Conn) {
+	if d.Hooks.Closed != nil {
+		d.Hooks.Closed(c)
+	}
+	d.parts.fleet.Closed(c)
+	d.parts.links.Remove(c)
+}
+
+func (d *Daemon) connectAdmin() {
+	p, s := d.parts, &d.settings
+	handler := admin.New(admin.Seams{
+		Propose: p.relay.Propose, Fresh: p.relay.Fresh, View: p.machine.view.Load,
+		Status:    func() group.Status { return p.group.Status() },
+		Instances: p.fleet.Instances,
+		Targets: func() []admin.Target {
+			if d.Hooks.Targets != nil {
+				return d.Hooks.Targets(p.machine.view.Load(), s.Clock())
+			}
+			return admin.TargetsOf(p.machine.view.Load(), s.Clock())
+		},
+		Add:      p.add,
+		Remove:   p.remove,
+		Snapshot: p.snapshotNow,
+		Stopping: p.stopping.Load,
+		Metrics:  p.meter.Handler(),
+		Clock:    s.Clock, Auth: p.auth, Log: p.log,
+	})
+	p.admin = serve.New(serve.WithHandler(handler), serve.WithErrorLog(connLog{p.log}))
+}
--- /dev/null
+++ b/control/daemon/daemon.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalock/galenalock/control/admin"
+	"github.com/galenalock/galenalock/control/fleet"
+	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/state"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// Hooks are the parts of a replica that other packages decide. Set them before
+// Run; each may be nil.
+type Hooks struct {
+	fleet.Hooks
+	Gossip  func(c *link.Conn, body []byte)                      // a gossip message, called from the link's goroutine
+	Opened  func(c *link.Conn)                                   // a link, called before its first message
+	Closed  func(c *link.Conn)                                   // the end of a link
+	Targets func(v *state.View, now time.Time) []admin.Target    // for the administration interface
+	Start   func(ctx context.Context, dial func(netip.AddrPort)) // called when the links are up; dial keeps a link until ctx ends
+}
+
+// Daemon is one control replica.
+type Daemon struct {
+	Hooks    Hooks
+	settings Settings
+	start    time.Time
+	parts    *parts
+}
+
+// New checks the settings, assembles the replica and binds its addresses.
+func New(s Settings) (*Daemon, error) {
+	s.defaults()
+	if fault := s.check(); fault != nil {
+		fault.File = "settings"
+		return nil, fault
+	}
+	d := &Daemon{settings: s, start: s.Clock()}
+	if err := d.assemble(); err != nil {
+		return nil, err
+	}
+	if err := d.parts.peer.Listen(s.Peer); err != nil {
+		return nil, err
+	}
+	if err := d.parts.admin.Listen(s.Admin); err != nil {
+		d.parts.peer.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Peer returns the bound address for links.
+func (d *Daemon) Peer() netip.AddrPort { return d.parts.peer.Addr() }
+
+// Admin returns the bound address of the administration interface.
+func (d *Daemon) Admin() netip.AddrPort { return d.parts.admin.Addr() }
+
+func (d *Daemon) hello() wire.Hello {
+	s := &d.settings
+	return wire.Hello{
+		Fleet: s.Fleet, Instance: s.Instance, Role: wire.RoleControl, Region: s.Region, DataCentre: s.DataCentre,
+		Peer: d.Peer(), Start: d.start, Replica: uint64(s.Replica),
+	}
+}
+
+// Run opens the data folder and works until ctx ends, then hands leadership
+// over and stops. An error means that the replica cannot go on, such as a disk
+// that fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	p := d.parts
+	defer d.close()
+	if err := p.open(&d.settings); err != nil {
+		return err
+	}
+	// The parts go on after ctx ends, until leadership has been handed over.
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	tasks := newTasks(stop)
+	tasks.start("group", func() error { return p.group.Run(inner) })
+	tasks.start("fleet", func() error { p.fleet.Run(inner); return nil })
+	tasks.start("peer", p.peer.Serve)
+	tasks.start("admin", p.admin.Serve)
+	tasks.start("dial", func() error { d.dialAll(inner); return nil })
+	tasks.start("watch", func() error { d.watch(inner); return nil })
+	if d.Hooks.Start != nil {
+		d.Hooks.Start(inner, func(to netip.AddrPort) {
+			tasks.start("link", func() error { p.dialer.Keep(inner, to, nil); return nil })
+		})
+	}
+	p.log.WithField("peer", d.Peer().String()).WithField("admin", d.Admin().String()).Info("ready")
+	select {
+	case <-ctx.Done():
+		d.handOver()
+	case <-inner.Done():
+	}
+	stop()
+	d.close()
+	return tasks.wait()
+}
+
+// handOver stops new requests, lets those in flight end and transfers
+// leadership, within the grace.
+func (d *Daemon) handOver() {
+	p := d.parts
+	p.stopping.Store(true)
+	p.log.Info("stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), max(d.settings.Grace, time.Millisecond))
+	defer cancel()
+	if s := p.group.Status(); s.Leader == s.ID && s.Members.Voters() > 1 {
+		// Without a replica that can take over, the others elect one after the
+		// election timeout.
+		if err := p.group.Transfer(ctx); err != nil {
+			p.log.WithField("error", err.Error()).Warn("transfer")
+		}
+	}
+	if err := p.admin.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		p.log.WithField("error", err.Error()).Warn("shutdown")
+	}
+}
+
+func (d *Daemon) close() {
+	d.parts.server.Close()
+	d.parts.peer.Close()
+	d.parts.admin.Close()
+}
+
+// Snapshot returns the state as an operator may save it.
+func (p *parts) snapshotNow() ([]byte, error) {
+	data, err := p.machine.snapshot()
+	return data, eris.Wrap(err, "snapshot")
+}
--- /dev/null
+++ b/control/daemon/daemon_test.go
@@ -0,0 +1,72 @@
+package daemon_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/delta"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// Guards against a change that is accepted but does not reach a linked entry,
+// and against whole texts where a splice is enough.
+func TestEntryGetsRevisions(t *testing.T) {
+	is := is.New(t)
+	r := startGroup(t, 1)[0]
+	is.Equal(r.settle(0, "first", serviceText(1))["revision"], 1.0)
+
+	e := dialEntry(t, r)
+	for digest := range e.revisions {
+		if digest.Number == 1 {
+			is.True(!digest.Whole)
+			break
+		}
+	}
+	var whole wire.Revision
+	is.NoErr(e.conn.Call(t.Context(), wire.KindPull, wire.Pull{}, &whole))
+	one, err := delta.Apply(0, nil, whole)
+	is.NoErr(err)
+	is.Equal(string(one), serviceText(1))
+
+	is.Equal(r.settle(1, "second", serviceText(2))["revision"], 2.0)
+	splice := <-e.revisions
+	is.Equal(splice.Base, uint64(1))
+	two, err := delta.Apply(1, one, splice)
+	is.NoErr(err)
+	is.Equal(string(two), serviceText(2))
+
+	var confirmed wire.Confirmed
+	is.NoErr(e.conn.Call(t.Context(), wire.KindConfirm, wire.Confirm{}, &confirmed))
+	is.Equal(confirmed, wire.Confirmed{Number: 2, Sum: splice.Sum})
+}
+
+// Guards against claims that do not pass through the log, and against orders
+// that do not reach entries.
+func TestEntryClaimsAndGetsOrders(t *testing.T) {
+	is := is.New(t)
+	r := startGroup(t, 1)[0]
+	r.settle(0, "first", serviceText(1))
+	e := dialEntry(t, r)
+	claim := wire.Claim{Service: "ledger", Key: "k", Owner: "entry-1", Attempt: 1}
+	ask := func(c wire.Claim) wire.ClaimState {
+		var got wire.Claimed
+		is.NoErr(e.conn.Call(t.Context(), wire.KindClaim, c, &got))
+		return got.State
+	}
+	is.Equal(ask(claim), wire.ClaimGranted)
+	other := claim
+	other.Attempt = 2
+	is.Equal(ask(other), wire.ClaimRunning)
+	var closed wire.Claimed
+	is.NoErr(e.conn.Call(t.Context(), wire.KindClose, wire.Close{
+		Service: "ledger", Key: "k", Owner: "entry-1", Attempt: 1, Outcome: wire.OutcomeDone, Answer: &wire.Answer{Status: 201, Stored: true},
+	}, &closed))
+	is.Equal(ask(other), wire.ClaimDone)
+
+	is.Equal(len((<-e.orders).Drains), 0) // sent when the link opens
+	status, _ := r.ask(http.MethodPut, "/v1/drains/10.0.0.1:80", nil)
+	is.Equal(status, http.StatusOK)
+	is.Equal((<-e.orders).Drains, []string{"10.0.0.1:80"})
+}
--- /dev/null
+++ b/control/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon assembles and runs one control replica.
+package daemon
--- /dev/null
+++ b/control/relay/links.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// Links holds the open links to other replicas. It is safe for concurrent use.
+type Links struct {
+	mu    sync.Mutex
+	conns map[uint64][]*link.Conn
+}
+
+// NewLinks returns an empty set.
+func NewLinks() *Links { return &Links{conns: map[uint64][]*link.Conn{}} }
+
+// Add notes an open link.
+func (l *Links) Add(c *link.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := c.Peer().Replica
+	l.conns[id] = append(l.conns[id], c)
+}
+
+// Remove forgets a link.
+func (l *Links) Remove(c *link.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := c.Peer().Replica
+	l.conns[id] = slices.DeleteFunc(l.conns[id], func(o *link.Conn) bool { return o == c })
+	if len(l.conns[id]) == 0 {
+		delete(l.conns, id)
+	}
+}
+
+// To returns the newest link to a replica, or nil. The newest one is the most
+// likely to work when an older one has gone silent.
+func (l *Links) To(id uint64) *link.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if conns := l.conns[id]; len(conns) > 0 {
+		return conns[len(conns)-1]
+	}
+	return nil
+}
+
+// Send passes a message of the replicated log on. A message without a link is
+// lost, which the log allows for.
+func (l *Links) Send(to uint64, message []byte) {
+	if c := l.To(to); c != nil {
+		_ = c.Send(wire.KindRaft, message) // a failed send ends the link
+	}
+}
+
+// Broadcast sends a message to every linked replica.
+func (l *Links) Broadcast(kind wire.Kind, body any) {
+	l.mu.Lock()
+	var to []*link.Conn
+	for _, conns := range l.conns {
+		to = append(to, conns[len(conns)-1])
+	}
+	l.mu.Unlock()
+	for _, c := range to {
+		_ = c.Send(kind, body) // a failed send ends the link
+	}
+}
