--- a/control/daemon/daemon_test.go
+++ b/control/daemon/daemon_test.go
@@ -13,6 +13,7 @@
 // Guards against a change that is accepted but does not reach a linked entry,
 // and against whole texts where a splice is enough.
 func TestEntryGetsRevisions(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	r := startGroup(t, 1)[0]
 	is.Equal(r.settle(0, "first", serviceText(1))["revision"], 1.0)
@@ -45,6 +46,7 @@
 // Guards against claims that do not pass through the log, and against orders
 // that do not reach entries.
 func TestEntryClaimsAndGetsOrders(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	r := startGroup(t, 1)[0]
 	r.settle(0, "first", serviceText(1))
--- a/control/daemon/failure_test.go
+++ b/control/daemon/failure_test.go
@@ -14,6 +14,7 @@
 // Guards against a restart that loses or replays changes, and against a resend
 // after a lost answer that is answered as a conflict.
 func TestRestartAfterManyChanges(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	changes := 500
 	if testing.Short() {
@@ -40,6 +41,7 @@
 // Guards against two operators who both believe that their change was made
 // from the newest revision, and against a conflict that does not name the winner.
 func TestOperatorsRaceOnOneBase(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	group := startGroup(t, 3)
 	group[0].settle(0, "first", serviceText(0))
@@ -86,6 +88,7 @@
 // Guards against changes lost, reverted or refused when the leader stops, and
 // against a leader that stops without handing over.
 func TestLeaderStops(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	group := startGroup(t, 3)
 	group[0].settle(0, "first", serviceText(0))
@@ -106,6 +109,7 @@
 // Guards against a replica that comes back with an empty folder and lets an
 // accepted change be lost when another one fails right after.
 func TestLostDiskAndAnotherFailure(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	group := startGroup(t, 3)
 	group[0].settle(0, "first", serviceText(0))
@@ -130,6 +134,7 @@
 // Guards against a refused change that looks failed while it may be accepted,
 // and against answers from a minority that claim to be confirmed.
 func TestWithoutMajority(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	group := startGroup(t, 3)
 	group[0].settle(0, "first", serviceText(0))
--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -20,6 +20,9 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
+// client keeps no connections, whose goroutines would look like leaks.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // replica is a control replica in this process.
@@ -122,7 +125,7 @@
 		r.t.Fatal(err)
 	}
 	req.Header.Set(admin.DeadlineHeader, strconv.FormatInt(wait.Milliseconds(), 10))
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, map[string]any{"error": err.Error()}
 	}
