--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -214,5 +214,9 @@
 		Metrics:  p.meter.Handler(),
 		Clock:    s.Clock, Auth: p.auth, Log: p.log,
 	})
-	p.admin = serve.New(serve.WithHandler(handler), serve.WithErrorLog(connLog{p.log}))
+	opts := []serve.Option{serve.WithHandler(handler), serve.WithErrorLog(connLog{p.log})}
+	if p.certs != nil {
+		opts = append(opts, serve.WithTLS(p.certs.Public()))
+	}
+	p.admin = serve.New(opts...)
 }
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -56,7 +56,7 @@
 	t.Text("data", &s.Data, "data", "folder of the log and the snapshots")
 	t.Flag("found", &s.Found, false, "found a new group; set it for the first start only")
 	t.Text("tokens", &s.Tokens, "", "file of the administration tokens; without one the admin address must be a loopback address")
-	t.Text("tls.cert", &s.Cert, "", "certificate file of the peer address; empty: no TLS")
+	t.Text("tls.cert", &s.Cert, "", "certificate file of both addresses; empty: no TLS")
 	t.Text("tls.key", &s.Key, "", "key file of the certificate")
 	t.Text("tls.authority", &s.Authority, "", "file of the authority that signs all instances of the fleet")
 	t.Text("log.level", &s.Level, "info", "lowest level that is logged", "debug", "info", "warning", "error")
--- a/core/certs/certs.go
+++ b/core/certs/certs.go
@@ -53,13 +53,8 @@
 	}
 	m := &material{cert: cert}
 	if c.files.Authority != "" {
-		pem, err := os.ReadFile(c.files.Authority)
-		if err != nil {
-			return eris.Wrap(err, "authority")
-		}
-		m.roots = x509.NewCertPool()
-		if !m.roots.AppendCertsFromPEM(pem) {
-			return eris.Errorf("authority: %s holds no certificate", c.files.Authority)
+		if m.roots, err = readPool(c.files.Authority); err != nil {
+			return err
 		}
 	}
 	c.now.Store(m)
@@ -141,3 +136,42 @@
 	}
 	return nil
 }
+
+// Public returns the configuration of a server whose clients need no
+// certificate, because they present tokens.
+func (c *Certs) Public() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		NextProtos:     []string{"h2", "http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &c.now.Load().cert, nil },
+	}
+}
+
+// Trust returns the configuration of a client without a certificate that
+// trusts servers signed by an authority.
+func Trust(authority string) (*tls.Config, error) {
+	roots, err := readPool(authority)
+	if err != nil {
+		return nil, err
+	}
+	c := &Certs{}
+	c.now.Store(&material{roots: roots})
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		// The chain is verified without the address, as in Client.
+		InsecureSkipVerify: true,
+		VerifyConnection:   c.verify,
+	}, nil
+}
+
+func readPool(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("authority: %s holds no certificate", file)
+	}
+	return pool, nil
+}
--- a/core/serve/router.go
+++ b/core/serve/router.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net/http"
@@ -19,7 +21,7 @@
 // unknown paths and panics are answered as problem+json.
 func NewRouter(log *logrus.Entry) *chi.Mux {
 	r := chi.NewRouter()
-	r.Use(middleware.RequestID, identify, logged(log), recovered(log))
+	r.Use(identify, logged(log), recovered(log))
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		WriteProblem(w, r, &ProblemError{Status: http.StatusNotFound, Reason: "nopath", Detail: r.URL.Path + " is no path of this interface"})
 	})
@@ -29,10 +31,18 @@
 	return r
 }
 
+// maxRequestID bounds the identifiers that callers choose.
+const maxRequestID = 128
+
+// identify gives each request an identifier, that of the caller if it sent one.
 func identify(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Request-Id", middleware.GetReqID(r.Context()))
-		next.ServeHTTP(w, r)
+		id := r.Header.Get(middleware.RequestIDHeader)
+		if id == "" || len(id) > maxRequestID {
+			id = rand.Text()
+		}
+		w.Header().Set(middleware.RequestIDHeader, id)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), middleware.RequestIDKey, id)))
 	})
 }
 
--- /dev/null
+++ b/galenactl/command/diff.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+	"github.com/pmezard/go-difflib/difflib"
+)
+
+const diffContext = 3 // lines around a difference
+
+func init() {
+	Register(Command{
+		Name:    "diff",
+		Summary: "show how a file differs from the service text in force",
+		Example: "galenactl diff fleet.toml\ngalenactl diff fleet.toml --revision 41",
+		Setup: func(sub *flaggy.Subcommand) func(context.Context, *Env) error {
+			var file, number string
+			sub.AddPositionalValue(&file, "file", 1, true, "service text")
+			sub.String(&number, "r", "revision", "revision to compare with, the newest by default")
+			return func(ctx context.Context, env *Env) error { return diff(ctx, env, file, number) }
+		},
+	})
+}
+
+func diff(ctx context.Context, env *Env, file, number string) error {
+	text, _, err := readText(file)
+	if err != nil {
+		return err
+	}
+	doc, err := fetchText(ctx, env, number)
+	if err != nil {
+		return err
+	}
+	unified, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(*doc.Revision.Text), FromFile: fmt.Sprint("revision ", doc.Revision.Number),
+		B: difflib.SplitLines(string(text)), ToFile: file, Context: diffContext,
+	})
+	if err != nil {
+		return err
+	}
+	same := *doc.Revision.Text == string(text)
+	err = env.print(map[string]any{"base": doc.Revision.Number, "differs": !same, "diff": unified}, func(w io.Writer) {
+		fmt.Fprint(w, unified)
+	})
+	if err != nil || same {
+		return err
+	}
+	return &DiffersError{}
+}
--- /dev/null
+++ b/galenactl/command/show.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/galenalock/galenalock/control/admin"
+)
+
+func init() {
+	Register(Command{
+		Name:    "show",
+		Summary: "print the service text, the newest or an earlier one",
+		Example: "galenactl show > fleet.toml\ngalenactl show --revision 41",
+		Setup: func(sub *flaggy.Subcommand) func(context.Context, *Env) error {
+			var number string
+			sub.String(&number, "r", "revision", "revision to show, the newest by default")
+			return func(ctx context.Context, env *Env) error { return showText(ctx, env, number) }
+		},
+	})
+}
+
+func showText(ctx context.Context, env *Env, number string) error {
+	doc, err := fetchText(ctx, env, number)
+	if err != nil {
+		return err
+	}
+	env.note("revision %d, change %s, accepted %s", doc.Revision.Number, doc.Revision.Change, when(doc.Revision.Time))
+	if env.JSON {
+		return env.print(doc, nil)
+	}
+	_, err = io.WriteString(env.Out, *doc.Revision.Text)
+	return err
+}
+
+func fetchText(ctx context.Context, env *Env, number string) (admin.Text, error) {
+	path := "/v1/text"
+	if number != "" {
+		path += "?revision=" + url.QueryEscape(number)
+	}
+	var doc admin.Text
+	stop := env.progress(ctx, func() string { return "waiting for the text" })
+	err := env.Client.Do(ctx, http.MethodGet, path, nil, &doc)
+	stop()
+	if err != nil {
+		return doc, err
+	}
+	if doc.Revision.Text == nil {
+		doc.Revision.Text = new(string)
+	}
+	env.unconfirmed(doc.Confirmed)
+	return doc, nil
+}
--- /dev/null
+++ b/galenactl/command/targets.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/galenalock/galenalock/control/admin"
+)
+
+func init() {
+	Register(Command{
+		Name:    "targets",
+		Summary: "list targets and their state",
+		Example: "galenactl targets --service ledger",
+		Setup: func(sub *flaggy.Subcommand) func(context.Context, *Env) error {
+			var service string
+			sub.String(&service, "s", "service", "only targets of this service")
+			return func(ctx context.Context, env *Env) error { return targets(ctx, env, service) }
+		},
+	})
+}
+
+func targets(ctx context.Context, env *Env, service string) error {
+	var doc admin.Targets
+	stop := env.progress(ctx, func() string { return "waiting for the targets" })
+	err := env.Client.Do(ctx, http.MethodGet, "/v1/targets", nil, &doc)
+	stop()
+	if err != nil {
+		return err
+	}
+	env.unconfirmed(doc.Confirmed)
+	kept := []admin.Target{}
+	for _, t := range doc.Targets {
+		if service == "" || t.Service == service {
+			kept = append(kept, t)
+		}
+	}
+	doc.Targets = kept
+	return env.print(doc, func(w io.Writer) {
+		row(w, "SERVICE", "ADDRESS", "REGION", "DATACENTRE", "STATE", "SLOTS", "LEASE", "SCORE")
+		for _, t := range doc.Targets {
+			row(w, t.Service, t.Address, t.Region, t.DataCentre, t.State, t.Slots, ago(t.Left), fmt.Sprintf("%.1f", t.Score))
+		}
+	})
+}
