--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,22 @@
+// Package route chooses the target of a request.
+//
+// Call pattern. The control goroutine owns one Router per service. It calls
+// Update with the targets it knows and the instances of the fleet whenever
+// one of them changes and at least once a second, because slow start and the
+// age of reported load move with time. Update publishes an immutable snapshot.
+//
+// A traffic goroutine calls Pick with the time, a random draw and an optional
+// endpoint to avoid (the target of the first attempt). It then calls
+// Endpoint.Begin before it opens or takes a connection, Endpoint.Load when a
+// response carries Galenalock-Load, Endpoint.Bytes when bytes were exchanged,
+// and Endpoint.End once the attempt has ended. Endpoint.Limit is the number of
+// connections that this instance may hold to the target. An endpoint stays
+// valid after an Update that removes it.
+//
+// Order of the choice: targets of the same data centre, then of the same
+// region, then elsewhere. A farther tier is considered when the better of two
+// candidates of the nearer tier is used above the spill bound or has lost
+// weight, and wins when its expected cost is lower. Within a tier two
+// candidates are drawn by weight and the one with the lower expected cost is
+// taken (power of two choices).
+package route
--- /dev/null
+++ b/core/route/pick.go
@@ -0,0 +1,119 @@
+package route
+
+import "time"
+
+const (
+	half = 32
+	unit = 1.0 / (1 << half)
+	// explore is the share of picks, one in so many, that take the first
+	// candidate whatever it costs. A slow target would lose every comparison
+	// and give no evidence of its state.
+	explore = 16
+)
+
+// choice is a candidate with its expected cost and use.
+type choice struct {
+	endpoint *Endpoint
+	cost     float64
+	use      float64
+	weight   float64
+}
+
+// Pick chooses an endpoint, or returns nil when no target can take a request.
+// Draw is uniformly random. Avoid may be nil; it is chosen only when it is the
+// last resort.
+func (r *Router) Pick(now time.Time, draw uint64, avoid *Endpoint) *Endpoint {
+	s := r.current.Load()
+	ms := uint32(now.Sub(r.epoch).Milliseconds())
+	var best choice
+	for i := range s.tiers {
+		t := &s.tiers[i]
+		if len(t.members) == 0 {
+			continue
+		}
+		c := t.better(ms, draw, avoid)
+		if c.endpoint != nil && (best.endpoint == nil || c.cost < best.cost) {
+			best = c
+		}
+		if best.endpoint != nil && best.use < spill && best.weight*2 > 1 {
+			break
+		}
+		draw = mix(draw)
+	}
+	if best.endpoint == nil && avoid != nil && avoid.free() {
+		return avoid
+	}
+	return best.endpoint
+}
+
+// Probe returns an endpoint in probation for a repeatable request, or nil. The
+// caller decides how many requests become probes.
+func (r *Router) Probe(draw uint64) *Endpoint {
+	s := r.current.Load()
+	if len(s.probes) == 0 {
+		return nil
+	}
+	if e := s.probes[draw%uint64(len(s.probes))]; e.Inflight() == 0 {
+		return e
+	}
+	return nil
+}
+
+// better draws two members and returns the cheaper one that has a connection
+// left. When neither will do, it scans the tier once.
+func (t *tier) better(ms uint32, draw uint64, avoid *Endpoint) choice {
+	a := t.draw(float64(uint32(draw)) * unit)
+	if mix(draw)%explore == 0 {
+		if first := t.cheaper(choice{}, a, ms, avoid); first.endpoint != nil {
+			return first
+		}
+	}
+	b := t.draw(float64(draw>>half) * unit)
+	if a == b && len(t.members) > 1 {
+		b = t.draw(float64(uint32(mix(draw))) * unit)
+	}
+	best := t.cheaper(choice{}, a, ms, avoid)
+	if a != b {
+		best = t.cheaper(best, b, ms, avoid)
+	}
+	if best.endpoint != nil {
+		return best
+	}
+	for i := range t.members {
+		best = t.cheaper(best, &t.members[i], ms, avoid)
+	}
+	return best
+}
+
+func (t *tier) cheaper(best choice, m *member, ms uint32, avoid *Endpoint) choice {
+	e := m.endpoint
+	if e == avoid || !e.free() {
+		return best
+	}
+	load, slots := e.load(ms, m.slots)
+	use := (load + 1) / slots
+	latency := float64(e.latency.Load())
+	if latency == 0 {
+		latency = float64(t.base)
+	}
+	// Up to its slots a target runs requests side by side; beyond them each
+	// further request waits for a whole service time per slot.
+	cost := latency * (1 + use)
+	if use > 1 {
+		cost *= use
+	}
+	if best.endpoint == nil || cost < best.cost {
+		return choice{endpoint: e, cost: cost, use: use, weight: m.weight}
+	}
+	return best
+}
+
+func (e *Endpoint) free() bool { return e.inflight.Load() < e.limit.Load() }
+
+// mix is the finalizer of SplitMix64; it derives an independent draw.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,201 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/galenalock/galenalock/core/route"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8080)
+}
+
+// fleet returns count targets spread over three regions of two data centres.
+func fleet(count int) []route.Target {
+	regions := []string{"salish", "okanagan", "haida"}
+	out := make([]route.Target, count)
+	for i := range out {
+		region := regions[i%3]
+		out[i] = route.Target{
+			Address: address(i), Start: start, Region: region,
+			DataCentre: fmt.Sprintf("%s-%d", region, i/3%2), Slots: 6, Connections: 400, Weight: 1,
+		}
+	}
+	return out
+}
+
+func Example() {
+	now := start.Add(time.Minute)
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, fleet(12), nil)
+
+	e := r.Pick(now, rand.Uint64(), nil)
+	e.Begin()
+	e.Load(now, 3, 6) // from Galenalock-Load: inflight=3 limit=6
+	e.Bytes(512, 2048)
+	e.End(5 * time.Millisecond)
+	fmt.Println(e.Region(), e.Inflight())
+	// Output: salish 0
+}
+
+// Guards against more connections to a target, over all instances, than it
+// accepts, and against instances that reach no target.
+func TestConnectionsStayWithinTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 700).Draw(t, "instances")
+		targets := fleet(rapid.IntRange(1, 60).Draw(t, "targets"))
+		regions := []string{"salish", "okanagan", "haida"}
+		peers := make([]route.Peer, count)
+		for i := range peers {
+			peers[i] = route.Peer{Instance: fmt.Sprint("e", i), Region: regions[i%3]}
+		}
+		used := make([]int, len(targets))
+		step := 1 + count/48
+		for i := 0; i < count; i++ {
+			r := route.New(start, route.Here{Instance: peers[i].Instance, Region: peers[i].Region})
+			r.Update(start, targets, peers)
+			total := 0
+			for j := range targets {
+				limit := r.Endpoint(targets[j].Address).Limit()
+				used[j] += limit
+				total += limit
+			}
+			if i%step == 0 && count <= 100*len(targets) && total == 0 {
+				t.Fatalf("instance %d of %d reaches none of %d targets", i, count, len(targets))
+			}
+		}
+		for j, n := range used {
+			if n > 400 {
+				t.Fatalf("target %d: %d connections", j, n)
+			}
+		}
+	})
+}
+
+func shares(r *route.Router, now time.Time, picks int) map[string]int {
+	draws := rand.New(rand.NewPCG(1, 2))
+	out := map[string]int{}
+	for range picks {
+		if e := r.Pick(now, draws.Uint64(), nil); e != nil {
+			out[e.Address().Addr().String()]++
+			out[e.Region()]++
+		}
+	}
+	return out
+}
+
+// Guards against traffic that leaves the data centre without need, against
+// overload that does not spill, and against picks of targets out of service.
+func TestLocality(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(time.Minute)
+	targets := fleet(12)
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, targets, nil)
+	got := shares(r, now, 1000)
+	is.Equal(got["salish"], 1000)
+	is.Equal(got["10.0.0.0"]+got["10.0.0.6"], 1000) // the two of salish-0
+
+	for i := range targets {
+		if targets[i].DataCentre == "salish-0" {
+			e := r.Endpoint(targets[i].Address)
+			for range 8 {
+				e.Begin()
+			}
+		}
+	}
+	got = shares(r, now, 1000)
+	is.Equal(got["salish"], 1000)
+	is.Equal(got["10.0.0.0"]+got["10.0.0.6"], 0) // no connection left there
+
+	targets[3].Out, targets[9].Drained = true, true // the two of salish-1
+	r.Update(now, targets, nil)
+	got = shares(r, now, 1000)
+	is.Equal(got["salish"], 0)
+	is.Equal(got["okanagan"]+got["haida"], 1000)
+}
+
+// Guards against a suspect that keeps its share, and against one that loses
+// all of it without a grant.
+func TestWeight(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(time.Minute)
+	targets := fleet(12)
+	for i := range targets {
+		targets[i].Region, targets[i].DataCentre = "salish", "salish-0"
+	}
+	targets[4].Weight = 0
+	targets[5].Ready = now.Add(-time.Second)
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, targets, nil)
+	got := shares(r, now, 100000)
+	is.True(got["10.0.0.4"] > 0)
+	is.True(got["10.0.0.4"] < 1000)
+	is.True(got["10.0.0.5"] > 0)
+	is.True(got["10.0.0.5"] < 3000)
+}
+
+// Guards against a stale report that keeps steering traffic.
+func TestReportedLoadFades(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(time.Minute)
+	targets := fleet(12)
+	for i := range targets {
+		targets[i].Region, targets[i].DataCentre = "salish", "salish-0"
+	}
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, targets, nil)
+	for i := range targets {
+		for range 50 {
+			r.Endpoint(targets[i].Address).Load(now, 4, 6)
+		}
+	}
+	r.Endpoint(targets[0].Address).Load(now, 60, 6)
+	busy := shares(r, now, 12000)["10.0.0.0"]
+	later := shares(r, now.Add(2*time.Second), 12000)["10.0.0.0"]
+	is.True(busy < 200)
+	is.True(later > 200)
+}
+
+// Guards against an allocation or a slow path in the choice.
+func TestPickAllocatesNothing(t *testing.T) {
+	now := start.Add(time.Minute)
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, fleet(40), nil)
+	draw := uint64(1)
+	if n := testing.AllocsPerRun(1000, func() {
+		draw += 0x9e3779b97f4a7c15
+		r.Pick(now, draw, nil)
+	}); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	now := start.Add(time.Minute)
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	targets := fleet(40)
+	for i := range targets {
+		targets[i].Region, targets[i].DataCentre = "salish", "salish-0"
+	}
+	r.Update(now, targets, nil)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		draw := rand.Uint64()
+		for pb.Next() {
+			draw += 0x9e3779b97f4a7c15
+			e := r.Pick(now, draw, nil)
+			e.Begin()
+			e.End(time.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/core/route/target.go
@@ -0,0 +1,34 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Target is what the control goroutine knows of one target.
+type Target struct {
+	Address     netip.AddrPort
+	Start       time.Time // incarnation
+	Region      string
+	DataCentre  string
+	Slots       int       // requests that it runs at once
+	Connections int       // connections that it accepts
+	Ready       time.Time // since when it takes traffic; slow start counts from here
+	Weight      float64   // from core/health, 1 for a healthy target
+	Out         bool      // a grant holds it out of service
+	Probe       bool      // held out, but takes a few repeatable requests
+	Drained     bool      // draining, leaving, gone or drained by an operator
+}
+
+// Here is the place of the instance that chooses.
+type Here struct {
+	Instance   string
+	Region     string
+	DataCentre string
+}
+
+// Peer is an instance that chooses among the same targets.
+type Peer struct {
+	Instance string
+	Region   string
+}
