health: sequential test of targets against their peers

The bound of the percentile moves over 10 s and leaves out suspects; the peers' rate of exceedance over 2 s replaces the fixed 0.1 when it is higher, so that a common change gives no evidence. The self-check counts targets whose sum is suspicious as well as those with a bad recent rate: the rate alone took 1.4 s to see that all targets had failed, and evidence left in that time.

--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,257 @@
+package health_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/health"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8080)
+}
+
+// view drives one monitor with synthetic traffic to targets of two regions.
+type view struct {
+	monitor *health.Monitor
+	targets []*health.Target
+	draws   *rand.Rand
+	now     time.Time
+	factor  func(target int) float64
+	failing func(target int) float64
+	rows    map[netip.AddrPort]wire.Sighted
+	first   map[netip.AddrPort]time.Duration
+}
+
+func newView(seed uint64, count int, opts ...health.Option) *view {
+	v := &view{
+		monitor: health.New(start, "tables", "salish", opts...), draws: rand.New(rand.NewPCG(seed, 1)), now: start,
+		factor: func(int) float64 { return 1 }, failing: func(int) float64 { return 0 },
+		rows: map[netip.AddrPort]wire.Sighted{}, first: map[netip.AddrPort]time.Duration{},
+	}
+	for i := range count {
+		region := []string{"salish", "haida"}[i%2]
+		v.targets = append(v.targets, v.monitor.Target(start, address(i), start, region, region+"-0"))
+	}
+	return v
+}
+
+// run sends rate requests per second to each target for a duration. Latencies
+// are log-normal with sigma 1, so that the 99th percentile is ten times the
+// median.
+func (v *view) run(d time.Duration, rate float64) {
+	began, step := v.now, 10*time.Millisecond
+	for end := v.now.Add(d); v.now.Before(end); v.now = v.now.Add(step) {
+		for i, t := range v.targets {
+			if v.draws.Float64() > rate*step.Seconds() {
+				continue
+			}
+			outcome := health.OK
+			if v.draws.Float64() < v.failing(i) {
+				outcome = health.Failed
+			}
+			latency := time.Duration(4e6 * v.factor(i) * math.Exp(v.draws.NormFloat64()))
+			t.Start(v.now).Finish(v.now.Add(latency), outcome)
+		}
+		if v.now.Sub(start)%(50*time.Millisecond) != 0 {
+			continue
+		}
+		v.monitor.Tick(v.now)
+		for _, row := range v.monitor.Evidence(v.now) {
+			sum := v.rows[row.Target]
+			sum.Score, sum.Good, sum.Slow, sum.Failed = sum.Score+row.Score, sum.Good+row.Good, sum.Slow+row.Slow, sum.Failed+row.Failed
+			v.rows[row.Target] = sum
+			if _, ok := v.first[row.Target]; !ok {
+				v.first[row.Target] = v.now.Sub(began)
+			}
+		}
+	}
+}
+
+func Example() {
+	now := start
+	m := health.New(now, "tables", "salish")
+	t := m.Target(now, netip.MustParseAddrPort("10.0.0.1:80"), start, "salish", "salish-0")
+
+	call := t.Start(now) // a traffic goroutine
+	call.Finish(now.Add(4*time.Millisecond), health.OK)
+
+	now = now.Add(50 * time.Millisecond) // the control goroutine
+	m.Tick(now)
+	fmt.Println(t.Weight(), len(m.Evidence(now)))
+	// Output: 1 0
+}
+
+// Guards against a weight that stays or becomes zero, and against a late report
+// of a slow target. Of the goal of one second, 400 ms are set aside for the
+// pause before the second report (250 ms) and for the way to the leader, the
+// commit and the way back (150 ms).
+func TestSlowTarget(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		v := newView(seed, 12)
+		v.run(10*time.Second, 20)
+		clear(v.rows)
+		clear(v.first)
+		v.factor = func(i int) float64 { return []float64{1, 10}[b2i(i == 5)] }
+		v.run(2*time.Second, 20)
+		is.True(v.first[address(5)] <= 600*time.Millisecond)
+		is.True(v.rows[address(5)].Score > 20)
+		is.True(v.targets[5].Weight() > 0)
+		is.True(v.targets[5].Weight() < 0.3)
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Guards against evidence against targets when all of them change at once. The
+// naive variant has no self-check.
+func TestCommonFailure(t *testing.T) {
+	is := is.New(t)
+	evidence := func(opts ...health.Option) (bad int) {
+		v := newView(7, 12, opts...)
+		v.run(10*time.Second, 20)
+		clear(v.rows)
+		v.failing = func(int) float64 { return 0.9 }
+		v.run(5*time.Second, 20)
+		for _, row := range v.rows {
+			bad += row.Slow + row.Failed
+		}
+		return bad
+	}
+	naive := evidence(health.WithSelfCheck(func(int, int) bool { return false }))
+	real := evidence()
+	is.True(naive > 100)
+	is.True(real < naive/10)
+}
+
+// Guards against a slow link to a region that is taken for slow targets.
+func TestFaultyLink(t *testing.T) {
+	is := is.New(t)
+	v := newView(3, 12)
+	v.run(20*time.Second, 20)
+	clear(v.rows)
+	v.factor = func(i int) float64 { return []float64{1, 8}[i%2] }
+	v.run(8*time.Second, 20)
+	is.Equal(v.monitor.Faulty(), []string{"haida"})
+	is.True(v.targets[1].Weight() <= 0.1)
+	is.True(v.targets[2].Weight() > 0.5)
+}
+
+// Guards against a stalled request that counts only when it ends.
+func TestPendingCounts(t *testing.T) {
+	is := is.New(t)
+	v := newView(1, 12)
+	v.run(5*time.Second, 20)
+	clear(v.first)
+	call := v.targets[4].Start(v.now)
+	v.now = v.now.Add(500 * time.Millisecond)
+	v.monitor.Tick(v.now)
+	rows := v.monitor.Evidence(v.now)
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Target, address(4))
+	is.Equal(rows[0].Slow, 1)
+
+	// A second count when the request ends would double the evidence.
+	call.Finish(v.now, health.OK)
+	v.monitor.Tick(v.now.Add(50 * time.Millisecond))
+	v.now = v.now.Add(time.Second)
+	v.monitor.Tick(v.now)
+	is.Equal(len(v.monitor.Evidence(v.now)), 0)
+}
+
+// Guards against a silent connection that costs its target the service, and
+// against closing connections of a target that does not answer at all.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	target := newView(1, 3).targets[0]
+	old := target.Open(start)
+	old.Send(start)
+	now := start.Add(600 * time.Millisecond)
+	dead, probe := target.Silent(now)
+	is.Equal(len(dead), 0)
+	is.True(probe)
+
+	fresh := target.Open(now)
+	fresh.Send(now)
+	fresh.Hear(now.Add(5 * time.Millisecond))
+	dead, probe = target.Silent(now.Add(10 * time.Millisecond))
+	is.Equal(dead, []*health.Conn{old})
+	is.True(!probe)
+	old.Close()
+	dead, _ = target.Silent(now.Add(time.Second))
+	is.Equal(len(dead), 0)
+}
+
+// Guards against counts that race or do not add up under concurrent traffic.
+func TestConcurrentTraffic(t *testing.T) {
+	is := is.New(t)
+	m := health.New(start, "tables", "salish")
+	target := m.Target(start, address(1), start, "salish", "salish-0")
+	m.Watch([]netip.AddrPort{address(1)})
+	var traffic sync.WaitGroup
+	const workers, each = 8, 2000
+	for w := range workers {
+		traffic.Go(func() {
+			for i := range each {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				call := target.Start(now)
+				call.Finish(now.Add(time.Duration(w)*time.Millisecond), health.OK)
+			}
+		})
+	}
+	total := 0
+	now := start
+	read := func() {
+		now = now.Add(300 * time.Millisecond)
+		m.Tick(now)
+		for _, row := range m.Evidence(now) {
+			total += row.Good + row.Slow + row.Failed
+		}
+	}
+	for range 50 {
+		read()
+	}
+	traffic.Wait()
+	read()
+	is.Equal(total, workers*each)
+	is.Equal(target.Pending(), 0)
+}
+
+func BenchmarkCall(b *testing.B) {
+	m := health.New(start, "tables", "salish")
+	target := m.Target(start, address(1), start, "salish", "salish-0")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		now := start
+		for pb.Next() {
+			now = now.Add(time.Microsecond)
+			target.Start(now).Finish(now.Add(time.Millisecond), health.OK)
+		}
+	})
+}
+
+func BenchmarkTick(b *testing.B) {
+	v := newView(1, 40)
+	v.run(3*time.Second, 50)
+	b.ReportAllocs()
+	for b.Loop() {
+		v.now = v.now.Add(50 * time.Millisecond)
+		v.monitor.Tick(v.now)
+	}
+}
--- /dev/null
+++ b/core/health/policy.go
@@ -0,0 +1,41 @@
+package health
+
+import "math"
+
+// Policy is how much evidence an ejection takes.
+type Policy string
+
+// The policies of a service.
+const (
+	Fast    Policy = "fast"    // favours detection time
+	Careful Policy = "careful" // favours retained capacity
+)
+
+const (
+	// healthyRate is the share of a healthy target's requests that exceed the
+	// 90th percentile of its peers.
+	healthyRate = 0.1
+	// unhealthyRate is the share from which a target counts as unhealthy.
+	unhealthyRate = 0.6
+	// commonRate is the share of the peers above which the change is common.
+	commonRate = 0.5
+
+	fastThreshold    = 18.0
+	carefulThreshold = 28.0
+)
+
+// Threshold returns the cumulative sum at which pooled evidence suffices.
+func (p Policy) Threshold() float64 {
+	if p == Fast {
+		return fastThreshold
+	}
+	return carefulThreshold
+}
+
+// Ratio returns the log-likelihood ratios of one bad and one good observation
+// when the peers exceed their own percentile at the given rate.
+func Ratio(peers float64) (bad, good float64) {
+	p0 := min(max(peers, healthyRate), commonRate)
+	p1 := min(max(unhealthyRate, p0+(unhealthyRate-healthyRate)), 0.95)
+	return math.Log(p1 / p0), math.Log((1 - p1) / (1 - p0))
+}
--- /dev/null
+++ b/core/health/target.go
@@ -0,0 +1,173 @@
+package health
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// pendingSlots bounds the attempts per target whose age is watched while
+	// they are pending. Further ones are judged when they end.
+	pendingSlots = 64
+	// severe is the multiple of the percentile from which one attempt makes a
+	// target a suspect. Healthy heavy-tailed targets pass it in well under 1%
+	// of the requests, a 10x slow one in about a third.
+	severe = 4
+)
+
+// Flags in the low bits of a pending slot; the time is above them.
+const (
+	flagSlow   = 1
+	flagSevere = 2
+	flagBits   = 2
+)
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes.
+const (
+	OK        Outcome = iota // answered
+	Failed                   // error or broken response
+	Cancelled                // given up or shed: no evidence beyond what was counted while pending
+	Void                     // the connection was silent: what was counted is taken back
+)
+
+// Target holds the evidence about one incarnation of a target.
+type Target struct {
+	Address    netip.AddrPort
+	Started    time.Time // incarnation
+	Region     string
+	DataCentre string
+
+	epoch     time.Time
+	threshold atomic.Int64 // 90th percentile of the peers, 0: unknown
+	pending   [pendingSlots]atomic.Int64
+	open      atomic.Int64
+	good      atomic.Int64
+	slow      atomic.Int64
+	failed    atomic.Int64
+	severe    atomic.Int64
+	counts    counts
+
+	mu    sync.Mutex // guards conns; held for list operations only
+	conns []*Conn
+
+	state state
+}
+
+// Call is an attempt in flight. It is a value and allocates nothing.
+type Call struct {
+	target *Target
+	began  int64
+	slot   int32
+}
+
+// Start records that an attempt was sent.
+func (t *Target) Start(now time.Time) Call {
+	began := int64(now.Sub(t.epoch))
+	c := Call{target: t, began: began, slot: -1}
+	t.open.Add(1)
+	at := int(began>>10) & (pendingSlots - 1)
+	for i := range pendingSlots {
+		slot := (at + i) & (pendingSlots - 1)
+		if t.pending[slot].Load() == 0 && t.pending[slot].CompareAndSwap(0, began<<flagBits) {
+			c.slot = int32(slot)
+			break
+		}
+	}
+	return c
+}
+
+// Finish records how the attempt ended. It is called once.
+func (c Call) Finish(now time.Time, outcome Outcome) {
+	t := c.target
+	t.open.Add(-1)
+	var flags int64
+	if c.slot >= 0 {
+		flags = t.pending[c.slot].Swap(0) & (1<<flagBits - 1)
+	}
+	latency := time.Duration(int64(now.Sub(t.epoch)) - c.began)
+	counted := flags&flagSlow != 0
+	switch outcome {
+	case Failed:
+		t.severe.Add(1)
+		t.failed.Add(1)
+		if counted {
+			t.slow.Add(-1)
+		}
+	case Void:
+		if counted {
+			t.slow.Add(-1)
+		}
+		if flags&flagSevere != 0 {
+			t.severe.Add(-1)
+		}
+	case OK:
+		t.counts[bucket(latency)].Add(1)
+		if !counted {
+			t.judge(latency)
+		}
+	case Cancelled:
+	}
+}
+
+func (t *Target) judge(latency time.Duration) {
+	limit := time.Duration(t.threshold.Load())
+	if limit == 0 || latency <= limit {
+		t.good.Add(1)
+		return
+	}
+	t.slow.Add(1)
+	if latency > severe*limit {
+		t.severe.Add(1)
+	}
+}
+
+// sweep counts the pending attempts that have passed the percentile.
+func (t *Target) sweep(now time.Time) {
+	limit := t.threshold.Load()
+	if limit == 0 || t.open.Load() == 0 {
+		return
+	}
+	at := int64(now.Sub(t.epoch))
+	for i := range t.pending {
+		v := t.pending[i].Load()
+		if v == 0 {
+			continue
+		}
+		age, flags := at-v>>flagBits, int64(0)
+		if age > limit {
+			flags |= flagSlow
+		}
+		if age > severe*limit {
+			flags |= flagSevere
+		}
+		// A failed swap means that the attempt has just ended and was judged.
+		if v|flags == v || !t.pending[i].CompareAndSwap(v, v|flags) {
+			continue
+		}
+		if flags&^v&flagSlow != 0 {
+			t.slow.Add(1)
+		}
+		if flags&^v&flagSevere != 0 {
+			t.severe.Add(1)
+		}
+	}
+}
+
+// Pending returns the number of attempts in flight.
+func (t *Target) Pending() int { return int(t.open.Load()) }
+
+// Percentile returns the 90th percentile of the peers, zero while unknown.
+func (t *Target) Percentile() time.Duration { return time.Duration(t.threshold.Load()) }
+
+// Weight returns the local weight between 0.05 and 1 after the last Tick. Only
+// the control goroutine calls it.
+func (t *Target) Weight() float64 { return t.state.weight }
+
+// Score returns the local cumulative sum after the last Tick. Only the control
+// goroutine calls it.
+func (t *Target) Score() float64 { return t.state.sum }
