--- /dev/null
+++ b/core/eject/eject_test.go
@@ -0,0 +1,195 @@
+package eject_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/eject"
+	"github.com/galenalock/galenalock/core/health"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const tick = 100 * time.Millisecond
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8080)
+}
+
+func ready(i int) eject.Target {
+	return eject.Target{Service: "tables", Address: address(i), Start: start, Slots: 6, State: eject.Ready}
+}
+
+// leader returns a leader with ready targets, past its quiet time.
+func leader(policy health.Policy, count int, opts ...eject.Option) (*eject.Leader, time.Time) {
+	l, err := eject.New(start, 1, opts...)
+	if err != nil {
+		panic(err)
+	}
+	l.Service("tables", eject.Floor{Share: 0.8}, policy)
+	for i := range count {
+		l.Target(start, ready(i))
+	}
+	return l, start.Add(eject.Lease + eject.Delay)
+}
+
+// report sends evidence of one region about a target.
+func report(l *eject.Leader, now time.Time, region string, target, good, slow, failed int) {
+	bad, fine := health.Ratio(0)
+	l.Evidence(now, wire.Evidence{Region: region, Sightings: []wire.Sighted{{
+		Service: "tables", Target: address(target), Start: start,
+		Score: float64(slow+failed)*bad + float64(good)*fine, Good: good, Slow: slow, Failed: failed,
+	}}})
+}
+
+// run steps a leader with the same evidence in every tick until the target is
+// in a state, and returns how long that took.
+func run(l *eject.Leader, now time.Time, state string, target int, most time.Duration, report func(now time.Time)) (time.Duration, bool) {
+	for at := time.Duration(0); at <= most; at += tick {
+		report(now.Add(at))
+		for _, set := range l.Step(now.Add(at)) {
+			l.Applied(2, set.Service)
+		}
+		if l.State("tables", address(target)) == state {
+			return at, true
+		}
+	}
+	return most, false
+}
+
+func Example() {
+	l, now := leader(health.Fast, 12)
+	took, _ := run(l, now, "ejected", 5, time.Second, func(now time.Time) { report(l, now, "salish", 5, 0, 8, 0) })
+	orders := l.Orders(now.Add(took))
+
+	k := eject.NewKeeper() // of an entry
+	k.Service("tables", eject.Floor{Share: 0.8})
+	for i := range 12 {
+		k.Target(now, ready(i))
+	}
+	k.Orders(now.Add(took), orders)
+	k.Step(now.Add(took))
+	fmt.Println(k.Out("tables")[0].Target, took)
+	k.Step(now.Add(took + eject.Lease)) // cut off from control
+	fmt.Println(len(k.Out("tables")))
+	// Output:
+	// 10.0.0.5:8080 300ms
+	// 0
+}
+
+// Guards against ejections on the evidence of one pause, of one region's link
+// or of a common fault, and against faults that are never found.
+func TestConviction(t *testing.T) {
+	cases := []struct {
+		name    string
+		policy  health.Policy
+		want    bool
+		ticks   int
+		reports func(l *eject.Leader, now time.Time, i int)
+	}{
+		{"slow seen by two regions", health.Careful, true, 50, func(l *eject.Leader, now time.Time, _ int) {
+			report(l, now, "salish", 5, 1, 6, 0)
+			report(l, now, "haida", 5, 1, 6, 0)
+		}},
+		{"slow seen by one of two regions", health.Careful, false, 100, func(l *eject.Leader, now time.Time, _ int) {
+			report(l, now, "salish", 5, 1, 6, 0)
+			report(l, now, "haida", 5, 7, 0, 0)
+		}},
+		{"one pause of 150 ms", health.Fast, false, 50, func(l *eject.Leader, now time.Time, i int) {
+			report(l, now, "salish", 5, 9*b2i(i >= 2), 100*b2i(i < 2), 0)
+		}},
+		{"errors at 5%", health.Fast, true, 50, func(l *eject.Leader, now time.Time, i int) {
+			report(l, now, "salish", 5, 19, 0, 1)
+		}},
+		{"errors at 0.5%", health.Fast, false, 200, func(l *eject.Leader, now time.Time, i int) {
+			report(l, now, "salish", 5, 20, 0, b2i(i%10 == 0))
+		}},
+		{"most targets slow", health.Fast, false, 50, func(l *eject.Leader, now time.Time, _ int) {
+			for j := range 7 {
+				report(l, now, "salish", j+2, 0, 6, 0)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, now := leader(c.policy, 12)
+			i := 0
+			_, got := run(l, now, "ejected", 5, time.Duration(c.ticks)*tick, func(now time.Time) {
+				c.reports(l, now, i)
+				i++
+			})
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Guards against a flapping target that returns as often as it fails.
+func TestHoldDoubles(t *testing.T) {
+	is := is.New(t)
+	l, now := leader(health.Fast, 12)
+	var holds []time.Duration
+	for range 4 {
+		took, ok := run(l, now, "ejected", 5, time.Minute, func(now time.Time) { report(l, now, "salish", 5, 0, 8, 0) })
+		is.True(ok)
+		now = now.Add(took)
+		took, ok = run(l, now, "probation", 5, 10*time.Minute, func(time.Time) {})
+		is.True(ok)
+		holds = append(holds, took)
+		now = now.Add(took)
+		took, ok = run(l, now, "healthy", 5, time.Minute, func(now time.Time) { report(l, now, "salish", 5, 5, 0, 0) })
+		is.True(ok)
+		now = now.Add(took + tick)
+	}
+	for i, want := range []time.Duration{5, 10, 20, 40} {
+		is.Equal(holds[i].Round(time.Second), want*time.Second)
+	}
+}
+
+// Guards against a new leader that ejects while leases of its predecessor may
+// still be held elsewhere.
+func TestNewLeaderIsQuiet(t *testing.T) {
+	is := is.New(t)
+	l, _ := leader(health.Fast, 12)
+	took, ok := run(l, start, "ejected", 5, time.Minute, func(now time.Time) { report(l, now, "salish", 5, 0, 8, 0) })
+	is.True(ok)
+	is.True(took >= eject.Lease+eject.Delay)
+}
+
+// Guards against arbitrary evidence that breaks the life cycle, which panics.
+func TestArbitraryEvents(t *testing.T) {
+	draws := rand.New(rand.NewPCG(1, 1))
+	l, now := leader(health.Fast, 6)
+	states := []eject.State{eject.Cold, eject.Ready, eject.Draining, eject.Gone}
+	for range 20000 {
+		now = now.Add(tick)
+		target := ready(draws.IntN(6))
+		target.Start = start.Add(time.Duration(draws.IntN(3)) * time.Second)
+		target.State = states[draws.IntN(4)]
+		if draws.IntN(20) == 0 {
+			l.Target(now, target)
+		}
+		report(l, now, "salish", draws.IntN(6), draws.IntN(4), draws.IntN(10), draws.IntN(2))
+		for _, set := range l.Step(now) {
+			if draws.IntN(3) > 0 {
+				l.Applied(2, set.Service)
+			} else {
+				l.Lost(set.Service)
+			}
+		}
+		l.Orders(now)
+	}
+}
