--- /dev/null
+++ b/core/limit/gate_test.go
@@ -0,0 +1,158 @@
+package limit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/refuse"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ticket(kind string, weight float64, deadline time.Duration) *limit.Ticket {
+	return &limit.Ticket{Kind: kind, Weight: weight, Deadline: start.Add(deadline)}
+}
+
+func ExampleGate() {
+	g := limit.New(start)
+	first, second := ticket("lookup", 1, time.Second), ticket("lookup", 1, time.Second)
+	g.Ask(start, first)
+	g.Ask(start, second)
+	fmt.Println(first.Verdict == limit.Admitted, second.Verdict == limit.Waiting)
+	g.Done(start.Add(5*time.Millisecond), first, true)
+	fmt.Println(second.Verdict == limit.Admitted)
+	// Output:
+	// true true
+	// true
+}
+
+// Guards against a queue that holds requests which cannot end in time, and one
+// that refuses the valuable request instead of the cheap one.
+func TestEarlyRefusal(t *testing.T) {
+	is := is.New(t)
+	g := limit.New(start)
+	busy := ticket("lookup", 1, time.Second)
+	g.Ask(start, busy)
+	cheap := make([]*limit.Ticket, 3)
+	for i := range cheap {
+		cheap[i] = ticket("lookup", 1, 35*time.Millisecond)
+		g.Ask(start, cheap[i])
+		is.Equal(cheap[i].Verdict, limit.Waiting) // 10 ms each, one at a time
+	}
+	order := ticket("order", 10, 36*time.Millisecond)
+	decided := g.Ask(start, order)
+	is.Equal(order.Verdict, limit.Waiting)
+	is.Equal(len(decided), 1)
+	is.Equal(decided[0].Reason, refuse.Overload)
+	is.Equal(decided[0].Kind, "lookup")
+
+	g.Leave(order)
+	decided = g.Tick(start.Add(40 * time.Millisecond))
+	is.Equal(len(decided), 2) // the deadlines have passed
+	_, _, waiting := g.Limit()
+	is.Equal(waiting, 0)
+}
+
+// Guards against a limit that ignores what the targets report, and one that
+// never recovers.
+func TestLimitFollowsLoad(t *testing.T) {
+	is := is.New(t)
+	g := limit.New(start)
+	now := start
+	g.Capacity(now, 72, 4)
+	before, _, _ := g.Limit()
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		g.Report(12, 6)
+		g.Tick(now)
+	}
+	low, _, _ := g.Limit()
+	is.True(low < before)
+	is.True(low >= 9) // half of the fair share
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		g.Ask(now, ticket("lookup", 1, time.Hour))
+		g.Ask(now, ticket("lookup", 1, time.Hour))
+		g.Report(3, 6)
+		g.Tick(now)
+	}
+	high, _, _ := g.Limit()
+	is.Equal(high, 72.0)
+}
+
+// overload offers 1.5 times what six slots of 10 ms carry, one request in ten
+// with weight 10, and returns the weight answered in time over the greatest
+// possible. The naive variant is a queue in order of arrival without refusals.
+func overload(seed uint64, naive bool) float64 {
+	const slots, service, step = 6, 10 * time.Millisecond, time.Millisecond
+	draws := rand.New(rand.NewPCG(seed, 1))
+	g := limit.New(start)
+	g.Capacity(start, slots, 1)
+	var running, waiting []*limit.Ticket
+	ends := map[*limit.Ticket]time.Time{}
+	begin := func(now time.Time, t *limit.Ticket) {
+		running = append(running, t)
+		ends[t] = now.Add(service)
+	}
+	answered, offered, heavy := 0.0, 0, 0
+	now := start
+	for ; now.Before(start.Add(4 * time.Second)); now = now.Add(step) {
+		for _, t := range slices.Clone(running) {
+			if ends[t].After(now) {
+				continue
+			}
+			running = slices.DeleteFunc(running, func(o *limit.Ticket) bool { return o == t })
+			if !now.After(t.Deadline) {
+				answered += t.Weight
+			}
+			if naive {
+				continue
+			}
+			for _, o := range g.Done(now, t, true) {
+				if o.Verdict == limit.Admitted {
+					begin(now, o)
+				}
+			}
+		}
+		if draws.Float64() < 0.9 {
+			offered++
+			t := &limit.Ticket{Kind: "lookup", Weight: 1, Deadline: now.Add(300 * time.Millisecond)}
+			if draws.IntN(10) == 0 {
+				t.Kind, t.Weight = "order", 10
+				heavy++
+			}
+			if naive {
+				waiting = append(waiting, t)
+			} else {
+				for _, o := range append(g.Ask(now, t), t) {
+					if o.Verdict == limit.Admitted {
+						begin(now, o)
+					}
+				}
+			}
+		}
+		for naive && len(running) < slots && len(waiting) > 0 {
+			begin(now, waiting[0])
+			waiting = waiting[1:]
+		}
+	}
+	carried := now.Sub(start).Seconds() * slots / service.Seconds()
+	return answered / (float64(10*heavy) + min(carried, float64(offered)) - float64(heavy))
+}
+
+// Guards against shedding that wastes capacity or sheds the wrong requests.
+func TestOverload(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		real, naive := overload(seed, false), overload(seed, true)
+		t.Logf("seed %d: real %.3f naive %.3f", seed, real, naive)
+		is.True(naive < 0.5)
+		is.True(real > 0.95)
+	}
+}
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,79 @@
+package retry_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/retry"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ExampleBudget() {
+	b := retry.New(start, retry.WithReserve(1), retry.WithCount(func(r retry.Reason, v retry.Verdict) { fmt.Println(r, v) }))
+	b.Request()
+	b.Allow(start, retry.Broken, 1, time.Second)
+	b.Allow(start, retry.Broken, 1, time.Second)
+	b.Allow(start, retry.Full, 1, time.Second)
+	// Output:
+	// broken allowed
+	// broken exhausted
+	// full useless
+}
+
+// Guards against retries that multiply the load of a failing service.
+func TestRetriesStayWithinShare(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(start)
+	var allowed atomic.Int64
+	var traffic sync.WaitGroup
+	for range 8 {
+		traffic.Go(func() {
+			for i := range 1000 {
+				b.Request()
+				for attempts := 1; b.Allow(start.Add(time.Duration(i)*time.Millisecond), retry.Broken, attempts, time.Second); attempts++ {
+					allowed.Add(1)
+				}
+			}
+		})
+	}
+	traffic.Wait()
+	is.True(allowed.Load() <= 800+5+2) // 10%, the reserve and its refill in one second
+	is.True(allowed.Load() >= 790)
+}
+
+// Guards against a hedge delay that follows the tail or the median instead of
+// the 95th percentile of a heavy-tailed distribution.
+func TestHedgeDelay(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(start)
+	draws := rand.New(rand.NewPCG(1, 1))
+	sum := 0.0
+	const samples = 20000
+	for i := range 2 * samples {
+		b.Observe(time.Duration(1e7 * math.Exp(draws.NormFloat64())))
+		if d, _ := b.Hedge(); i >= samples {
+			sum += float64(d)
+		}
+	}
+	want := 1e7 * math.Exp(1.645)
+	is.True(math.Abs(sum/samples/want-1) < 0.15)
+}
+
+// Guards against an attempt that cannot end by the deadline.
+func TestLate(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(start)
+	b.Observe(time.Second)
+	is.True(!b.Allow(start, retry.Broken, 1, 10*time.Millisecond))
+	is.True(!b.Allow(start, retry.Broken, 1, 0))
+	is.True(b.Allow(start, retry.Broken, 1, time.Second))
+	is.True(!b.Allow(start, retry.Broken, 3, time.Second))
+}
