core: add the gossip and roster cores

Every instance needs the live targets of the whole fleet without a store, and a relay of all renewals would cost 59 KB/s per node at 5,900 targets. Only changes are flooded; renewals stop at two owners of the target's data centre.

A departure (leaving, left) outranks every sequence number of its incarnation, so that a delayed renewal cannot bring a leaving target back. Owners publish the end of a target only while most of the lately known instances of its data centre are alive, and after asking the other owner: an instance that is cut off would otherwise declare every target gone and spread that when it returns. For the same reason an instance without any link suspects nobody.

Ruled out: tombstones that live only as long as the longest time to live (60 s). After a partition of minutes the far side still holds the record as alive.

--- /dev/null
+++ b/core/roster/action.go
@@ -0,0 +1,26 @@
+package roster
+
+import (
+	"net/netip"
+
+	"github.com/galenalock/galenalock/core/gossip"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// Verb is what an action asks for.
+type Verb uint8
+
+// The verbs.
+const (
+	Publish Verb = iota + 1 // put Record into the gossip core
+	Forward                 // send Renew to the instance To at its peer address
+)
+
+// Action is what the shell does for the roster.
+type Action struct {
+	Do      Verb
+	Record  *gossip.Record
+	To      string
+	Address netip.AddrPort
+	Renew   wire.Renew
+}
