pool: connections to targets that send each request once

http.Transport resent requests with an Idempotency-Key, and requests without a body, after a reused connection failed: the raw listener counted 2 arrivals for one call of GET and keyed POST, 1 for the others. Marking requests as not replayable was ruled out because it does not tell whether a byte left the process; the pool writes requests itself and counts 1 arrival in all cases.

--- /dev/null
+++ b/core/pool/pool_test.go
@@ -0,0 +1,213 @@
+package pool_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/galenalock/galenalock/core/pool"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// listen serves each connection with f and returns the address.
+func listen(t *testing.T, f func(c net.Conn, in *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// fickle answers the first request of each connection and closes the
+// connection after it has read the second one.
+func fickle(t *testing.T, arrivals *atomic.Int64) netip.AddrPort {
+	return listen(t, func(c net.Conn, in *bufio.Reader) {
+		for n := range 2 {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/counted" {
+				arrivals.Add(1)
+			}
+			if n == 0 {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	})
+}
+
+// Guards against a request that is sent again without anybody asking for it
+// when a reused connection fails. The naive variant is http.Transport.
+func TestNoSilentReplay(t *testing.T) {
+	cases := []struct {
+		name, method, key, body string
+		naive                   int64 // arrivals with http.Transport
+	}{
+		{"GET", http.MethodGet, "", "", 2},
+		{"GET with key", http.MethodGet, "k", "", 2},
+		{"POST", http.MethodPost, "", "", 1},
+		{"POST with key", http.MethodPost, "k", "", 2},
+		{"POST with body", http.MethodPost, "", "b", 1},
+		{"POST with body and key", http.MethodPost, "k", "b", 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var arrivals atomic.Int64
+			target := fickle(t, &arrivals)
+			naive := &http.Transport{}
+			defer naive.CloseIdleConnections()
+			for _, path := range []string{"/", "/counted"} {
+				r, err := http.NewRequest(c.method, "http://"+target.String()+path, bytes.NewReader([]byte(c.body)))
+				is.NoErr(err)
+				if c.key != "" {
+					r.Header.Set("Idempotency-Key", c.key)
+				}
+				if response, err := naive.RoundTrip(r); err == nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+					response.Body.Close()
+				}
+			}
+			is.Equal(arrivals.Swap(0), c.naive)
+
+			real := pool.New()
+			defer real.Close()
+			for _, path := range []string{"/", "/counted"} {
+				header := http.Header{}
+				if c.key != "" {
+					header.Set("Idempotency-Key", c.key)
+				}
+				response, err := real.Do(context.Background(), &pool.Request{
+					Target: target, Method: c.method, URI: path, Host: "x", Header: header, Data: []byte(c.body),
+				})
+				is.Equal(err != nil, path == "/counted")
+				if err == nil {
+					is.NoErr(drain(response))
+				} else {
+					is.True(!pool.Unsent(err))
+				}
+			}
+			is.Equal(arrivals.Load(), int64(1))
+		})
+	}
+}
+
+func drain(r *pool.Response) error {
+	_, err := io.Copy(io.Discard, r.Body)
+	r.Body.Close()
+	return err
+}
+
+// Guards against a response that belongs to no request, or to an abandoned
+// one, being read as the answer to the next request. The naive variant skips
+// the check of the connection.
+func TestUnsolicitedResponse(t *testing.T) {
+	for _, naive := range []bool{true, false} {
+		is := is.New(t)
+		extra := make(chan struct{}, 1)
+		target := listen(t, func(c net.Conn, in *bufio.Reader) {
+			for {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"+r.URL.Path)
+				if r.URL.Path == "/1" {
+					<-extra
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+					extra <- struct{}{}
+				}
+			}
+		})
+		var opts []pool.Option
+		if naive {
+			opts = append(opts, pool.WithCheck(func(net.Conn) bool { return true }))
+		}
+		p := pool.New(opts...)
+		get := func(uri string) string {
+			response, err := p.Do(context.Background(), &pool.Request{Target: target, Method: http.MethodGet, URI: uri, Host: "x"})
+			is.NoErr(err)
+			data, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			return string(data)
+		}
+		is.Equal(get("/1"), "/1")
+		extra <- struct{}{}
+		<-extra
+		is.Equal(get("/2") == "no", naive)
+		p.Close()
+	}
+}
+
+// Guards against a request that must be sent once travelling on a connection
+// that has been idle for longer than the time within which it proved itself.
+func TestOnceUsesProvenConnection(t *testing.T) {
+	is := is.New(t)
+	var opened atomic.Int64
+	target := listen(t, func(c net.Conn, in *bufio.Reader) {
+		opened.Add(1)
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+	})
+	now := time.Unix(0, 0)
+	p := pool.New(pool.WithNow(func() time.Time { return now }))
+	defer p.Close()
+	send := func(once bool) bool {
+		response, err := p.Do(context.Background(), &pool.Request{Target: target, Method: http.MethodGet, URI: "/", Host: "x", Once: once})
+		is.NoErr(err)
+		is.NoErr(drain(response))
+		return response.Reused
+	}
+	is.True(!send(false))
+	now = now.Add(3 * time.Second)
+	is.True(send(false))
+	now = now.Add(3 * time.Second)
+	is.True(!send(true))
+	now = now.Add(time.Second)
+	is.True(send(true))
+	now = now.Add(time.Hour)
+	is.True(!send(false))
+	is.Equal(opened.Load(), int64(3))
+}
+
+// Guards against a header that smuggles a second request to the target.
+func TestMalformedRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	p := pool.New()
+	target := listen(t, func(_ net.Conn, in *bufio.Reader) { _, _ = in.ReadByte() })
+	_, err := p.Do(context.Background(), &pool.Request{
+		Target: target, Method: "GET", URI: "/", Host: "x", Header: http.Header{"A": {"b\r\nC: d"}},
+	})
+	is.True(pool.Unsent(err))
+}
