--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -115,6 +115,12 @@
 	})
 }
 
+// Adopt takes in an overlay link that another server of the process accepted.
+func (m *Mesh) Adopt(c *link.Conn) { m.open(c) }
+
+// Release ends what Adopt began, when the link has ended.
+func (m *Mesh) Release(c *link.Conn) { m.end(c) }
+
 // Send sends a message to a neighbour of the overlay; without a link it is
 // dropped, and the exchange of digests repairs the loss.
 func (m *Mesh) Send(name string, kind wire.Kind, body any) {
--- /dev/null
+++ b/entry/agent/lane.go
@@ -0,0 +1,224 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenalock/galenalock/core/eject"
+	"github.com/galenalock/galenalock/core/gossip"
+	"github.com/galenalock/galenalock/core/health"
+	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/retry"
+	"github.com/galenalock/galenalock/core/roster"
+	"github.com/galenalock/galenalock/core/route"
+	"github.com/galenalock/galenalock/core/spec"
+)
+
+// target is a target as the data path uses it.
+type target struct {
+	roster.Target
+	endpoint *route.Endpoint
+	health   *health.Target
+}
+
+// lane is what the entry holds for one service.
+type lane struct {
+	service *spec.Service
+	router  *route.Router
+	monitor *health.Monitor
+	budget  *retry.Budget
+	gate    *limit.Gate
+	targets atomic.Pointer[map[netip.AddrPort]*target]
+
+	// Owned by the control goroutine.
+	dirty    bool
+	out      map[netip.AddrPort]bool      // held out by a grant at the last update
+	returned map[netip.AddrPort]time.Time // when a target came back, for its slow start
+	weights  map[netip.AddrPort]float64   // as of the last update
+	updated  time.Time
+	moved    time.Time // last move of the gate
+}
+
+func (a *Agent) newLane(now time.Time, s *spec.Service) *lane {
+	here := route.Here{Instance: a.settings.Instance, Region: a.settings.Region, DataCentre: a.settings.DataCentre}
+	l := &lane{
+		service: s,
+		router: route.New(now, here, route.WithRamp(a.settings.Ramp), route.WithMeter(func(_ string, sent, received int64) {
+			a.hooks.Crossing(sent, received)
+		})),
+		monitor: health.New(now, s.Name, a.settings.Region),
+		budget: retry.New(now, retry.WithCount(func(reason retry.Reason, verdict retry.Verdict) {
+			a.hooks.Retried(string(reason), string(verdict))
+		})),
+		gate:     limit.New(now),
+		dirty:    true,
+		out:      map[netip.AddrPort]bool{},
+		returned: map[netip.AddrPort]time.Time{},
+		weights:  map[netip.AddrPort]float64{},
+	}
+	l.targets.Store(&map[netip.AddrPort]*target{})
+	return l
+}
+
+// relane brings the lanes in line with a new text. A lane of a service that
+// stays keeps its evidence and budgets.
+func (a *Agent) relane(now time.Time) {
+	text := a.update.Text()
+	next := make(map[string]*lane, len(text.Services))
+	for _, s := range text.Services {
+		l := a.lanes[s.Name]
+		if l == nil {
+			l = a.newLane(now, s)
+		}
+		// Traffic goroutines read the service from the view, not from the lane.
+		l.service, l.dirty = s, true
+		next[s.Name] = l
+		a.keeper.Service(s.Name, eject.Floor{Share: s.Floor.Share, Slots: s.Floor.Slots})
+	}
+	for name := range a.lanes {
+		if next[name] == nil {
+			a.keeper.Drop(name)
+		}
+	}
+	a.lanes = next
+	a.routes.Store(&next)
+	for _, s := range text.Services {
+		for _, t := range a.roster.Snapshot().Targets(s.Name) {
+			a.keeper.Target(now, ejectTarget(t))
+		}
+	}
+	a.rates.set(text, a.entries())
+}
+
+func ejectTarget(t roster.Target) eject.Target {
+	state := eject.Ready
+	switch t.State {
+	case gossip.StateCold:
+		state = eject.Cold
+	case gossip.StateDraining, gossip.StateLeaving:
+		state = eject.Draining
+	case gossip.StateGone, gossip.StateLeft:
+		state = eject.Gone
+	}
+	return eject.Target{Service: t.Service, Address: t.Address, Start: t.Start, Slots: t.Slots, State: state}
+}
+
+// changed takes in a changed record of a target.
+func (a *Agent) changed(now time.Time, record *gossip.Record) {
+	t, err := roster.TargetOf(record)
+	if err != nil {
+		return
+	}
+	l := a.lanes[t.Service]
+	if l == nil {
+		return
+	}
+	a.keeper.Target(now, ejectTarget(t))
+	l.dirty = true
+}
+
+// update gives the router, the monitor and the gate the present targets.
+func (a *Agent) updateLane(now time.Time, l *lane) {
+	known := a.roster.Snapshot().Targets(l.service.Name)
+	previous := *l.targets.Load()
+	next := make(map[netip.AddrPort]*target, len(known))
+	routed := make([]route.Target, 0, len(known))
+	slots := 0.0
+	out := map[netip.AddrPort]bool{}
+	for _, standing := range a.keeper.Out(l.service.Name) {
+		out[standing.Target] = true
+	}
+	for _, t := range known {
+		h := l.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre)
+		next[t.Address] = &target{Target: t, health: h}
+		r := a.routed(now, l, t, h, out)
+		routed = append(routed, r)
+		if !r.Drained && !r.Out {
+			slots += float64(t.Slots)
+		}
+	}
+	for address := range previous {
+		if next[address] == nil {
+			l.monitor.Forget(address)
+			delete(l.weights, address)
+			delete(l.returned, address)
+		}
+	}
+	l.router.Update(now, routed, a.peers())
+	for address, t := range next {
+		t.endpoint = l.router.Endpoint(address)
+	}
+	l.targets.Store(&next)
+	l.out, l.dirty, l.updated = out, false, now
+	wake(l.gate.Capacity(now, slots, a.entries()))
+}
+
+// routed describes one target to the router.
+func (a *Agent) routed(now time.Time, l *lane, t roster.Target, h *health.Target, out map[netip.AddrPort]bool) route.Target {
+	ready := now.Add(-t.Age(now))
+	if l.out[t.Address] && !out[t.Address] {
+		l.returned[t.Address] = now
+	}
+	if back, ok := l.returned[t.Address]; ok && back.After(ready) {
+		ready = back
+	}
+	l.weights[t.Address] = h.Weight()
+	drained := t.State == gossip.StateDraining || t.State == gossip.StateLeaving
+	return route.Target{
+		Address: t.Address, Start: t.Start, Region: t.Region, DataCentre: t.DataCentre,
+		Slots: t.Slots, Connections: t.Connections, Ready: ready, Weight: h.Weight(),
+		Out:     out[t.Address],
+		Probe:   out[t.Address] && slices.ContainsFunc(a.keeper.Out(l.service.Name), func(s eject.Standing) bool { return s.Target == t.Address && s.Probe }),
+		Drained: drained || a.drains.Has(t.Address.String()),
+	}
+}
+
+// peers lists the ready entries, which share the targets with this one.
+func (a *Agent) peers() []route.Peer {
+	var out []route.Peer
+	for _, r := range a.gossip.Records(gossip.KindInstance) {
+		body, err := r.Instance()
+		if err != nil || body.Role != "entry" || r.State.Dead() || r.State == gossip.StateLeaving {
+			continue
+		}
+		out = append(out, route.Peer{Instance: r.Key, Region: body.Region})
+	}
+	return out
+}
+
+func (a *Agent) entries() int { return max(1, len(a.peers())) }
+
+// pick selects a target outside exclude.
+func (l *lane) pick(now time.Time, repeat bool, exclude []netip.AddrPort) *target {
+	const (
+		probeShare = 16 // one repeatable request in so many tries a target in probation
+		draws      = 4
+	)
+	draw := rand.Uint64()
+	targets := *l.targets.Load()
+	if repeat && len(exclude) == 0 && draw%probeShare == 0 {
+		if e := l.router.Probe(draw); e != nil {
+			return targets[e.Address()]
+		}
+	}
+	var avoid *route.Endpoint
+	if len(exclude) > 0 {
+		if t := targets[exclude[len(exclude)-1]]; t != nil {
+			avoid = t.endpoint
+		}
+	}
+	for range draws {
+		e := l.router.Pick(now, draw, avoid)
+		if e == nil {
+			return nil
+		}
+		if !slices.Contains(exclude, e.Address()) {
+			return targets[e.Address()]
+		}
+		draw = rand.Uint64()
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/agent/steer.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"math"
+	"time"
+
+	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/value"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+const (
+	// updateEvery bounds the age of slow starts and reported load in a router.
+	updateEvery = time.Second
+	// weightStep is the relative change of a weight that is worth an update;
+	// an update of each service at each tick would cost more than it steers.
+	weightStep = 0.05
+	gateEvery  = 100 * time.Millisecond
+)
+
+// orders takes what control wants of the entry.
+func (a *Agent) orders(now time.Time, o wire.Orders) {
+	if o.Index < a.orderIndex {
+		return
+	}
+	a.orderIndex = o.Index
+	a.keeper.Orders(now, o)
+	for _, l := range a.lanes {
+		l.monitor.Watch(a.keeper.Watched(l.service.Name))
+	}
+	next := value.NewSet(o.Drains...)
+	for name := range next {
+		if !a.drains.Has(name) {
+			a.dirtyAll()
+		}
+	}
+	for name := range a.drains {
+		if !next.Has(name) {
+			a.dirtyAll()
+		}
+	}
+	a.drains = next
+	if on := next.Has(a.settings.Instance); on != a.draining {
+		a.draining = on
+		a.hooks.Drain(on)
+		a.publish(now)
+	}
+}
+
+func (a *Agent) dirtyAll() {
+	for _, l := range a.lanes {
+		l.dirty = true
+	}
+}
+
+// steer moves the evidence, the leases and what follows from them.
+func (a *Agent) steer(now time.Time) {
+	a.keeper.Step(now)
+	if a.peersDirty {
+		a.peersDirty = false
+		a.dirtyAll()
+		if text := a.update.Text(); text != nil {
+			a.rates.set(text, a.entries())
+		}
+	}
+	for _, l := range a.lanes {
+		l.monitor.Tick(now)
+		a.sendEvidence(now, l)
+		if l.dirty || now.Sub(l.updated) >= updateEvery || l.stale(a) {
+			a.updateLane(now, l)
+		}
+		if now.Sub(l.moved) >= gateEvery {
+			l.moved = now
+			wake(l.gate.Tick(now))
+		}
+	}
+}
+
+// stale reports whether the router's snapshot differs from the leases or from
+// the weights by more than it should.
+func (l *lane) stale(a *Agent) bool {
+	out := a.keeper.Out(l.service.Name)
+	if len(out) != len(l.out) {
+		return true
+	}
+	for _, standing := range out {
+		if !l.out[standing.Target] {
+			return true
+		}
+	}
+	for address, t := range *l.targets.Load() {
+		if before := l.weights[address]; math.Abs(t.health.Weight()-before) > weightStep*before {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) sendEvidence(now time.Time, l *lane) {
+	rows := l.monitor.Evidence(now)
+	if len(rows) == 0 {
+		return
+	}
+	e := wire.Evidence{
+		Instance: a.settings.Instance, Region: a.settings.Region, DataCentre: a.settings.DataCentre, Sightings: rows,
+	}
+	for _, c := range *a.kept.Load() {
+		// A replica that does not lead passes evidence on, so one is enough.
+		if c.Send(wire.KindEvidence, e) == nil {
+			return
+		}
+	}
+}
+
+// wake tells the goroutines of tickets what was decided.
+func wake(tickets []*limit.Ticket) {
+	for _, t := range tickets {
+		t.Wake <- t.Verdict
+	}
+}
--- /dev/null
+++ b/entry/agent/traffic.go
@@ -0,0 +1,179 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/galenalock/galenalock/core/health"
+	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/retry"
+	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+// retryLater is what a caller is advised after a refusal for load.
+const retryLater = time.Second
+
+// dispatch ties an attempt to the counters of its target.
+type dispatch struct {
+	lane   *lane
+	target *target
+	call   health.Call
+	judged bool
+}
+
+func (a *Agent) lane(service string) *lane { return (*a.routes.Load())[service] }
+
+// Pick selects a target for an attempt.
+func (a *Agent) Pick(r proxy.Request, exclude []netip.AddrPort, now time.Time) (proxy.Target, bool) {
+	l := a.lane(r.Service.Name)
+	if l == nil {
+		return proxy.Target{}, false
+	}
+	t := l.pick(now, r.Kind.Repeat && !r.Kind.Upload, exclude)
+	if t == nil {
+		return proxy.Target{}, false
+	}
+	return proxy.Target{
+		Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
+		Slots: t.Slots, Connections: t.Connections, Incarnation: t.Start,
+		Handle: &dispatch{lane: l, target: t},
+	}, true
+}
+
+// Begin counts an attempt that is about to be sent.
+func (a *Agent) Begin(at proxy.Attempt) {
+	d, ok := at.Target.Handle.(*dispatch)
+	if !ok {
+		return
+	}
+	if at.Number == 0 {
+		d.lane.budget.Request()
+	}
+	d.target.endpoint.Begin()
+	// The time that an upload takes depends on the caller.
+	if !at.Request.Kind.Upload {
+		d.call, d.judged = d.target.health.Start(at.Start), true
+	}
+}
+
+// End counts how an attempt ended.
+func (a *Agent) End(at proxy.Attempt, o proxy.Outcome) {
+	d, ok := at.Target.Handle.(*dispatch)
+	if !ok {
+		return
+	}
+	latency := time.Duration(0)
+	if o.Class == proxy.Answered {
+		latency = o.Head
+		d.lane.budget.Observe(o.Head)
+	}
+	d.target.endpoint.End(latency)
+	d.target.endpoint.Bytes(o.Sent, o.Bytes)
+	if d.judged {
+		d.call.Finish(at.Start.Add(judgedTime(at, o)), outcomes[o.Class])
+	}
+	if o.Class == proxy.Refused {
+		d.lane.gate.Shed()
+	}
+	var inflight, slots int
+	if n, _ := fmt.Sscanf(o.Load, "inflight=%d limit=%d", &inflight, &slots); n == 2 {
+		d.target.endpoint.Load(o.End, inflight, slots)
+		d.lane.gate.Report(inflight, slots)
+	}
+}
+
+// judgedTime is the time that an attempt is judged by: to the response head,
+// because the body's time depends on its size and on the caller.
+func judgedTime(at proxy.Attempt, o proxy.Outcome) time.Duration {
+	if o.Head > 0 {
+		return o.Head
+	}
+	return o.End.Sub(at.Start)
+}
+
+// outcomes is what each class of outcome says about the target. A deadline
+// that passes is counted while the attempt is pending; the caller may have set
+// it too short.
+var outcomes = map[proxy.Class]health.Outcome{
+	proxy.Answered:  health.OK,
+	proxy.Faulty:    health.Failed,
+	proxy.Refused:   health.Cancelled,
+	proxy.Dial:      health.Failed,
+	proxy.Failed:    health.Failed,
+	proxy.Overdue:   health.Cancelled,
+	proxy.Silenced:  health.Void,
+	proxy.Cancelled: health.Cancelled,
+}
+
+// Admit waits for the right to run a request.
+func (a *Agent) Admit(ctx context.Context, r proxy.Request) (func(), error) {
+	if !a.rates.allow(r.Workspace) {
+		return nil, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, Retry: retryLater}
+	}
+	l := a.lane(r.Service.Name)
+	if l == nil {
+		return func() {}, nil // Pick refuses the request
+	}
+	ticket := &limit.Ticket{
+		Kind: r.Kind.Name, Weight: r.Kind.Weight, Deadline: r.Deadline, Wake: make(chan limit.Verdict, 1),
+	}
+	wake(l.gate.Ask(time.Now(), ticket))
+	verdict := ticket.Verdict
+	if verdict == limit.Waiting {
+		verdict = await(ctx, l, ticket)
+	}
+	switch verdict {
+	case limit.Admitted:
+		return func() { wake(l.gate.Done(time.Now(), ticket, true)) }, nil
+	case limit.Refused:
+		return nil, &refuse.Error{Reason: ticket.Reason, Run: refuse.NotRun, Retry: retryLater}
+	}
+	return nil, &refuse.Error{Reason: refuse.Deadline, Run: refuse.NotRun, Err: ctx.Err()}
+}
+
+// await waits for the verdict on a queued ticket.
+func await(ctx context.Context, l *lane, ticket *limit.Ticket) limit.Verdict {
+	select {
+	case verdict := <-ticket.Wake:
+		return verdict
+	case <-ctx.Done():
+	}
+	l.gate.Leave(ticket)
+	select {
+	case verdict := <-ticket.Wake: // decided before the ticket left
+		return verdict
+	default:
+		return limit.Waiting
+	}
+}
+
+// Retry takes a further attempt out of the service's budget.
+func (a *Agent) Retry(r proxy.Request, reason proxy.Reason, attempts int) bool {
+	l := a.lane(r.Service.Name)
+	if l == nil {
+		return false
+	}
+	now := time.Now()
+	return l.budget.Allow(now, reasons[reason], attempts, r.Deadline.Sub(now))
+}
+
+var reasons = map[proxy.Reason]retry.Reason{
+	proxy.RetryConnect: retry.Connect,
+	proxy.RetryFailed:  retry.Broken,
+	proxy.RetryShed:    retry.Shed,
+	proxy.RetryHedge:   retry.Hedging,
+	proxy.RetrySilent:  retry.Silent,
+}
+
+// Hedge returns after which time a pending request is sent a second time.
+func (a *Agent) Hedge(s *spec.Service, _ *spec.Kind) (time.Duration, bool) {
+	l := a.lane(s.Name)
+	if l == nil {
+		return 0, false
+	}
+	return l.budget.Hedge()
+}
