--- a/core/conf/page.go
+++ b/core/conf/page.go
@@ -45,3 +45,18 @@
 	}
 	return b.String()
 }
+
+// Section puts the page of a table into a document that holds pages of several
+// tables, in place of the one with the same title or else at the end.
+func Section(document, title string, t *Table) string {
+	page := Page(title, t)
+	start := strings.Index(document, "## "+title+"\n")
+	if start < 0 {
+		return strings.TrimRight(document, "\n") + "\n\n" + page
+	}
+	rest := document[start:]
+	if next := strings.Index(rest[1:], "\n## "); next >= 0 {
+		return document[:start] + page + rest[next+1:]
+	}
+	return document[:start] + page
+}
--- /dev/null
+++ b/core/conf/page_test.go
@@ -0,0 +1,24 @@
+package conf_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/conf"
+)
+
+// Guards against a page that loses or repeats the table of another program.
+func TestSectionReplacesItsOwn(t *testing.T) {
+	is := is.New(t)
+	var one, two string
+	a, b := &conf.Table{}, &conf.Table{}
+	a.Text("one", &one, "", "help")
+	b.Text("two", &two, "", "help")
+	page := conf.Section(conf.Section("# Settings\n", "a", a), "b", b)
+	is.Equal(conf.Section(page, "a", a), page)
+	is.Equal(conf.Section(page, "b", b), page)
+	is.Equal(strings.Count(page, "`one`"), 1)
+	is.Equal(strings.Count(page, "`two`"), 1)
+}
