Drop old reports before events, stamp the leader's time, tell who is out of reach

The leader stamps its own time into forwarded commands: with the proposer's, one replica with a fast clock would end the retention of keys early. Reports and evidence have their own queue, which drops the oldest and counts the drops.

--- a/control/admin/documents.go
+++ b/control/admin/documents.go
@@ -68,7 +68,7 @@
 	Confirmed  float64        `json:"confirmed"` // seconds since control or a peer confirmed its revision, as reported
 	Age        float64        `json:"age"`       // seconds since its last report
 	Inflight   int            `json:"inflight"`
-	Linked     bool           `json:"linked"` // to the replica that answers
+	Reachable  bool           `json:"reachable"` // linked or heard of lately; only these count as lagging
 	Drained    bool           `json:"drained"`
 }
 
--- a/control/admin/problem.go
+++ b/control/admin/problem.go
@@ -20,7 +20,8 @@
 	var size *relay.SizeError
 	var leader *group.NotLeaderError
 	var change *group.ChangeError
-	var stopped *group.ShutdownError
+	var closed *group.ShutdownError
+	var stopped *relay.StoppedError
 	switch {
 	case errors.As(err, &unknown), errors.As(err, &maybe):
 		return &serve.ProblemError{
@@ -44,7 +45,7 @@
 		}
 	case errors.As(err, &change):
 		return &serve.ProblemError{Status: http.StatusConflict, Reason: "refused", Detail: change.Reason, Fields: map[string]any{"run": "no"}}
-	case errors.As(err, &stopped):
+	case errors.As(err, &stopped), errors.As(err, &closed):
 		return &serve.ProblemError{Status: http.StatusServiceUnavailable, Reason: "draining", Detail: "the replica is shutting down", Fields: map[string]any{"run": "no"}}
 	}
 	return err
--- a/control/admin/status.go
+++ b/control/admin/status.go
@@ -6,10 +6,9 @@
 	"time"
 
 	"github.com/galenalock/galenalock/control/fleet"
+	"github.com/galenalock/galenalock/core/serve"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
-
-	"github.com/galenalock/galenalock/core/serve"
 )
 
 func (a *Admin) status(w http.ResponseWriter, r *http.Request) error {
@@ -35,7 +34,7 @@
 		line := instanceOf(i, v, a.Clock())
 		line.Drained = drained[i.Name]
 		doc.Instances = append(doc.Instances, line)
-		if i.Role == wire.RoleEntry && line.Lag > doc.Lag {
+		if line.Reachable && line.Lag > doc.Lag {
 			doc.Lag, doc.Slowest, doc.Lowest = line.Lag, i.Name, line.Revision
 		}
 	}
@@ -43,11 +42,15 @@
 	return nil
 }
 
+// reachableAge is how long after its last report an instance that is linked to
+// another replica counts as reachable. Replicas pass reports on every 5 s.
+const reachableAge = 12 * time.Second
+
 func instanceOf(i fleet.Instance, v *state.View, now time.Time) Instance {
 	line := Instance{
 		Name: i.Name, Role: string(i.Role), Region: i.Region, DataCentre: i.DataCentre, Address: i.Peer,
 		State: i.State, Revision: i.Number, Confirmed: seconds(i.Confirmed), Age: seconds(now.Sub(i.Heard)),
-		Inflight: i.Inflight, Linked: i.Linked,
+		Inflight: i.Inflight, Reachable: i.Linked || now.Sub(i.Heard) < reachableAge,
 	}
 	newest := v.Newest().Number
 	if i.Role != wire.RoleEntry || i.Number >= newest {
--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -48,6 +48,7 @@
 	Commits *meter.Counter `name:"commits"`
 	Syncs   *meter.Counter `name:"syncs"`
 	Bytes   *meter.Counter `name:"bytes"`
+	Dropped *meter.Counter `name:"dropped"`
 }
 
 type common struct {
@@ -61,6 +62,7 @@
 	Claims  *meter.Counter `name:"claims"`
 	Syncs   *meter.Counter `name:"syncs"`
 	Bytes   *meter.Counter `name:"bytes"`
+	Dropped *meter.Counter `name:"dropped"`
 }
 
 // assemble builds the parts that need no disk and no network.
@@ -107,6 +109,7 @@
 		into **meter.Counter
 	}{
 		{meter.Claims, &c.Claims}, {meter.Commits, &c.Commits}, {meter.Syncs, &c.Syncs}, {meter.LinkBytes, &c.Bytes},
+		{meter.Dropped, &c.Dropped},
 	} {
 		counter, err := m.Counter(one.name)
 		if err != nil {
@@ -131,6 +134,7 @@
 		Leads:   func() bool { status := p.group.Status(); return status.Leader == status.ID },
 		Propose: p.relay.Propose,
 		PassOn:  func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
+		Dropped: func() { in.Dropped.Add(1, "reports") },
 		Clock:   s.Clock,
 		Log:     p.log,
 		Hooks:   func() fleet.Hooks { return d.Hooks.Hooks },
@@ -178,7 +182,11 @@
 }
 
 func (d *Daemon) opened(c *link.Conn) {
-	if c.Peer().Role == wire.RoleControl && c.Peer().Replica != 0 {
+	peer := c.Peer()
+	if peer.Replica == uint64(d.settings.Replica) {
+		d.parts.log.WithField("peer", peer.Instance).Error("number of this replica is used twice")
+		c.Close("replica number is used twice")
+	} else if peer.Role == wire.RoleControl && peer.Replica != 0 {
 		d.parts.links.Add(c)
 	}
 	d.parts.fleet.Opened(c)
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -41,6 +41,7 @@
 	Leads   func() bool
 	Propose func(ctx context.Context, c state.Command) (state.Result, error)
 	PassOn  func(r wire.Report) // to the other replicas
+	Dropped func()              // counts reports and evidence dropped from the full queue
 	Clock   func() time.Time
 	Log     *logrus.Entry
 	Hooks   func() Hooks // read once, when Run starts; may be nil
@@ -57,6 +58,7 @@
 	Seams
 	hooks   Hooks
 	events  chan func()
+	stats   chan func()
 	changed chan struct{}
 	over    chan struct{}
 	public  atomic.Pointer[[]Instance]
@@ -74,7 +76,7 @@
 func New(seams Seams) *Fleet {
 	f := &Fleet{
 		Seams:  seams,
-		events: make(chan func(), queueLength), changed: make(chan struct{}, 1), over: make(chan struct{}),
+		events: make(chan func(), queueLength), stats: make(chan func(), queueLength), changed: make(chan struct{}, 1), over: make(chan struct{}),
 		sessions:  map[*link.Conn]*session{},
 		instances: map[string]*Instance{},
 		passed:    map[string]time.Time{},
@@ -92,6 +94,9 @@
 	ticker := time.NewTicker(decideEvery)
 	defer ticker.Stop()
 	for {
+		if f.urgent() {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -101,6 +106,38 @@
 			f.update()
 		case <-ticker.C:
 			f.tick(ctx)
+		case event := <-f.stats:
+			event()
+		}
+	}
+}
+
+// urgent handles one event that goes before statistics, if there is one.
+func (f *Fleet) urgent() bool {
+	select {
+	case event := <-f.events:
+		event()
+	case <-f.changed:
+		f.update()
+	default:
+		return false
+	}
+	return true
+}
+
+// count hands an event about statistics to the fleet's goroutine. A full queue
+// drops the oldest one.
+func (f *Fleet) count(event func()) {
+	for {
+		select {
+		case f.stats <- event:
+			return
+		default:
+		}
+		select {
+		case <-f.stats:
+			f.Dropped()
+		default:
 		}
 	}
 }
@@ -148,7 +185,7 @@
 // Report takes a report. Only one that came from the instance itself is passed
 // on to the other replicas, so that none circles.
 func (f *Fleet) Report(r wire.Report, direct bool) {
-	f.post(func() {
+	f.count(func() {
 		now := f.Clock()
 		i := f.instance(r.Instance)
 		before := *i
@@ -166,7 +203,7 @@
 
 // Evidence takes evidence for the leader.
 func (f *Fleet) Evidence(e wire.Evidence) {
-	f.post(func() {
+	f.count(func() {
 		if f.hooks.Evidence != nil {
 			f.hooks.Evidence(f.Clock(), e)
 		}
--- a/control/relay/error.go
+++ b/control/relay/error.go
@@ -29,6 +29,12 @@
 	return fmt.Sprintf("command of %d bytes exceeds %d", e.Size, e.Max)
 }
 
+// StoppedError is a command that was not applied because this replica stops.
+type StoppedError struct{}
+
+// Error describes the refusal.
+func (*StoppedError) Error() string { return "the replica is shutting down" }
+
 // notLeaderError sends the caller to another replica.
 type notLeaderError struct{ leader uint64 }
 
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -48,13 +48,13 @@
 
 // Propose stamps the time into a command and has it applied. Commands that
 // give the same answer when they are applied again are repeated until ctx ends.
-// The errors are *UnknownError, *NoQuorumError, *SizeError and *MalformedError.
+// The errors are *UnknownError, *NoQuorumError, *StoppedError, *SizeError and
+// *MalformedError.
 func (r *Relay) Propose(ctx context.Context, c state.Command) (state.Result, error) {
 	maybe := false
 	for {
 		result, err := r.attempt(ctx, c)
 		var unknown *UnknownError
-		var elsewhere *notLeaderError
 		switch {
 		case err == nil && result.Fault != "":
 			return result, &MalformedError{Reason: result.Fault}
@@ -65,7 +65,10 @@
 				return result, err
 			}
 			maybe = true
-		case !errors.As(err, &elsewhere) && ctx.Err() == nil:
+		case final(err):
+			if maybe {
+				return result, &UnknownError{Reason: err.Error()}
+			}
 			return result, err
 		}
 		select {
@@ -79,6 +82,13 @@
 	}
 }
 
+// final reports whether another attempt would fail in the same way.
+func final(err error) bool {
+	var size *SizeError
+	var stopped *StoppedError
+	return errors.As(err, &size) || errors.As(err, &stopped)
+}
+
 func (r *Relay) attempt(ctx context.Context, c state.Command) (state.Result, error) {
 	c.Time = r.clock()
 	var result state.Result
@@ -110,6 +120,7 @@
 	var elsewhere *group.NotLeaderError
 	var unknown *group.UnknownError
 	var size *group.SizeError
+	var stopped *group.ShutdownError
 	switch {
 	case err == nil:
 		return nil
@@ -119,6 +130,8 @@
 		return &UnknownError{Reason: unknown.Error()}
 	case errors.As(err, &size):
 		return &SizeError{Size: size.Size, Max: size.Max}
+	case errors.As(err, &stopped):
+		return &StoppedError{}
 	default:
 		return &NoQuorumError{Reason: err.Error()}
 	}
@@ -172,9 +185,20 @@
 }
 
 // ServePropose answers a command forwarded by another replica. It does not
-// forward it again, so that a command cannot circle.
+// forward it again, so that a command cannot circle. The command gets the time
+// of this replica: retention would end early if the clock of any one replica
+// could move the time of the state ahead.
 func (r *Relay) ServePropose(ctx context.Context, p wire.Propose) (wire.Proposed, error) {
-	answer, err := r.local(ctx, p.Command)
+	var c state.Command
+	if err := wire.Decode(p.Command, &c); err != nil {
+		return wire.Proposed{}, err
+	}
+	c.Time = r.clock()
+	command, err := wire.Encode(c)
+	if err != nil {
+		return wire.Proposed{}, err
+	}
+	answer, err := r.local(ctx, command)
 	return wire.Proposed{Result: answer}, toFault(err)
 }
 
--- a/core/state/grants.go
+++ b/core/state/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -27,6 +28,11 @@
 	leases map[leaseKey]Lease
 	sets   map[string]uint64 // number of the newest set by service
 	next   time.Time         // first expiry, or the zero time
+
+	// Lists that views share, nil after a change. Most commands are claims,
+	// which leave them as they are.
+	listed   []Lease
+	numbered map[string]uint64
 }
 
 func newGrants() grants {
@@ -45,7 +51,9 @@
 	g.schedule()
 }
 
+// schedule follows every change.
 func (g *grants) schedule() {
+	g.listed, g.numbered = nil, nil
 	g.next = time.Time{}
 	for _, lease := range g.leases {
 		if g.next.IsZero() || lease.Expires.Before(g.next) {
@@ -98,7 +106,19 @@
 	return b
 }
 
+// numbers returns the numbers of the sets; callers must not change them.
+func (g *grants) numbers() map[string]uint64 {
+	if g.numbered == nil {
+		g.numbered = maps.Clone(g.sets)
+	}
+	return g.numbered
+}
+
+// list returns the leases in order; callers must not change them.
 func (g *grants) list() []Lease {
+	if g.listed != nil {
+		return g.listed
+	}
 	out := make([]Lease, 0, len(g.leases))
 	for _, lease := range g.leases {
 		out = append(out, lease)
@@ -106,5 +126,6 @@
 	slices.SortFunc(out, func(a, b Lease) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), a.Target.Address.Compare(b.Target.Address), a.Target.Start.Compare(b.Target.Start))
 	})
+	g.listed = out
 	return out
 }
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -18,6 +18,8 @@
 	grants grants
 	drains map[string]time.Time
 
+	drained []Drained // by name, shared by views
+
 	remember func(change string) bool
 	hold     func(service, key string) bool
 	view     *View
@@ -54,6 +56,7 @@
 	m.claims = newClaims()
 	m.grants = newGrants()
 	m.drains = map[string]time.Time{}
+	m.drained = nil
 }
 
 // Apply carries out one command and returns the encoded Result. A malformed
@@ -104,6 +107,7 @@
 	case !drained:
 		m.drains[d.Name] = m.now
 	}
+	m.listDrains()
 	return Result{}
 }
 
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -115,6 +115,7 @@
 	if s.Drains != nil {
 		m.drains = s.Drains
 	}
+	m.listDrains()
 	return nil
 }
 
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -35,18 +35,23 @@
 	}
 	v := &View{
 		Index: m.index, Time: m.now, Due: m.Due(),
-		Leases: m.grants.list(), Sets: maps.Clone(m.grants.sets),
+		Leases: m.grants.list(), Sets: m.grants.numbers(), Drains: m.drained,
 		Running: m.claims.running, Unknown: m.claims.unknown,
 		Keys: len(m.claims.table) + len(m.claims.retired),
 		text: m.texts.text, kept: m.texts.kept,
 	}
-	for _, name := range slices.Sorted(maps.Keys(m.drains)) {
-		v.Drains = append(v.Drains, Drained{Name: name, Since: m.drains[name]})
-	}
 	m.view = v
 	return v
 }
 
+// listDrains makes the list that views share.
+func (m *Machine) listDrains() {
+	m.drained = nil
+	for _, name := range slices.Sorted(maps.Keys(m.drains)) {
+		m.drained = append(m.drained, Drained{Name: name, Since: m.drains[name]})
+	}
+}
+
 // Newest returns the newest revision; its number is 0 before the first one.
 func (v *View) Newest() Revision {
 	if len(v.kept) == 0 {
--- a/galenactl/command/status.go
+++ b/galenactl/command/status.go
@@ -54,6 +54,9 @@
 		if i.Drained {
 			state += " (drained)"
 		}
+		if !i.Reachable {
+			state += " (out of reach)"
+		}
 		row(w, i.Name, i.Role, i.Region, i.DataCentre, state, i.Revision, i.Lag,
 			ago(i.Behind), ago(i.Confirmed), ago(i.Age), i.Inflight)
 	}
