--- a/core/pool/error.go
+++ b/core/pool/error.go
@@ -59,6 +59,15 @@
 // Unwrap returns the cause.
 func (e *ReadError) Unwrap() error { return e.Err }
 
+// HeldError is a request that Ready stopped.
+type HeldError struct{ Err error }
+
+// Error gives the cause.
+func (e *HeldError) Error() string { return "held back: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *HeldError) Unwrap() error { return e.Err }
+
 // RequestError is a request that cannot be expressed in HTTP/1.1.
 type RequestError struct{ Reason string }
 
@@ -84,8 +93,9 @@
 	var dial *DialError
 	var write *WriteError
 	var request *RequestError
+	var held *HeldError
 	switch {
-	case errors.As(err, &dial), errors.As(err, &request):
+	case errors.As(err, &dial), errors.As(err, &request), errors.As(err, &held):
 		return true
 	case errors.As(err, &write):
 		return write.Sent == 0
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -31,8 +31,11 @@
 	if err != nil {
 		return nil, &DialError{Target: r.Target, Err: err}
 	}
-	if r.Picked != nil {
-		r.Picked(c.reused)
+	if r.Ready != nil {
+		if err := r.Ready(c.reused); err != nil {
+			p.put(c)
+			return nil, &HeldError{Err: err}
+		}
 	}
 	e := &exchange{pool: p, conn: c, request: r}
 	e.stop = context.AfterFunc(ctx, func() { c.net.Close() })
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -24,7 +24,7 @@
 	Once bool // use a connection that proved itself recently, or a new one
 	New  bool // use a new connection
 
-	Picked   func(reused bool)                    // told of the connection before the first byte is written; may be nil
+	Ready    func(reused bool) error              // asked when a connection is open, before the first byte is written; may be nil
 	Informed func(status int, header http.Header) // told of each 1xx response but 100; may be nil
 }
 
--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -13,6 +13,7 @@
 	NoKey       Reason = "nokey"       // the kind requires an Idempotency-Key
 	BadKey      Reason = "badkey"      // the Idempotency-Key is malformed
 	BadRequest  Reason = "badrequest"  // the request itself is malformed
+	Upgrade     Reason = "upgrade"     // the request asks for a switch of protocols
 	BadDigest   Reason = "baddigest"   // the upload does not match its Content-Digest
 	TooLarge    Reason = "toolarge"    // the body exceeds the limit
 	Mismatch    Reason = "mismatch"    // the key was used for another request
@@ -43,6 +44,7 @@
 	NoKey:       {http.StatusBadRequest, "The request needs an Idempotency-Key"},
 	BadKey:      {http.StatusBadRequest, "The Idempotency-Key is malformed"},
 	BadRequest:  {http.StatusBadRequest, "The request is malformed"},
+	Upgrade:     {http.StatusNotImplemented, "A switch of protocols is not supported"},
 	BadDigest:   {http.StatusBadRequest, "The body does not match its Content-Digest"},
 	TooLarge:    {http.StatusRequestEntityTooLarge, "The body is too large"},
 	Mismatch:    {http.StatusUnprocessableEntity, "The Idempotency-Key was used for another request"},
--- /dev/null
+++ b/entry/proxy/call.go
@@ -0,0 +1,102 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenalock/galenalock/core/refuse"
+)
+
+// call is one request on its way through the data path.
+type call struct {
+	proxy   *Proxy
+	w       http.ResponseWriter
+	r       *http.Request
+	control *http.ResponseController
+	request Request
+	trace   string // traceparent for targets
+	path    string // decoded path inside the service
+	uri     string // request URI for targets
+	key     string // of a request that needs a claim, otherwise empty
+	once    bool   // the request must not be repeated
+
+	upload  *upload
+	data    []byte // the body when it was read before dispatch
+	streams bool   // the body is sent while it arrives
+	header  http.Header
+	gate    func() error // asked right before the first byte is sent, may be nil
+	undo    func()       // told that no byte was sent after all, may be nil
+	touched atomic.Bool  // a target may have run the request
+	written bool         // the head of the response went to the caller
+}
+
+func newCall(p *Proxy, w http.ResponseWriter, r *http.Request) *call {
+	c := &call{proxy: p, w: w, r: r, control: http.NewResponseController(w)}
+	c.trace, c.request.ID = traceparent(r.Header.Get(headerTrace), p.hooks.Random)
+	c.request.Start = p.hooks.Now()
+	c.request.View = p.hooks.View()
+	return c
+}
+
+func (c *call) serve() error {
+	hooks := &c.proxy.hooks
+	if v := c.request.View; v == nil || !v.Ready || v.Text == nil {
+		return &refuse.Error{Reason: refuse.NotReady, Run: refuse.NotRun, Retry: time.Second}
+	}
+	if err := c.match(); err != nil {
+		return err
+	}
+	c.once = c.proxy.rules.Once(c.request.Kind)
+	if err := c.readKey(); err != nil {
+		return err
+	}
+	c.request.Deadline = c.deadline()
+	leave, ok := hooks.Enter(c.request)
+	if !ok {
+		return &refuse.Error{Reason: refuse.Draining, Run: refuse.NotRun, Retry: time.Second}
+	}
+	defer leave()
+	err := c.run()
+	if err == nil {
+		hooks.Answered(c.request.Service, hooks.Now().Sub(c.request.Start))
+	}
+	return err
+}
+
+// run carries a matched request to its end.
+func (c *call) run() error {
+	left := c.request.Deadline.Sub(c.proxy.hooks.Now())
+	ctx, cancel := context.WithTimeout(c.r.Context(), left)
+	defer cancel()
+	detached := ctx
+	if c.proxy.rules.Detach(c.request.Kind) {
+		var end context.CancelFunc
+		detached, end = context.WithTimeout(context.WithoutCancel(c.r.Context()), left)
+		defer end()
+	}
+	c.upload = newUpload(c.r, c.control)
+	g := &guard{control: c.control, now: c.proxy.hooks.Now}
+	defer g.end()
+	defer context.AfterFunc(detached, func() { g.fire(c.upload) })()
+
+	if err := c.load(ctx); err != nil {
+		return err
+	}
+	defer c.upload.stop()
+	release, err := c.proxy.hooks.Admit(ctx, c.request)
+	if err != nil {
+		return admission(ctx, err)
+	}
+	defer release()
+	c.header = c.outgoing()
+	if c.key != "" {
+		return c.claim(ctx, detached)
+	}
+	a, err := c.dispatch(detached)
+	if err != nil {
+		return c.refusal(detached, err)
+	}
+	return c.reply(a, nil)
+}
--- /dev/null
+++ b/entry/proxy/harness_test.go
@@ -0,0 +1,175 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/galenalock/galenalock/core/pool"
+	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// listen serves each connection with f and returns the address.
+func listen(t testing.TB, f func(c net.Conn, in *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// answers returns a target that reads each request and writes the response.
+func answers(t testing.TB, response string, seen func(*http.Request, string)) netip.AddrPort {
+	return listen(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			if seen != nil {
+				seen(r, string(body))
+			}
+			if _, err := io.WriteString(c, response); err != nil || response == "" {
+				return
+			}
+		}
+	})
+}
+
+// refusing returns an address at which nothing listens.
+func refusing(t testing.TB) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// entry is a proxy on a port of its own.
+type entry struct {
+	proxy  *proxy.Proxy
+	url    string
+	addr   string
+	client *http.Client
+	view   proxy.View
+}
+
+// start runs a proxy in front of the targets, which are picked in order.
+func start(t testing.TB, h2c bool, hooks proxy.Hooks, rules proxy.Rules, targets ...netip.AddrPort) *entry {
+	t.Helper()
+	data, err := os.ReadFile("testdata/text.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := spec.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &entry{view: proxy.View{Text: text, Revision: 1, Ready: true}}
+	if hooks.View == nil {
+		hooks.View = func() *proxy.View { return &e.view }
+	}
+	hooks.Pick = func(_ *spec.Service, exclude []netip.AddrPort, _ time.Time) (proxy.Target, bool) {
+		for _, a := range targets {
+			if !slices.Contains(exclude, a) {
+				return proxy.Target{Address: a}, true
+			}
+		}
+		return proxy.Target{}, false
+	}
+	e.proxy = proxy.New(hooks, proxy.WithRules(rules), proxy.WithPool(pool.New()))
+	server := httptest.NewUnstartedServer(e.proxy)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetHTTP1(true)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!h2c)
+	protocols.SetUnencryptedHTTP2(h2c)
+	transport := &http.Transport{Protocols: protocols, DisableCompression: true, ExpectContinueTimeout: time.Minute}
+	e.client = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	e.url, e.addr = server.URL, server.Listener.Addr().String()
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		server.Close()
+		e.proxy.Close()
+	})
+	return e
+}
+
+// send sends a request and returns status, headers and body; an error means
+// that the caller saw no complete response.
+func (e *entry) send(method, path string, body io.Reader, header ...string) (int, http.Header, string, error) {
+	return e.sendContext(context.Background(), method, path, body, header...)
+}
+
+func (e *entry) sendContext(ctx context.Context, method, path string, body io.Reader, header ...string) (int, http.Header, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, e.url+path, body)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	if !strings.HasPrefix(path, "/tables") {
+		r.Host = "ledger.example"
+	}
+	response, err := e.client.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(data), err
+}
+
+// raw sends bytes on a connection and returns everything that comes back
+// until the connection ends.
+func (e *entry) raw(t testing.TB, request string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", e.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	data, _ := io.ReadAll(c)
+	return string(data)
+}
+
+func always(*spec.Service, proxy.Reason) bool { return true }
--- /dev/null
+++ b/entry/proxy/hooks.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// Reason names in one word why a further attempt was made.
+type Reason string
+
+// The reasons of further attempts.
+const (
+	RetryConnect Reason = "connect" // no connection to the previous target
+	RetryFailed  Reason = "failed"  // the previous attempt failed
+	RetryShed    Reason = "shed"    // the previous target shed the request
+	RetryHedge   Reason = "hedge"   // the previous attempt takes long
+	RetrySilent  Reason = "silent"  // an old connection does not respond
+)
+
+// Reasons returns every reason of a further attempt.
+func Reasons() []Reason {
+	return []Reason{RetryConnect, RetryFailed, RetryShed, RetryHedge, RetrySilent}
+}
+
+// Hooks connect the data path to the rest of the entry. The functions are
+// called from traffic goroutines and must not block, but for Admit, Claim and
+// Close, which take a context.
+type Hooks struct {
+	// View returns the current snapshot. Required.
+	View func() *View
+	// Pick selects a target outside exclude. Required.
+	Pick func(service *spec.Service, exclude []netip.AddrPort, now time.Time) (Target, bool)
+
+	// Begin is told of each attempt before it is sent, End of its outcome.
+	Begin func(Attempt)
+	End   func(Attempt, Outcome)
+
+	// Admit waits for the right to run the request and returns what gives it
+	// back. Its error should be a *refuse.Error with run "no".
+	Admit func(ctx context.Context, r Request) (release func(), err error)
+	// Enter registers a request in flight and returns what ends it; false
+	// refuses the request because the instance is shutting down.
+	Enter func(r Request) (leave func(), ok bool)
+
+	// Claim and Close carry claims to control. Without Claim, keyed requests
+	// that must not be repeated are refused with reason noquorum.
+	Claim func(ctx context.Context, c wire.Claim) (wire.Claimed, error)
+	Close func(ctx context.Context, c wire.Close) (wire.Claimed, error)
+
+	// Retry takes one further attempt out of the budget of the service.
+	Retry func(service *spec.Service, reason Reason) bool
+	// Hedge returns after which time a pending request of a hedged kind is
+	// sent to a second target.
+	Hedge func(service *spec.Service, kind *spec.Kind) (time.Duration, bool)
+	// Patience returns how long a response may be missing on an old
+	// connection before a new one to the same target is tried.
+	Patience func(service *spec.Service, kind *spec.Kind) (time.Duration, bool)
+	// Silent is told that closed old connections of a target were silent.
+	Silent func(target Target, closed int)
+
+	// Answered, Refused and Retried count.
+	Answered func(service *spec.Service, duration time.Duration)
+	Refused  func(reason refuse.Reason)
+	Retried  func(reason Reason)
+	Claimed  func(state wire.ClaimState)
+
+	// Now and Random replace the clock and the source of identifiers.
+	Now    func() time.Time
+	Random func() uint64
+}
+
+const (
+	defaultPatience = time.Second
+	defaultRetries  = 2 // further attempts of one request, also a bound when the budget is large
+)
+
+// withDefaults returns the hooks with every nil field replaced.
+func (h Hooks) withDefaults() Hooks {
+	if h.Begin == nil {
+		h.Begin = func(Attempt) {}
+	}
+	if h.End == nil {
+		h.End = func(Attempt, Outcome) {}
+	}
+	if h.Admit == nil {
+		h.Admit = func(context.Context, Request) (func(), error) { return func() {}, nil }
+	}
+	if h.Enter == nil {
+		h.Enter = func(Request) (func(), bool) { return func() {}, true }
+	}
+	if h.Claim == nil {
+		h.Claim = func(context.Context, wire.Claim) (wire.Claimed, error) { return wire.Claimed{}, errNoControl }
+	}
+	if h.Close == nil {
+		h.Close = func(context.Context, wire.Close) (wire.Claimed, error) { return wire.Claimed{}, errNoControl }
+	}
+	// Without a budget nothing is retried, so that an incident is not amplified.
+	if h.Retry == nil {
+		h.Retry = func(*spec.Service, Reason) bool { return false }
+	}
+	if h.Hedge == nil {
+		h.Hedge = func(*spec.Service, *spec.Kind) (time.Duration, bool) { return 0, false }
+	}
+	if h.Patience == nil {
+		h.Patience = func(*spec.Service, *spec.Kind) (time.Duration, bool) { return defaultPatience, true }
+	}
+	if h.Silent == nil {
+		h.Silent = func(Target, int) {}
+	}
+	if h.Answered == nil {
+		h.Answered = func(*spec.Service, time.Duration) {}
+	}
+	if h.Refused == nil {
+		h.Refused = func(refuse.Reason) {}
+	}
+	if h.Retried == nil {
+		h.Retried = func(Reason) {}
+	}
+	if h.Claimed == nil {
+		h.Claimed = func(wire.ClaimState) {}
+	}
+	if h.Now == nil {
+		h.Now = time.Now
+	}
+	if h.Random == nil {
+		h.Random = rand.Uint64
+	}
+	return h
+}
--- /dev/null
+++ b/entry/proxy/refusal.go
@@ -0,0 +1,56 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/galenalock/galenalock/core/refuse"
+)
+
+const retryAfter = time.Second
+
+// errGone is a caller that left before it got a response.
+var errGone = errors.New("the caller left")
+
+// admission makes the error of the admission hook a refusal.
+func admission(ctx context.Context, err error) error {
+	var refusal *refuse.Error
+	switch {
+	case errors.As(err, &refusal):
+		return err
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &refuse.Error{Reason: refuse.Deadline, Run: refuse.NotRun, Err: err}
+	case ctx.Err() != nil:
+		return errGone
+	}
+	return &refuse.Error{Reason: refuse.Overload, Run: refuse.NotRun, Retry: retryAfter, Err: err}
+}
+
+// refuse tells the caller why there is no response.
+func (c *call) refuse(err error) {
+	if errors.Is(err, errGone) {
+		panic(http.ErrAbortHandler)
+	}
+	var refusal *refuse.Error
+	if !errors.As(err, &refusal) {
+		refusal = &refuse.Error{Reason: refuse.Broken, Run: refuse.Unknown, Err: err}
+	}
+	c.proxy.hooks.Refused(refusal.Reason)
+	if c.written {
+		panic(http.ErrAbortHandler)
+	}
+	h := c.w.Header()
+	clear(h)
+	h[headerRequest] = []string{c.request.ID}
+	c.closing(h)
+	refuse.Write(c.w, c.request.ID, refusal)
+}
+
+// closing asks the caller to reconnect elsewhere while the instance drains.
+func (c *call) closing(h http.Header) {
+	if v := c.proxy.hooks.View(); v != nil && v.Draining {
+		h["Connection"] = []string{"close"}
+	}
+}
--- /dev/null
+++ b/entry/proxy/refusal_test.go
@@ -0,0 +1,150 @@
+package proxy_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/wire"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+func claims(state wire.ClaimState, answer *wire.Answer) func(context.Context, wire.Claim) (wire.Claimed, error) {
+	return func(context.Context, wire.Claim) (wire.Claimed, error) {
+		return wire.Claimed{State: state, Answer: answer}, nil
+	}
+}
+
+const order = "POST /orders HTTP/1.1\r\nHost: ledger.example\r\nConnection: close\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx"
+
+// Guards against a refusal that changes its reason, status or run field
+// unnoticed, or that is not counted.
+func TestRefusalSessions(t *testing.T) {
+	shed := "HTTP/1.1 503 Service Unavailable\r\nGalenalock-Run: no\r\nContent-Length: 0\r\n\r\n"
+	get := "GET /tables/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n"
+	note := "POST /tables/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 1\r\n%s\r\nx"
+	dead, mute := refusing(t), answers(t, "", nil)
+	cases := []struct {
+		name, request string
+		hooks         proxy.Hooks
+		targets       []netip.AddrPort
+	}{
+		{"noroute", "GET /none HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", proxy.Hooks{}, nil},
+		{"nomethod", "GET /orders HTTP/1.1\r\nHost: ledger.example\r\nConnection: close\r\n\r\n", proxy.Hooks{}, nil},
+		{"noworkspace", fmt.Sprintf(get, "Galenalock-Workspace: other\r\n"), proxy.Hooks{}, nil},
+		{"nokey", strings.Replace(order, "Idempotency-Key: k\r\n", "", 1), proxy.Hooks{}, nil},
+		{"badkey", strings.Replace(order, ": k\r", ": k k\r", 1), proxy.Hooks{}, nil},
+		{"badrequest", "GET /tables/../x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", proxy.Hooks{}, nil},
+		{"baddigest", fmt.Sprintf(note, "Content-Digest: sha-256=:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=:\r\n"), proxy.Hooks{}, nil},
+		{"toolarge", strings.Replace(order, "Content-Length: 1\r", "Content-Length: 1048577\r", 1), proxy.Hooks{}, nil},
+		{"upgrade", "GET /tables/x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n", proxy.Hooks{}, nil},
+		{"notarget", fmt.Sprintf(get, ""), proxy.Hooks{}, nil},
+		{"connect", fmt.Sprintf(get, ""), proxy.Hooks{}, []netip.AddrPort{dead}},
+		{"shed", fmt.Sprintf(note, ""), proxy.Hooks{}, []netip.AddrPort{answers(t, shed, nil)}},
+		{"broken", fmt.Sprintf(note, ""), proxy.Hooks{}, []netip.AddrPort{mute}},
+		{"deadline", fmt.Sprintf(get, "Galenalock-Deadline: 0\r\n"), proxy.Hooks{}, []netip.AddrPort{mute}},
+		{"overload", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (func(), error) {
+			return nil, errors.New("full")
+		}}, nil},
+		{"rate", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (func(), error) {
+			return nil, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, Retry: time.Second}
+		}}, nil},
+		{"draining", fmt.Sprintf(get, ""), proxy.Hooks{Enter: func(proxy.Request) (func(), bool) { return nil, false }}, nil},
+		{"notready", fmt.Sprintf(get, ""), proxy.Hooks{View: func() *proxy.View { return nil }}, nil},
+		{"noquorum", order, proxy.Hooks{}, nil},
+		{"mismatch", order, proxy.Hooks{Claim: claims(wire.ClaimMismatch, nil)}, nil},
+		{"lost", order, proxy.Hooks{Claim: claims(wire.ClaimUnknown, nil)}, nil},
+		{"expired", order, proxy.Hooks{Claim: claims(wire.ClaimExpired, nil)}, nil},
+		{"running", strings.Replace(order, "Connection", "Galenalock-Deadline: 20\r\nConnection", 1), proxy.Hooks{Claim: claims(wire.ClaimRunning, nil)}, nil},
+	}
+	seen := map[string]bool{}
+	var session strings.Builder
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			var counted []refuse.Reason
+			hooks := c.hooks
+			hooks.Random = func() uint64 { return 7 }
+			hooks.Refused = func(r refuse.Reason) {
+				mu.Lock()
+				defer mu.Unlock()
+				counted = append(counted, r)
+			}
+			e := start(t, false, hooks, proxy.Rules{}, c.targets...)
+			got := e.raw(t, c.request)
+			mu.Lock()
+			is.Equal(counted, []refuse.Reason{refuse.Reason(c.name)})
+			mu.Unlock()
+			for line := range strings.Lines(got) {
+				if !strings.HasPrefix(line, "Date: ") {
+					session.WriteString(strings.TrimRight(line, "\r\n") + "\n")
+				}
+			}
+			session.WriteString("\n")
+			seen[c.name] = true
+		})
+	}
+	is := is.New(t)
+	for _, r := range refuse.Reasons() {
+		is.True(seen[string(r)]) // every reason has a session
+	}
+	goldie.New(t).Assert(t, "refusals", []byte(session.String()))
+}
+
+// Guards against "not run" for a request that ran, and against "unknown" where
+// it is known that it did not. The naive variant takes every failed attempt
+// for not run.
+func TestRunIsTruthful(t *testing.T) {
+	shed := "HTTP/1.1 503 Service Unavailable\r\nGalenalock-Run: no\r\nContent-Length: 0\r\n\r\n"
+	cases := []struct {
+		name    string
+		targets func(ran func(*http.Request, string)) []netip.AddrPort
+		run     refuse.Run
+	}{
+		{"refused connection", func(func(*http.Request, string)) []netip.AddrPort { return []netip.AddrPort{refusing(t)} }, refuse.NotRun},
+		{"closed after the request", func(ran func(*http.Request, string)) []netip.AddrPort {
+			return []netip.AddrPort{answers(t, "", ran)}
+		}, refuse.Unknown},
+		{"closed, then refused connection", func(ran func(*http.Request, string)) []netip.AddrPort {
+			return []netip.AddrPort{answers(t, "", ran), refusing(t)}
+		}, refuse.Unknown},
+		{"refused connection, then shed", func(func(*http.Request, string)) []netip.AddrPort {
+			return []netip.AddrPort{refusing(t), answers(t, shed, nil)}
+		}, refuse.NotRun},
+		{"malformed response", func(ran func(*http.Request, string)) []netip.AddrPort {
+			return []netip.AddrPort{answers(t, "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", ran)}
+		}, refuse.Unknown},
+	}
+	for _, c := range cases {
+		for _, naive := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s naive=%t", c.name, naive), func(t *testing.T) {
+				is := is.New(t)
+				ran := make(chan struct{}, 8)
+				rules := proxy.Rules{}
+				if naive {
+					rules.Unsent = func(error) bool { return true }
+				}
+				targets := c.targets(func(*http.Request, string) { ran <- struct{}{} })
+				e := start(t, false, proxy.Hooks{Retry: always}, rules, targets...)
+				_, _, body, err := e.send(http.MethodGet, "/tables/x", nil)
+				is.NoErr(err)
+				lie := len(ran) > 0 && strings.Contains(body, `"run":"no"`)
+				is.Equal(lie, naive && c.run == refuse.Unknown)
+				if !naive {
+					is.True(strings.Contains(body, `"run":"`+string(c.run)+`"`))
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/entry/proxy/reply.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+)
+
+const copySize = 32 << 10
+
+var copies = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+
+// reply streams the response of an attempt to the caller. The capture, if
+// any, gets a copy.
+func (c *call) reply(a *attempt, keep *capture) error {
+	h := c.w.Header()
+	for name, values := range a.response.Header {
+		h[name] = values
+	}
+	removeHop(h)
+	delete(h, headerLoad)
+	delete(h, headerRun)
+	delete(h, headerShed)
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	for name := range a.response.Trailer {
+		h.Add("Trailer", name)
+	}
+	if keep != nil {
+		keep.begin(a.response.StatusCode, h)
+	}
+	c.closing(h)
+	c.written = true
+	c.w.WriteHeader(a.response.StatusCode)
+	err := c.copy(a, keep)
+	a.response.Body.Close()
+	if err != nil {
+		a.end(a.class(err), err)
+		if errors.Is(err, errGone) || c.proxy.rules.Cut(err) {
+			return errAbort
+		}
+		return nil
+	}
+	c.trailers(a.response.Trailer)
+	class := Answered
+	if a.response.StatusCode >= http.StatusInternalServerError {
+		class = Faulty
+	}
+	a.end(class, nil)
+	return nil
+}
+
+// copy streams the body. A caller that left does not stop the body of a
+// request that goes on without it.
+func (c *call) copy(a *attempt, keep *capture) error {
+	buffer, ok := copies.Get().(*[]byte)
+	if !ok {
+		return io.ErrShortBuffer
+	}
+	defer copies.Put(buffer)
+	gone := false
+	for {
+		n, err := a.response.Body.Read(*buffer)
+		a.outcome.Bytes += int64(n)
+		ended := err == io.EOF //nolint:errorlint // only the bare value means a complete body
+		if keep != nil {
+			keep.add((*buffer)[:n])
+			if err != nil {
+				keep.done(ended)
+			}
+		}
+		if n > 0 && !gone && !c.pass(a, (*buffer)[:n], err != nil) {
+			gone = true
+			if !c.proxy.rules.Detach(c.request.Kind) {
+				a.give(Cancelled)
+				return errGone
+			}
+		}
+		switch {
+		case ended && gone:
+			return errGone
+		case ended:
+			return nil
+		case err != nil && a.ctx.Err() != nil:
+			return a.ctx.Err()
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// pass writes a piece of the body and flushes it unless more is at hand.
+func (c *call) pass(a *attempt, piece []byte, last bool) bool {
+	if _, err := c.w.Write(piece); err != nil {
+		return false
+	}
+	length := a.response.ContentLength
+	if last || len(piece) == copySize || length >= 0 && a.outcome.Bytes >= length {
+		return true
+	}
+	return c.control.Flush() == nil
+}
+
+// trailers sends the trailers that arrived after the body.
+func (c *call) trailers(trailer http.Header) {
+	h := c.w.Header()
+	for name, values := range trailer {
+		if !slices.Contains(h["Trailer"], name) {
+			name = http.TrailerPrefix + name
+		}
+		h[name] = values
+	}
+}
--- /dev/null
+++ b/entry/proxy/rules.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"net/http"
+
+	"github.com/galenalock/galenalock/core/pool"
+	"github.com/galenalock/galenalock/core/spec"
+)
+
+// Rules are the decisions behind the promises of the data path. Tests replace
+// single ones to show which promise each of them keeps.
+type Rules struct {
+	// Unsent reports whether an error proves that no byte of a request left.
+	Unsent func(err error) bool
+	// Once reports whether requests of a kind must not be repeated.
+	Once func(kind *spec.Kind) bool
+	// Cut reports whether a response that broke off aborts the caller's
+	// connection.
+	Cut func(err error) bool
+	// Digest returns the Content-Digest that a body must match, or "".
+	Digest func(header http.Header) string
+	// Detach reports whether a dispatched request of a kind goes on without
+	// its caller.
+	Detach func(kind *spec.Kind) bool
+}
+
+func (r Rules) withDefaults() Rules {
+	if r.Unsent == nil {
+		r.Unsent = pool.Unsent
+	}
+	if r.Once == nil {
+		r.Once = func(kind *spec.Kind) bool { return !kind.Repeat }
+	}
+	if r.Cut == nil {
+		r.Cut = func(error) bool { return true }
+	}
+	if r.Digest == nil {
+		r.Digest = func(header http.Header) string { return header.Get(headerDigest) }
+	}
+	if r.Detach == nil {
+		r.Detach = func(kind *spec.Kind) bool { return !kind.Repeat }
+	}
+	return r
+}
