--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -92,8 +92,9 @@
 }
 
 // Ask decides about a request or queues it. The other tickets returned have
-// been decided meanwhile.
-func (g *Gate) Ask(now time.Time, t *Ticket) []*Ticket {
+// been decided meanwhile. The verdict is returned, because a queued ticket may
+// be decided by another goroutine as soon as Ask has returned.
+func (g *Gate) Ask(now time.Time, t *Ticket) (Verdict, []*Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.expected = g.expected(t.Kind)
@@ -104,15 +105,15 @@
 	if len(g.queue) == 0 && float64(g.inflight) < g.limit {
 		if now.Add(t.expected / 2).After(t.Deadline) {
 			g.refuse(t, refuse.Deadline)
-			return nil
+			return t.Verdict, nil
 		}
 		g.start(now, t)
-		return nil
+		return t.Verdict, nil
 	}
 	at, _ := slices.BinarySearchFunc(g.queue, t, func(a, b *Ticket) int { return a.finish.Compare(b.finish) })
 	g.queue = slices.Insert(g.queue, at, t)
 	decided := g.admit(now, g.shed(now, nil))
-	return slices.DeleteFunc(decided, func(o *Ticket) bool { return o == t })
+	return t.Verdict, slices.DeleteFunc(decided, func(o *Ticket) bool { return o == t })
 }
 
 // Done ends an admitted request. Answered tells whether its slot-time counts.
--- a/core/limit/gate_test.go
+++ b/core/limit/gate_test.go
@@ -46,7 +46,7 @@
 		is.Equal(cheap[i].Verdict, limit.Waiting) // 10 ms each, one at a time
 	}
 	order := ticket("order", 10, 36*time.Millisecond)
-	decided := g.Ask(start, order)
+	_, decided := g.Ask(start, order)
 	is.Equal(order.Verdict, limit.Waiting)
 	is.Equal(len(decided), 1)
 	is.Equal(decided[0].Reason, refuse.Overload)
@@ -130,7 +130,8 @@
 			if naive {
 				waiting = append(waiting, t)
 			} else {
-				for _, o := range append(g.Ask(now, t), t) {
+				_, others := g.Ask(now, t)
+				for _, o := range append(others, t) {
 					if o.Verdict == limit.Admitted {
 						begin(now, o)
 					}
--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -11,6 +11,7 @@
 	Requests    Name = "requests"
 	Refusals    Name = "refusals"
 	Retries     Name = "retries"
+	Verdicts    Name = "verdicts"
 	Durations   Name = "duration"
 	Inflight    Name = "inflight"
 	RevisionNow Name = "revision"
@@ -39,6 +40,7 @@
 	Requests:    {"counter", "{request}", "service", "Requests answered, by service"},
 	Refusals:    {"counter", "{request}", "reason", "Requests refused, by reason"},
 	Retries:     {"counter", "{attempt}", "reason", "Further attempts, by reason"},
+	Verdicts:    {"counter", "{attempt}", "verdict", "Decisions of the retry budgets on further attempts, by verdict"},
 	Durations:   {"histogram", "s", "service", "Time from the first byte of a request to the last byte of its answer"},
 	Inflight:    {"gauge", "{request}", "", "Requests in flight"},
 	RevisionNow: {"gauge", "1", "", "Revision of the configuration in force"},
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -56,6 +56,7 @@
 	view   atomic.Pointer[proxy.View]
 	routes atomic.Pointer[map[string]*lane]
 	kept   atomic.Pointer[conns]
+	fleet  atomic.Pointer[Fleet]
 	rates  *rates
 }
 
@@ -82,6 +83,7 @@
 	a.view.Store(&proxy.View{})
 	a.routes.Store(&map[string]*lane{})
 	a.kept.Store(&conns{})
+	a.fleet.Store(&Fleet{})
 	a.mesh = hooks.Mesh(
 		mesh.WithHello(a.settings.hello),
 		mesh.WithHandler(a.handle),
@@ -166,4 +168,8 @@
 	a.steer(now)
 	a.report(now)
 	a.publish(now)
+	if now.Sub(a.refreshed) >= time.Second {
+		a.refreshed = now
+		a.fleet.Store(&Fleet{Instances: len(a.roster.Instances()), Targets: a.roster.Snapshot().Len()})
+	}
 }
--- a/entry/agent/lane.go
+++ b/entry/agent/lane.go
@@ -22,6 +22,10 @@
 	roster.Target
 	endpoint *route.Endpoint
 	health   *health.Target
+	weight   float64
+	out      bool // held out by a grant
+	probe    bool // in probation
+	drained  bool // by an operator
 }
 
 // lane is what the entry holds for one service.
@@ -133,8 +137,11 @@
 	}
 	for _, t := range known {
 		h := l.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre)
-		next[t.Address] = &target{Target: t, health: h}
 		r := a.routed(now, l, t, h, out)
+		next[t.Address] = &target{
+			Target: t, health: h, weight: r.Weight, out: r.Out, probe: r.Probe,
+			drained: a.drains.Has(t.Address.String()),
+		}
 		routed = append(routed, r)
 		if !r.Drained && !r.Out {
 			slots += float64(t.Slots)
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -121,8 +121,8 @@
 	ticket := &limit.Ticket{
 		Kind: r.Kind.Name, Weight: r.Kind.Weight, Deadline: r.Deadline, Wake: make(chan limit.Verdict, 1),
 	}
-	wake(l.gate.Ask(time.Now(), ticket))
-	verdict := ticket.Verdict
+	verdict, others := l.gate.Ask(time.Now(), ticket)
+	wake(others)
 	if verdict == limit.Waiting {
 		verdict = await(ctx, l, ticket)
 	}
@@ -152,13 +152,14 @@
 }
 
 // Retry takes a further attempt out of the service's budget.
-func (a *Agent) Retry(r proxy.Request, reason proxy.Reason, attempts int) bool {
+func (a *Agent) Retry(r proxy.Request, reason proxy.Reason) bool {
 	l := a.lane(r.Service.Name)
 	if l == nil {
 		return false
 	}
 	now := time.Now()
-	return l.budget.Allow(now, reasons[reason], attempts, r.Deadline.Sub(now))
+	// The data path bounds the attempts of one request.
+	return l.budget.Allow(now, reasons[reason], 1, r.Deadline.Sub(now))
 }
 
 var reasons = map[proxy.Reason]retry.Reason{
--- /dev/null
+++ b/entry/daemon/daemon.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenalock/galenalock/core/certs"
+	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/meter"
+	"github.com/galenalock/galenalock/core/serve"
+	"github.com/galenalock/galenalock/entry/agent"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+// reloadEvery is how often key files are read again.
+const reloadEvery = 10 * time.Second
+
+// Daemon is one entry.
+type Daemon struct {
+	settings Settings
+	start    time.Time
+	log      *logrus.Entry
+	meter    *meter.Meter
+	counts   *counts
+	certs    *certs.Certs // nil without TLS between instances
+	public   *certs.Certs // nil without TLS towards callers
+	agent    *agent.Agent
+	proxy    *proxy.Proxy
+	traffic  *serve.Server
+	peer     *serve.Server
+	admin    *serve.Server
+	stopping atomic.Bool
+	drained  atomic.Bool // by an operator
+	hurry    chan struct{}
+}
+
+// New binds the addresses. Run serves.
+func New(s Settings) (*Daemon, error) {
+	s.defaults()
+	if fault := s.check(); fault != nil {
+		fault.File = "settings"
+		return nil, fault
+	}
+	d := &Daemon{settings: s, start: time.Now(), hurry: make(chan struct{}, 1)}
+	if err := d.assemble(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Traffic returns the bound address for callers.
+func (d *Daemon) Traffic() netip.AddrPort { return d.traffic.Addr() }
+
+// Peer returns the bound address for other instances and for announcements.
+func (d *Daemon) Peer() netip.AddrPort { return d.peer.Addr() }
+
+// Admin returns the bound address of health, metrics and status.
+func (d *Daemon) Admin() netip.AddrPort { return d.admin.Addr() }
+
+// Ready reports whether the entry takes requests.
+func (d *Daemon) Ready() bool {
+	return d.agent.View().Ready && !d.stopping.Load() && !d.drained.Load()
+}
+
+// Hurry ends the wait for requests in flight during a stop.
+func (d *Daemon) Hurry() {
+	select {
+	case d.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, inner := errgroup.WithContext(inner)
+	group.Go(func() error { return d.agent.Run(inner) })
+	group.Go(d.traffic.Serve)
+	group.Go(d.peer.Serve)
+	group.Go(d.admin.Serve)
+	d.reload(inner)
+	d.log.WithFields(logrus.Fields{
+		"traffic": d.Traffic().String(), "peer": d.Peer().String(), "admin": d.Admin().String(),
+	}).Info("ready")
+	select {
+	case <-ctx.Done():
+		d.drain()
+	case <-inner.Done():
+	}
+	stop()
+	d.close()
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	d.log.Info("stopped")
+	return err
+}
+
+// drain ends the service without cutting off a request. Readiness goes first,
+// so that the balancer sends new callers elsewhere before the listener closes.
+func (d *Daemon) drain() {
+	d.stopping.Store(true)
+	d.log.WithField("inflight", d.counts.inflight.Load()).Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace+d.settings.Limit)
+	defer cancel()
+	d.agent.Leave(ctx)
+	d.traffic.SetKeepAlives(false)
+	grace := time.NewTimer(d.settings.Grace)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-d.hurry:
+		cancel()
+	}
+	finished := make(chan error, 1)
+	go func() { finished <- d.traffic.Shutdown(ctx) }()
+	var err error
+	select {
+	case err = <-finished:
+	case <-d.hurry:
+		cancel()
+		err = <-finished
+	}
+	if err != nil {
+		d.log.WithField("inflight", d.counts.inflight.Load()).WithField(logs.FieldError, err.Error()).Warn("requests cut off")
+	}
+	for _, a := range d.proxy.Settle(ctx) {
+		d.log.WithField("service", a.Service).Warn("outcome of a claim not recorded")
+	}
+}
+
+func (d *Daemon) close() {
+	d.proxy.Close()
+	d.traffic.Close()
+	d.peer.Close()
+	d.admin.Close()
+}
+
+// reload reads key files again while the entry runs.
+func (d *Daemon) reload(ctx context.Context) {
+	for _, c := range []*certs.Certs{d.certs, d.public} {
+		if c == nil {
+			continue
+		}
+		go c.Watch(ctx, reloadEvery, func(err error) {
+			d.log.WithField(logs.FieldError, err.Error()).Warn("certificates")
+		})
+	}
+}
--- /dev/null
+++ b/entry/daemon/settings.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/galenalock/galenalock/core/conf"
+)
+
+// Settings are the settings of an entry.
+type Settings struct {
+	Instance    string
+	Fleet       string
+	Region      string
+	DataCentre  string
+	Traffic     netip.AddrPort
+	Peer        netip.AddrPort
+	Admin       netip.AddrPort
+	Control     []netip.AddrPort
+	Peers       []netip.AddrPort
+	Data        string
+	Grace       time.Duration
+	Limit       time.Duration
+	Ramp        time.Duration
+	Connections int
+	Body        int
+	Cert        string
+	Key         string
+	Authority   string
+	TrafficCert string
+	TrafficKey  string
+	Level       string
+
+	Log io.Writer // where log lines go, standard output by default
+}
+
+// Bounds of the settings.
+const (
+	defaultGrace       = 10 * time.Second // balancers commonly probe each 5 s and need two failures
+	maxGrace           = 5 * time.Minute
+	defaultLimit       = 10 * time.Minute // survey uploads over slow links take minutes
+	maxLimit           = time.Hour
+	defaultRamp        = 10 * time.Second
+	defaultConnections = 20000
+	maxConnections     = 1 << 20
+	defaultBody        = 1024 // MiB
+	maxBody            = 1 << 20
+)
+
+// Table describes the settings.
+func (s *Settings) Table() *conf.Table {
+	t := &conf.Table{}
+	t.Name("instance", &s.Instance, "name of the instance, unique in the fleet")
+	t.Name("fleet", &s.Fleet, "name of the fleet; instances of other fleets are refused")
+	t.Name("region", &s.Region, "region of the instance")
+	t.Name("datacentre", &s.DataCentre, "data centre of the instance")
+	t.Address("traffic", &s.Traffic, "", "address for callers, HTTP/1.1 and HTTP/2")
+	t.Address("peer", &s.Peer, "", "address for links from other instances and for announcements of targets, as they dial it")
+	t.Address("admin", &s.Admin, "127.0.0.1:7012", "address of health, metrics and status")
+	t.Addresses("control", &s.Control, true, "peer addresses of control replicas that this entry links to; two or three are enough")
+	t.Addresses("peers", &s.Peers, false, "peer addresses of a few other entries, in other data centres as well")
+	t.Text("data", &s.Data, "", "folder for a copy of the configuration; empty: none")
+	t.Duration("grace", &s.Grace, defaultGrace, 0, maxGrace, "time from a stop until the balancer has taken the instance out")
+	t.Duration("limit", &s.Limit, defaultLimit, time.Second, maxLimit, "longest time that a stop waits for requests in flight")
+	t.Duration("ramp", &s.Ramp, defaultRamp, 0, maxGrace, "slow start of a target")
+	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections of callers")
+	t.Int("body", &s.Body, defaultBody, 1, maxBody, "MiB", "largest request body")
+	t.Text("tls.cert", &s.Cert, "", "certificate file for links between instances; empty: no TLS")
+	t.Text("tls.key", &s.Key, "", "key file of the certificate")
+	t.Text("tls.authority", &s.Authority, "", "file of the authority that signs all instances of the fleet")
+	t.Text("tls.trafficcert", &s.TrafficCert, "", "certificate file for callers; empty: no TLS")
+	t.Text("tls.traffickey", &s.TrafficKey, "", "key file of the certificate for callers")
+	t.Text("log.level", &s.Level, "info", "lowest level that is logged", "debug", "info", "warning", "error")
+	return t
+}
+
+// Load reads and checks a settings file. Its error is of type *conf.Error.
+func Load(file string) (Settings, error) {
+	var s Settings
+	if err := conf.Load(file, s.Table()); err != nil {
+		return s, err
+	}
+	if fault := s.check(); fault != nil {
+		fault.File = file
+		return s, fault
+	}
+	return s, nil
+}
+
+// check returns what a single row of the table cannot tell, or nil.
+func (s *Settings) check() *conf.Error {
+	switch {
+	case s.Peer.Addr().IsUnspecified():
+		return &conf.Error{Key: "peer", Reason: "must be the address that other instances dial, not " + s.Peer.Addr().String()}
+	case (s.Cert == "") != (s.Key == ""):
+		return &conf.Error{Key: "tls.key", Reason: "tls.cert and tls.key belong together"}
+	case (s.Cert == "") != (s.Authority == ""):
+		return &conf.Error{Key: "tls.authority", Reason: "tls.cert and tls.authority belong together"}
+	case (s.TrafficCert == "") != (s.TrafficKey == ""):
+		return &conf.Error{Key: "tls.traffickey", Reason: "tls.trafficcert and tls.traffickey belong together"}
+	}
+	return nil
+}
+
+// defaults fills what code that embeds an entry may leave out.
+func (s *Settings) defaults() {
+	if s.Log == nil {
+		s.Log = os.Stdout
+	}
+	if s.Level == "" {
+		s.Level = "info"
+	}
+	if s.Limit == 0 {
+		s.Limit = defaultLimit
+	}
+	if s.Connections == 0 {
+		s.Connections = defaultConnections
+	}
+	if s.Body == 0 {
+		s.Body = defaultBody
+	}
+}
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -19,7 +19,7 @@
 	var tried []netip.AddrPort
 	cause := errNoTarget
 	for number := 0; ; number++ {
-		target, ok := c.proxy.hooks.Pick(c.request.Service, tried, c.proxy.hooks.Now())
+		target, ok := c.proxy.hooks.Pick(c.request, tried, c.proxy.hooks.Now())
 		if !ok {
 			return nil, cause
 		}
@@ -60,7 +60,7 @@
 }
 
 func (c *call) spend(reason Reason) bool {
-	if !c.proxy.hooks.Retry(c.request.Service, reason) {
+	if !c.proxy.hooks.Retry(c.request, reason) {
 		return false
 	}
 	c.proxy.hooks.Retried(reason)
--- a/entry/proxy/harness_test.go
+++ b/entry/proxy/harness_test.go
@@ -102,7 +102,7 @@
 	if hooks.View == nil {
 		hooks.View = func() *proxy.View { return &e.view }
 	}
-	hooks.Pick = func(_ *spec.Service, exclude []netip.AddrPort, _ time.Time) (proxy.Target, bool) {
+	hooks.Pick = func(_ proxy.Request, exclude []netip.AddrPort, _ time.Time) (proxy.Target, bool) {
 		for _, a := range targets {
 			if !slices.Contains(exclude, a) {
 				return proxy.Target{Address: a}, true
@@ -172,4 +172,4 @@
 	return string(data)
 }
 
-func always(*spec.Service, proxy.Reason) bool { return true }
+func always(proxy.Request, proxy.Reason) bool { return true }
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -35,7 +35,7 @@
 	// View returns the current snapshot. Required.
 	View func() *View
 	// Pick selects a target outside exclude. Required.
-	Pick func(service *spec.Service, exclude []netip.AddrPort, now time.Time) (Target, bool)
+	Pick func(r Request, exclude []netip.AddrPort, now time.Time) (Target, bool)
 
 	// Begin is told of each attempt before it is sent, End of its outcome.
 	Begin func(Attempt)
@@ -54,7 +54,7 @@
 	Close func(ctx context.Context, c wire.Close) (wire.Claimed, error)
 
 	// Retry takes one further attempt out of the budget of the service.
-	Retry func(service *spec.Service, reason Reason) bool
+	Retry func(r Request, reason Reason) bool
 	// Hedge returns after which time a pending request of a hedged kind is
 	// sent to a second target.
 	Hedge func(service *spec.Service, kind *spec.Kind) (time.Duration, bool)
@@ -102,7 +102,7 @@
 	}
 	// Without a budget nothing is retried, so that an incident is not amplified.
 	if h.Retry == nil {
-		h.Retry = func(*spec.Service, Reason) bool { return false }
+		h.Retry = func(Request, Reason) bool { return false }
 	}
 	if h.Hedge == nil {
 		h.Hedge = func(*spec.Service, *spec.Kind) (time.Duration, bool) { return 0, false }
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -100,7 +100,7 @@
 // next starts an attempt at a target that was not tried.
 func (r *race) next() bool {
 	hooks := &r.call.proxy.hooks
-	target, ok := hooks.Pick(r.call.request.Service, r.tried, hooks.Now())
+	target, ok := hooks.Pick(r.call.request, r.tried, hooks.Now())
 	if !ok {
 		return false
 	}
@@ -179,7 +179,7 @@
 // allows it.
 func (r *race) extra(reason Reason, started func()) bool {
 	hooks := &r.call.proxy.hooks
-	target, ok := hooks.Pick(r.call.request.Service, r.tried, hooks.Now())
+	target, ok := hooks.Pick(r.call.request, r.tried, hooks.Now())
 	if !ok || !r.call.spend(reason) {
 		return false
 	}
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -23,6 +23,7 @@
 	Slots       int
 	Connections int
 	Incarnation time.Time
+	Handle      any // the caller's own reference, returned in Begin and End
 }
 
 // Request is what hooks learn about a request.
