--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -38,6 +38,7 @@
 	admin    *serve.Server
 	claims   *meter.Counter
 	syncs    *meter.Counter
+	bytes    *meter.Counter
 	stopping atomic.Bool
 }
 
@@ -125,7 +126,7 @@
 	s := &d.settings
 	p := &parts{
 		log: in.Log, meter: in.Meter, auth: in.Auth, certs: in.Certs, machine: in.Machine, links: in.Links,
-		claims: in.Claims, syncs: in.Syncs,
+		claims: in.Claims, syncs: in.Syncs, bytes: in.Bytes,
 	}
 	d.parts = p
 	p.relay = relay.New(p.relayGroup(), p.links, s.Clock)
@@ -134,6 +135,7 @@
 		Leads:   func() bool { status := p.group.Status(); return status.Leader == status.ID },
 		Propose: p.relay.Propose,
 		PassOn:  func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
+		Advise:  func(o wire.Orders) { p.links.Broadcast(wire.KindOrders, o) },
 		Dropped: func() { in.Dropped.Add(1, "reports") },
 		Clock:   s.Clock,
 		Log:     p.log,
@@ -182,6 +184,12 @@
 }
 
 func (d *Daemon) opened(c *link.Conn) {
+	if c.Peer().Use == wire.UseOverlay {
+		if d.Hooks.Opened != nil {
+			d.Hooks.Opened(c)
+		}
+		return
+	}
 	peer := c.Peer()
 	if peer.Replica == uint64(d.settings.Replica) {
 		d.parts.log.WithField("peer", peer.Instance).Error("number of this replica is used twice")
@@ -190,14 +198,14 @@
 		d.parts.links.Add(c)
 	}
 	d.parts.fleet.Opened(c)
-	if d.Hooks.Opened != nil {
-		d.Hooks.Opened(c)
-	}
 }
 
 func (d *Daemon) closed(c *link.Conn) {
-	if d.Hooks.Closed != nil {
-		d.Hooks.Closed(c)
+	if c.Peer().Use == wire.UseOverlay {
+		if d.Hooks.Closed != nil {
+			d.Hooks.Closed(c)
+		}
+		return
 	}
 	d.parts.fleet.Closed(c)
 	d.parts.links.Remove(c)
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -19,11 +19,11 @@
 // Run; each may be nil.
 type Hooks struct {
 	fleet.Hooks
-	Gossip  func(c *link.Conn, body []byte)                      // a gossip message, called from the link's goroutine
-	Opened  func(c *link.Conn)                                   // a link, called before its first message
-	Closed  func(c *link.Conn)                                   // the end of a link
-	Targets func(v *state.View, now time.Time) []admin.Target    // for the administration interface
-	Start   func(ctx context.Context, dial func(netip.AddrPort)) // called when the links are up; dial keeps a link until ctx ends
+	Gossip  func(c *link.Conn, body []byte) error             // a gossip message, called from the link's goroutine
+	Opened  func(c *link.Conn)                                // an overlay link, called before its first message
+	Closed  func(c *link.Conn)                                // the end of an overlay link
+	Targets func(v *state.View, now time.Time) []admin.Target // for the administration interface
+	Run     func(ctx context.Context)                         // works while the replica runs
 }
 
 // Daemon is one control replica.
@@ -52,6 +52,10 @@
 		d.parts.peer.Close()
 		return nil, err
 	}
+	if err := d.observe(); err != nil {
+		d.close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -87,10 +91,8 @@
 	tasks.start("admin", p.admin.Serve)
 	tasks.start("dial", func() error { d.dialAll(inner); return nil })
 	tasks.start("watch", func() error { d.watch(inner); return nil })
-	if d.Hooks.Start != nil {
-		d.Hooks.Start(inner, func(to netip.AddrPort) {
-			tasks.start("link", func() error { p.dialer.Keep(inner, to, nil); return nil })
-		})
+	if d.Hooks.Run != nil {
+		tasks.start("watch targets", func() error { d.Hooks.Run(inner); return nil })
 	}
 	p.log.WithField("peer", d.Peer().String()).WithField("admin", d.Admin().String()).Info("ready")
 	select {
--- a/control/daemon/handle.go
+++ b/control/daemon/handle.go
@@ -61,9 +61,16 @@
 		return nil, d.collect(c, m, replica)
 	case wire.KindGossip:
 		if d.Hooks.Gossip != nil {
-			d.Hooks.Gossip(c, m.Body)
+			return nil, d.Hooks.Gossip(c, m.Body)
 		}
 		return nil, nil
+	case wire.KindOrders:
+		var in wire.Orders
+		if err := readFrom(replica, m, &in); err != nil {
+			return nil, err
+		}
+		p.fleet.Advised(in)
+		return nil, nil
 	case wire.KindRevision:
 		return nil, nil // entries announce theirs to all peers; control has its own
 	}
--- /dev/null
+++ b/control/daemon/observe.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/galenalock/galenalock/control/admin"
+	"github.com/galenalock/galenalock/control/fleet"
+	"github.com/galenalock/galenalock/control/watch"
+	"github.com/galenalock/galenalock/core/gossip"
+	"github.com/galenalock/galenalock/core/mesh"
+	"github.com/galenalock/galenalock/core/meter"
+	"github.com/galenalock/galenalock/core/state"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// observe makes the replica a member of the overlay and lets it decide
+// ejections while it leads.
+func (d *Daemon) observe() error {
+	ejections, err := d.parts.meter.Counter(meter.Ejections)
+	if err != nil {
+		return err
+	}
+	hello := d.hello()
+	hello.Use = wire.UseOverlay
+	opts := []mesh.Option{mesh.WithCount(func(direction string, n int) { d.parts.bytes.Add(int64(n), direction) })}
+	if d.parts.certs != nil {
+		opts = append(opts, mesh.WithTLS(d.parts.certs.Client()))
+	}
+	w := watch.New(watch.Settings{
+		Hello:  hello,
+		Note:   func(event string) { ejections.Add(1, event) },
+		Mesh:   opts,
+		Handle: d.handle,
+	}, d.parts.log)
+	d.Hooks = Hooks{
+		Hooks:   fleet.Hooks{Evidence: w.Evidence, Decide: w.Decide, Decided: w.Decided, Watch: w.Watched},
+		Gossip:  w.Receive,
+		Opened:  w.Adopt,
+		Closed:  w.Release,
+		Targets: func(v *state.View, now time.Time) []admin.Target { return targetsOf(w, v, now) },
+		Run:     func(ctx context.Context) { w.Run(ctx) },
+	}
+	return nil
+}
+
+// targetsOf lists the announced targets with what the state knows of them.
+func targetsOf(w *watch.Watch, v *state.View, now time.Time) []admin.Target {
+	type key struct {
+		service string
+		address netip.AddrPort
+	}
+	leased := map[key]admin.Target{}
+	for _, line := range admin.TargetsOf(v, now) {
+		leased[key{line.Service, line.Address}] = line
+	}
+	drained := map[string]bool{}
+	for _, d := range v.Drains {
+		drained[d.Name] = true
+	}
+	out := []admin.Target{}
+	snapshot := w.Targets()
+	for _, service := range snapshot.Services() {
+		for _, t := range snapshot.Targets(service) {
+			line := admin.Target{
+				Service: service, Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
+				State: string(t.State), Slots: t.Slots, Start: t.Start,
+			}
+			if l, ok := leased[key{service, t.Address}]; ok && l.Start.Equal(t.Start) {
+				line.State, line.Left, line.Score = l.State, l.Left, l.Score
+			}
+			if drained[t.Address.String()] && t.State != gossip.StateLeaving {
+				line.State = "drained"
+			}
+			out = append(out, line)
+		}
+	}
+	return out
+}
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -22,7 +22,8 @@
 	orderEvery   = time.Second
 	passOnEvery  = 5 * time.Second // unchanged reports are passed on to other replicas this often
 	forgetAfter  = time.Hour       // an instance that is neither linked nor heard of
-	decideEvery  = 250 * time.Millisecond
+	decideEvery  = 100 * time.Millisecond
+	watchLife    = 3 * time.Second // of a watch list of the leader, which repeats it each second
 	pushInterval = orderEvery / decideEvery
 )
 
@@ -30,7 +31,7 @@
 // called from the fleet's goroutine only, and each may be nil.
 type Hooks struct {
 	Evidence func(now time.Time, e wire.Evidence)                                 // evidence for the leader
-	Decide   func(now time.Time, leader bool, v *state.View) []state.Command      // commands to propose, four times a second
+	Decide   func(now time.Time, leader bool, v *state.View) []state.Command      // commands to propose, ten times a second
 	Decided  func(now time.Time, c state.Command, result state.Result, err error) // what became of each
 	Watch    func(now time.Time) []wire.Watched                                   // watch list for the orders
 }
@@ -41,6 +42,7 @@
 	Leads   func() bool
 	Propose func(ctx context.Context, c state.Command) (state.Result, error)
 	PassOn  func(r wire.Report) // to the other replicas
+	Advise  func(o wire.Orders) // the leader's watch list, to the other replicas
 	Dropped func()              // counts reports and evidence dropped from the full queue
 	Clock   func() time.Time
 	Log     *logrus.Entry
@@ -68,6 +70,10 @@
 	instances map[string]*Instance
 	passed    map[string]time.Time
 	orders    []byte // encoding of the orders sent last, without their index
+	leases    map[leaseKey]leaseSeen
+	watch     []wire.Watched // from the leader
+	advised   time.Time      // when the watch list arrived
+	advising  time.Time      // when this replica sent its watch list
 	ticks     int
 	deciding  bool
 }
@@ -80,6 +86,7 @@
 		sessions:  map[*link.Conn]*session{},
 		instances: map[string]*Instance{},
 		passed:    map[string]time.Time{},
+		leases:    map[leaseKey]leaseSeen{},
 	}
 	f.public.Store(&[]Instance{})
 	return f
--- a/control/fleet/push.go
+++ b/control/fleet/push.go
@@ -63,7 +63,8 @@
 		now = v.Time
 	}
 	for _, l := range v.Leases {
-		if left := l.Expires.Sub(now); l.Current && left > 0 {
+		left := min(l.Expires.Sub(now), f.leases[keyOf(l)].left(f.Clock()))
+		if l.Current && left > 0 {
 			o.Grants = append(o.Grants, wire.Grant{
 				Service: l.Service, Target: l.Target.Address, Start: l.Target.Start, Left: left, Score: l.Target.Score,
 			})
@@ -72,16 +73,16 @@
 	for _, d := range v.Drains {
 		o.Drains = append(o.Drains, d.Name)
 	}
-	if f.hooks.Watch != nil {
-		o.Watch = f.hooks.Watch(f.Clock())
-	}
+	o.Watch = f.watched()
 	return o
 }
 
 // order sends the orders to all entries when they differ from those sent last.
 // Leases that merely run down make no difference.
 func (f *Fleet) order() {
+	f.see()
 	o := f.compose()
+	f.advise(o)
 	stable := o
 	stable.Index = 0
 	stable.Grants = nil
@@ -111,11 +112,11 @@
 func (f *Fleet) tick(ctx context.Context) {
 	now := f.Clock()
 	f.decide(ctx, now)
+	f.order()
 	f.ticks++
 	if f.ticks%int(pushInterval) != 0 {
 		return
 	}
-	f.order()
 	due := f.View().Due
 	if f.Leads() && !due.IsZero() && !due.After(now) {
 		f.propose(ctx, []state.Command{{Tick: &state.Tick{}}}, false)
