A founder that lost its disk recovers although found was left on

A founder that never voted recovers when it hears from a replica with a history: a leader it did not vote for, or a candidate that knows more than the founding. Not covered: a single founder, and founders that together know no more than the founding. Such a replica cannot tell its first start from a lost disk, so the setting has to be turned off; a warning says so.

Ruled out: recording the incarnation of every founder in the log, which costs a membership change for each and leaves the same cases open.

Add and Remove try again while another change is under way, because promotion and admission are changes that a caller does not see; TestAddAndRemove failed once for that reason.

--- a/core/group/disk.go
+++ b/core/group/disk.go
@@ -86,33 +86,42 @@
 	if s := jobs[0].snapshot; s != nil {
 		return done{snapshot: s, err: d.store.Snapshot(*s)}, jobs[1:]
 	}
-	if p := jobs[0].persist; p.Snapshot != nil {
-		err := d.store.Install(*p.Snapshot, *p.Hard)
-		if err == nil && len(p.Entries) > 0 {
-			err = d.store.Save(*p.Hard, p.Entries)
-		}
-		return d.finish(done{seq: p.Seq, err: err}, p.Recovered), jobs[1:]
+	if p := jobs[0].persist; p.Snapshot != nil || p.Recovering != nil {
+		return done{seq: p.Seq, err: d.save(p)}, jobs[1:]
 	}
 	var entries []raft.Entry
 	var result done
 	var hard raft.HardState
-	recovered, n := false, 0
+	n := 0
 	for _, j := range jobs {
-		if j.persist == nil || j.persist.Snapshot != nil {
+		if j.persist == nil || j.persist.Snapshot != nil || j.persist.Recovering != nil {
 			break
 		}
 		entries = append(entries, j.persist.Entries...)
 		hard, result.seq = *j.persist.Hard, j.persist.Seq
-		recovered = recovered || j.persist.Recovered
 		n++
 	}
 	result.err = d.store.Save(hard, entries)
-	return d.finish(result, recovered), jobs[n:]
+	return result, jobs[n:]
 }
 
-func (d *disk) finish(result done, recovered bool) done {
-	if result.err == nil && recovered {
-		result.err = d.store.Admitted()
+// save does a Persist that holds more than entries and hard state.
+func (d *disk) save(p *raft.Persist) error {
+	if p.Recovering != nil && *p.Recovering {
+		if err := d.store.Mark(true); err != nil {
+			return err
+		}
+	}
+	if p.Snapshot != nil {
+		if err := d.store.Install(*p.Snapshot, *p.Hard); err != nil {
+			return err
+		}
+	}
+	if err := d.store.Save(*p.Hard, p.Entries); err != nil {
+		return err
+	}
+	if p.Recovering != nil && !*p.Recovering {
+		return d.store.Mark(false)
 	}
-	return result
+	return nil
 }
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -52,6 +52,7 @@
 	snapBytes    int
 	snapping     bool
 	failed       error
+	role         raft.Role // last one logged
 }
 
 // New opens the data folder and returns a replica that has yet to run. A folder
@@ -74,9 +75,12 @@
 	if seed == 0 {
 		seed = int64(id.Incarnation)
 	}
+	if s.found && state.Hard.Term > 0 {
+		s.logger.Warn("found setting left on") // unsafe if the disk is lost
+	}
 	now := s.clock()
 	core, err := raft.New(raft.Config{
-		ID: s.id, Incarnation: id.Incarnation, Recovering: id.Recovering,
+		ID: s.id, Incarnation: id.Incarnation, Recovering: id.Recovering, Founder: id.Founded,
 		Hard: state.Hard, Snapshot: state.Snapshot, Entries: state.Entries,
 		Rand: rand.New(rand.NewSource(seed)), Heartbeat: s.heartbeat, Election: s.election,
 	}, now)
--- a/core/group/loop.go
+++ b/core/group/loop.go
@@ -96,6 +96,11 @@
 		g.lose()
 	}
 	g.endTransfers(status)
+	if status.Role != g.role {
+		g.role = status.Role
+		g.logger.WithField("role", string(status.Role)).WithField("term", status.Term).
+			WithField("leader", status.Leader).Info("role")
+	}
 }
 
 func (g *Group) act(action raft.Action) {
--- a/core/group/option.go
+++ b/core/group/option.go
@@ -77,8 +77,10 @@
 }
 
 // WithFound lets a replica with an empty folder found a group of its peers. It
-// has no effect on a folder that is in use. Leave it off after the first start:
-// a founder whose disk is lost would otherwise start as if it had never voted.
+// has no effect on a folder that is in use. Turn it off after the first start.
+// A founder that lost its disk and still has it on recovers when it hears from a
+// replica that knows more than the founding; but it founds a second group if it
+// is the only founder, or together with founders that know no more.
 func WithFound(found bool) Option { return func(s *settings) { s.found = found } }
 
 // WithLogger sets the logger.
--- a/core/group/propose.go
+++ b/core/group/propose.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
+	"time"
 
 	"github.com/galenalock/galenalock/core/raft"
 )
@@ -66,8 +68,25 @@
 	}
 }
 
-// change passes a membership change to the core and waits for its commit.
+// change passes a membership change to the core and waits for its commit. While
+// another change is under way, which may be one of the group's own, it tries
+// again every heartbeat.
 func (g *Group) change(ctx context.Context, event raft.Event) error {
+	for {
+		err := g.changeOnce(ctx, event)
+		var refused *ChangeError
+		if !errors.As(err, &refused) || refused.Reason != raft.ReasonChanging {
+			return err
+		}
+		select {
+		case <-time.After(g.heartbeat):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func (g *Group) changeOnce(ctx context.Context, event raft.Event) error {
 	p := newProposal(nil)
 	call := func() {
 		if p.taken.CompareAndSwap(false, true) {
--- a/core/group/status.go
+++ b/core/group/status.go
@@ -15,8 +15,8 @@
 	Applied uint64
 	Role    raft.Role
 	Age     time.Duration // since the leader, or as leader a quorum, last confirmed the state
-	Members raft.Members
-	Syncs   uint64 // syncs of the log since the start
+	Members raft.Members  // in force, even if the change is not committed yet
+	Syncs   uint64        // syncs of the log since the start
 }
 
 // Status returns a view of the replica as of the last event.
--- a/core/raft/action.go
+++ b/core/raft/action.go
@@ -4,15 +4,16 @@
 // Refused, ReadReady or ReadRefused.
 type Action interface{ action() }
 
-// Persist makes state durable. The parts are saved in the order Snapshot,
-// Entries and Hard, Recovered; several Persist actions may share one sync. An
+// Persist makes state durable. Several Persist actions may share one sync. An
 // entry whose index is already stored replaces it and everything after it.
 type Persist struct {
-	Seq       uint64
-	Snapshot  *Snapshot // received from the leader; the stored log before it is void
-	Entries   []Entry
-	Hard      *HardState
-	Recovered bool // the replica counts as a voter from now on
+	Seq      uint64
+	Snapshot *Snapshot // received from the leader; the stored log before it is void
+	Entries  []Entry
+	Hard     *HardState
+	// Recovering changes the mark of the data folder if it is not nil: set
+	// before the other parts are saved, removed after them.
+	Recovering *bool
 }
 
 // Send passes a message to another replica.
--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -7,6 +7,10 @@
 	return c.membersIndex() > c.commit || c.commit < c.first
 }
 
+// promoteLag is how many entries a learner may lack when it is promoted. Under
+// load the commit index moves by about this much between two replies.
+const promoteLag = 256
+
 // ReasonChanging refuses a membership change while another is under way.
 const ReasonChanging = "another membership change is under way"
 
@@ -71,7 +75,7 @@
 	switch {
 	case m.Recovering && member.Incarnation != m.Incarnation:
 		member.Incarnation = m.Incarnation
-	case member.Joining && !m.Recovering && p.match >= c.commit:
+	case member.Joining && !m.Recovering && p.match+promoteLag >= c.commit:
 		member.Learner, member.Joining = false, false
 	default:
 		return
--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -19,6 +19,7 @@
 	ID          uint64
 	Incarnation uint64     // random number of the data folder
 	Recovering  bool       // the data folder is new and did not found the group
+	Founder     bool       // the data folder founded the group
 	Hard        HardState  // as stored
 	Snapshot    Snapshot   // as stored, already restored into the machine; zero if there is none
 	Entries     []Entry    // as stored, consecutive after Snapshot
@@ -38,6 +39,7 @@
 	PreVote     bool // candidates raise the term at once, and votes are granted despite a live leader
 	CheckQuorum bool // leaders never step down for lack of replies
 	Recovery    bool // replicas are counted and vote with an empty disk
+	Doubt       bool // founders that never voted do not ask whether they lost their disk
 }
 
 func (c *Config) setDefaults() {
--- a/core/raft/core.go
+++ b/core/raft/core.go
@@ -63,7 +63,7 @@
 	installing *Snapshot // received and not yet restored
 	installSeq uint64
 	incoming   *assembly
-	recovered  bool // tell it with the next Persist
+	marked     bool // recovering changed, for the next Persist
 	stepSends  []Message
 	held       []held
 	out        []Action
--- a/core/raft/persist.go
+++ b/core/raft/persist.go
@@ -3,7 +3,7 @@
 // flush emits one Persist for all that changed in this step, then the messages
 // that depend on nothing that is still being written.
 func (c *Core) flush() {
-	if len(c.unsaved) > 0 || c.hardDirty || c.recovered || c.installing != nil && c.installSeq == 0 {
+	if len(c.unsaved) > 0 || c.hardDirty || c.marked || c.installing != nil && c.installSeq == 0 {
 		c.emitPersist()
 	}
 	for _, m := range c.stepSends {
@@ -19,7 +19,11 @@
 
 func (c *Core) emitPersist() {
 	c.seq++
-	p := Persist{Seq: c.seq, Entries: c.unsaved, Recovered: c.recovered}
+	p := Persist{Seq: c.seq, Entries: c.unsaved}
+	if c.marked {
+		recovering := c.recovering
+		p.Recovering = &recovering
+	}
 	if c.installing != nil && c.installSeq == 0 {
 		p.Snapshot = c.installing
 		c.installSeq = c.seq
@@ -29,7 +33,7 @@
 	}
 	p.Hard = &HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
 	c.pending = append(c.pending, persist{c.seq, c.log.last()})
-	c.unsaved, c.hardDirty, c.recovered = nil, false, false
+	c.unsaved, c.hardDirty, c.marked = nil, false, false
 	c.out = append(c.out, p)
 }
 
@@ -108,9 +112,36 @@
 	if !ok || self.Incarnation != c.cfg.Incarnation || index > c.durable {
 		return
 	}
-	c.recovering = false
-	c.recovered = true
-	c.hardDirty = true // replies that claim it wait for the Persist
+	c.mark(false)
+}
+
+// mark changes whether the replica is recovering. Messages that tell it wait
+// for the Persist.
+func (c *Core) mark(recovering bool) {
+	c.recovering, c.marked, c.hardDirty = recovering, true, true
+}
+
+// doubt makes a founder recover if the group has a history that the founder
+// does not know of, although it never voted: its disk was lost and the setting
+// to found a group was left on, or the others founded the group without it. A
+// founder that did take part has voted for the leader or is asked for its vote
+// by a replica that knows no more than itself.
+func (c *Core) doubt(m Message) {
+	if !c.cfg.Founder || c.recovering || c.cfg.Without.Recovery || c.cfg.Without.Doubt ||
+		c.vote != 0 || c.log.last() != FoundingIndex {
+		return
+	}
+	history := false
+	switch m.Kind {
+	case MessagePreVote, MessageVote:
+		history = m.Index > FoundingIndex
+	case MessageAppend, MessageHeartbeat, MessageSnapshot, MessageElect:
+		history = m.Term >= c.term
+	}
+	if history {
+		c.mark(true)
+		c.held = nil // written as a founder
+	}
 }
 
 // membersAt returns the configuration at index and the index of its entry.
--- a/core/raft/receive.go
+++ b/core/raft/receive.go
@@ -4,6 +4,7 @@
 	if m.To != c.cfg.ID {
 		return
 	}
+	c.doubt(m)
 	switch m.Kind {
 	case MessagePreVote, MessageVote:
 		c.handleVote(m)
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -130,13 +130,13 @@
 // Syncs returns the number of syncs of the log so far.
 func (s *Store) Syncs() uint64 { return s.syncs }
 
-// Admitted records that the group counts this replica again.
-func (s *Store) Admitted() error {
+// Mark records whether the replica is recovering.
+func (s *Store) Mark(recovering bool) error {
 	if s.failed != nil {
 		return s.failed
 	}
 	id := s.identity
-	id.Recovering = false
+	id.Recovering = recovering
 	if err := s.writeIdentity(id); err != nil {
 		return s.fail(err)
 	}
