--- /dev/null
+++ b/control/daemon/fleet_test.go
@@ -0,0 +1,65 @@
+package daemon_test
+
+import (
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/state"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// Guards against a status that shows only the entries linked to the replica
+// that answers.
+func TestReportsReachEveryReplica(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	group := startGroup(t, 3)
+	group[0].settle(0, "first", serviceText(1))
+	e := dialEntry(t, group[0])
+	is.NoErr(e.conn.Send(wire.KindReport, wire.Report{Instance: "entry-1", Number: 1, State: "ready", Inflight: 7}))
+	for _, r := range group {
+		for shown := false; !shown; {
+			_, doc := r.ask(http.MethodGet, "/v1/status", nil)
+			instances, _ := doc["instances"].([]any)
+			for _, i := range instances {
+				line := i.(map[string]any)
+				shown = shown || line["name"] == "entry-1" && line["revision"] == 1.0 && line["inflight"] == 7.0
+			}
+		}
+	}
+}
+
+// Guards against evidence that does not reach the leader, and against ejection
+// decisions that do not reach entries linked to other replicas.
+func TestDecisionsReachEntries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	target := netip.MustParseAddrPort("10.0.0.7:80")
+	var seen atomic.Bool
+	group := startGroup(t, 3, func(r *replica) {
+		r.daemon.Hooks.Evidence = func(time.Time, wire.Evidence) { seen.Store(true) }
+		r.daemon.Hooks.Decide = func(_ time.Time, leader bool, v *state.View) []state.Command {
+			if !leader || !seen.Load() || len(v.Leases) > 0 {
+				return nil
+			}
+			return []state.Command{{Grant: &state.Grant{Service: "ledger", Targets: []state.Target{{Address: target}}, Lease: 10 * time.Second}}}
+		}
+	})
+	group[0].settle(0, "first", serviceText(1))
+	follower := group[(leader(group)+1)%3]
+	e := dialEntry(t, follower)
+	is.NoErr(e.conn.Send(wire.KindEvidence, wire.Evidence{Instance: "entry-1"}))
+	for o := range e.orders {
+		if len(o.Grants) == 0 {
+			continue
+		}
+		is.Equal(o.Grants[0].Target, target)
+		is.True(o.Grants[0].Left > 8*time.Second && o.Grants[0].Left <= 10*time.Second)
+		return
+	}
+}
--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -44,7 +44,7 @@
 
 // startGroup starts replicas that found a group. All addresses are bound
 // before the first replica runs.
-func startGroup(t *testing.T, size int) []*replica {
+func startGroup(t *testing.T, size int, prepare ...func(*replica)) []*replica {
 	t.Helper()
 	addresses := map[uint64]netip.AddrPort{}
 	for id := range size {
@@ -60,6 +60,9 @@
 		addresses[uint64(r.settings.Replica)] = r.settings.Peer
 	}
 	for _, r := range out {
+		for _, f := range prepare {
+			f(r)
+		}
 		r.run()
 	}
 	t.Cleanup(func() {
--- a/core/wire/claim.go
+++ b/core/wire/claim.go
@@ -25,7 +25,7 @@
 	ClaimUnknown  ClaimState = "unknown"  // the outcome is unknown and the request is never dispatched again
 	ClaimMismatch ClaimState = "mismatch" // the key was used for another request
 	ClaimExpired  ClaimState = "expired"  // the request ran, its answer is no longer stored
-	ClaimReleased ClaimState = "released" // proved not run by its owner, answers Close only
+	ClaimReleased ClaimState = "released" // proved not run by its owner; answers Close, and a late duplicate of the released Claim
 )
 
 // Claimed answers Claim and Close.
