--- /dev/null
+++ b/core/state/example_test.go
@@ -0,0 +1,25 @@
+package state_test
+
+import (
+	"fmt"
+
+	"github.com/galenalock/galenalock/core/state"
+)
+
+// Two changes of the same base: the second one gets a conflict that names the
+// first, and a resend of the first its first answer.
+func ExampleMachine_Apply() {
+	m := state.New()
+	for i, s := range []state.Submit{
+		{Base: 0, Change: "floor", Text: []byte("floor = 80%")},
+		{Base: 0, Change: "rate", Text: []byte("rate = 50")},
+		{Base: 0, Change: "floor", Text: []byte("floor = 80%")},
+	} {
+		result, err := apply(m, uint64(i+1), state.Command{Time: epoch, Submit: &s})
+		fmt.Println(result.Submitted.Outcome, result.Submitted.Revision, result.Submitted.Change, err)
+	}
+	// Output:
+	// accepted 1 floor <nil>
+	// conflict 1 floor <nil>
+	// accepted 1 floor <nil>
+}
