--- /dev/null
+++ b/control/daemon/bench_test.go
@@ -0,0 +1,36 @@
+package daemon_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// BenchmarkPropagate measures a change from its submission to its arrival at
+// 48 entries linked to three replicas.
+func BenchmarkPropagate(b *testing.B) {
+	group := startGroup(b, 3)
+	group[0].settle(0, "first", serviceText(0))
+	var entries []*entry
+	for i := range 48 {
+		e := dialEntry(b, group[i%3])
+		var whole wire.Revision
+		if err := e.conn.Call(b.Context(), wire.KindPull, wire.Pull{}, &whole); err != nil {
+			b.Fatal(err)
+		}
+		entries = append(entries, e)
+	}
+	base := uint64(1)
+	for b.Loop() {
+		group[0].settle(base, fmt.Sprint("change-", base), serviceText(int(base)))
+		base++
+		for _, e := range entries {
+			for r := range e.revisions {
+				if r.Number == base {
+					break
+				}
+			}
+		}
+	}
+}
--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -27,14 +27,14 @@
 
 // replica is a control replica in this process.
 type replica struct {
-	t        *testing.T
+	t        testing.TB
 	settings daemon.Settings
 	daemon   *daemon.Daemon
 	cancel   context.CancelFunc
 	ended    chan error
 }
 
-func settings(t *testing.T, id int, replicas map[uint64]netip.AddrPort) daemon.Settings {
+func settings(t testing.TB, id int, replicas map[uint64]netip.AddrPort) daemon.Settings {
 	return daemon.Settings{
 		Instance: fmt.Sprint("control-", id), Fleet: "test", Region: "salish", DataCentre: "salish-1",
 		Replica: id, Peer: loopback, Admin: loopback, Replicas: replicas, Found: true,
@@ -44,7 +44,7 @@
 
 // startGroup starts replicas that found a group. All addresses are bound
 // before the first replica runs.
-func startGroup(t *testing.T, size int, prepare ...func(*replica)) []*replica {
+func startGroup(t testing.TB, size int, prepare ...func(*replica)) []*replica {
 	t.Helper()
 	addresses := map[uint64]netip.AddrPort{}
 	for id := range size {
@@ -169,7 +169,7 @@
 	orders    chan wire.Orders
 }
 
-func dialEntry(t *testing.T, r *replica) *entry {
+func dialEntry(t testing.TB, r *replica) *entry {
 	t.Helper()
 	e := &entry{revisions: make(chan wire.Revision, 100), orders: make(chan wire.Orders, 100)}
 	dialer := link.NewDialer(
