--- /dev/null
+++ b/core/claim/core_test.go
@@ -0,0 +1,141 @@
+package claim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/claim"
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func Example() {
+	core := claim.New("entry-1", epoch)
+	number, action := core.Open(epoch, "ledger", "k", 7, epoch.Add(10*time.Second))
+	fmt.Println(action.Do == claim.Ask, action.Claim.Attempt, action.Claim.Expires)
+	action = core.Answered(epoch, number, wire.Claimed{State: wire.ClaimGranted})
+	fmt.Println(action.Do == claim.Dispatch, core.Dispatch(epoch.Add(time.Second), number))
+	record, _ := core.Finish(number, wire.OutcomeDone, &wire.Answer{Status: 201})
+	fmt.Println(record.Outcome, len(core.Unfinished()))
+	core.Recorded(number)
+	fmt.Println(len(core.Unfinished()))
+	// Output:
+	// true 1 22s
+	// true true
+	// done 1
+	// 0
+}
+
+// Guards against a dispatch by an entry that was frozen after its claim.
+// The naive variant has no window.
+func TestWindow(t *testing.T) {
+	for _, naive := range []bool{true, false} {
+		is := is.New(t)
+		var opts []claim.Option
+		if naive {
+			opts = append(opts, claim.WithWindow(time.Hour))
+		}
+		core := claim.New("entry-1", epoch, opts...)
+		number, _ := core.Open(epoch, "ledger", "k", 7, epoch.Add(10*time.Second))
+		is.Equal(core.Answered(epoch.Add(time.Second), number, wire.Claimed{State: wire.ClaimGranted}).Do, claim.Dispatch)
+		is.Equal(core.Dispatch(epoch.Add(2100*time.Millisecond), number), naive)
+		record, ok := core.Leave(number)
+		is.Equal(ok, !naive)
+		is.Equal(record.Outcome == wire.OutcomeReleased, !naive)
+	}
+}
+
+// Guards against a question that was lost on the way and lengthens the window:
+// it counts from the first question that was not answered.
+func TestWindowCountsFromFirstQuestion(t *testing.T) {
+	is := is.New(t)
+	core := claim.New("entry-1", epoch)
+	number, first := core.Open(epoch, "ledger", "k", 7, epoch.Add(10*time.Second))
+	again := core.Unanswered(epoch.Add(1500*time.Millisecond), number)
+	is.Equal(again.Do, claim.Ask)
+	is.Equal(again.Claim, first.Claim) // the same question, not a second claim
+	core.Asked(epoch.Add(1600*time.Millisecond), number)
+	core.Answered(epoch.Add(1900*time.Millisecond), number, wire.Claimed{State: wire.ClaimGranted})
+	is.True(!core.Dispatch(epoch.Add(2100*time.Millisecond), number))
+	record, ok := core.Leave(number)
+	is.True(ok)
+	is.Equal(record.Outcome, wire.OutcomeReleased)
+}
+
+// Guards against a claim that stays granted forever after its asker gave up.
+func TestUnansweredIsReleased(t *testing.T) {
+	is := is.New(t)
+	core := claim.New("entry-1", epoch)
+	number, _ := core.Open(epoch, "ledger", "k", 7, epoch.Add(10*time.Second))
+	action := core.Unanswered(epoch.Add(1990*time.Millisecond), number)
+	is.Equal(action.Reason, refuse.NoQuorum)
+	is.Equal(action.Run, refuse.NotRun)
+	record, ok := core.Leave(number)
+	is.True(ok)
+	is.Equal(record.Outcome, wire.OutcomeReleased)
+	_, again := core.Unrecorded(epoch.Add(10*time.Second), number)
+	is.True(again)
+	_, again = core.Unrecorded(epoch.Add(time.Minute), number)
+	is.True(!again) // the claim has expired, a release has no effect any more
+	is.Equal(len(core.Unfinished()), 0)
+}
+
+// Guards against a response whose record is given up, and against a release of
+// a request that was dispatched.
+func TestRecordIsRepeated(t *testing.T) {
+	is := is.New(t)
+	core := claim.New("entry-1", epoch)
+	number, _ := core.Open(epoch, "ledger", "k", 7, epoch.Add(10*time.Second))
+	core.Answered(epoch, number, wire.Claimed{State: wire.ClaimGranted})
+	is.True(core.Dispatch(epoch, number))
+	is.True(!core.Dispatch(epoch, number)) // one dispatch for one grant
+	_, ok := core.Leave(number)
+	is.True(!ok)
+	_, ok = core.Finish(number, wire.OutcomeDone, nil)
+	is.True(ok)
+	_, ok = core.Finish(number, wire.OutcomeUnknown, nil)
+	is.True(!ok) // the first outcome stands
+	for n := range 100 {
+		delay, again := core.Unrecorded(epoch.Add(time.Duration(n)*time.Hour), number)
+		is.True(again && delay <= 5*time.Second)
+	}
+	open := core.Unfinished()
+	is.Equal(len(open), 1)
+	is.True(open[0].Dispatched && open[0].Outcome == wire.OutcomeDone)
+}
+
+// Guards against an answer of control that leads to a second dispatch or to a
+// false "not run".
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		state  wire.ClaimState
+		answer *wire.Answer
+		do     claim.Do
+		run    refuse.Run
+	}{
+		{wire.ClaimGranted, nil, claim.Dispatch, ""},
+		{wire.ClaimRunning, nil, claim.Ask, ""},
+		{wire.ClaimDone, &wire.Answer{Status: 200}, claim.Reply, ""},
+		{wire.ClaimDone, nil, claim.Refuse, refuse.Ran},
+		{wire.ClaimUnknown, nil, claim.Refuse, refuse.Unknown},
+		{wire.ClaimMismatch, nil, claim.Refuse, refuse.NotRun},
+		{wire.ClaimExpired, nil, claim.Refuse, refuse.Ran},
+		{"later", nil, claim.Refuse, refuse.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(string(c.state), func(t *testing.T) {
+			is := is.New(t)
+			core := claim.New("entry-1", epoch)
+			number, _ := core.Open(epoch, "ledger", "k", 7, epoch.Add(10*time.Second))
+			action := core.Answered(epoch, number, wire.Claimed{State: c.state, Answer: c.answer})
+			is.Equal(action.Do, c.do)
+			is.Equal(action.Run, c.run)
+			is.Equal(core.Dispatch(epoch, number), c.do == claim.Dispatch)
+		})
+	}
+}
--- a/entry/proxy/harness_test.go
+++ b/entry/proxy/harness_test.go
@@ -175,3 +175,5 @@
 }
 
 func always(*spec.Service, proxy.Reason) bool { return true }
+
+func detachNone(*spec.Kind) bool { return false }
