--- a/entry/proxy/claim_test.go
+++ b/entry/proxy/claim_test.go
@@ -159,13 +159,13 @@
 		go func() {
 			<-arrived
 			cancel()
-			if naive {
-				<-entered // the cancelled attempt has ended
-			}
-			close(left)
 		}()
 		_, _, _, err := e.sendContext(ctx, http.MethodPost, "/orders", strings.NewReader("x"), "Idempotency-Key", "k")
 		is.True(errors.Is(err, context.Canceled))
+		if naive {
+			<-entered // the cancelled attempt has ended
+		}
+		close(left)
 		record := <-control.closed
 		is.Equal(record.Outcome == wire.OutcomeDone, !naive)
 		if !naive {
