--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -76,7 +76,7 @@
 		detached, end = context.WithTimeout(context.WithoutCancel(c.r.Context()), left)
 		defer end()
 	}
-	c.upload = newUpload(c.r, c.control)
+	c.upload = newUpload(c.r, c.control, c.proxy.rules.Short)
 	g := &guard{control: c.control, now: c.proxy.hooks.Now}
 	defer g.end()
 	defer context.AfterFunc(detached, func() { g.fire(c.upload) })()
--- a/entry/proxy/rules.go
+++ b/entry/proxy/rules.go
@@ -17,6 +17,9 @@
 	// Cut reports whether a response that broke off aborts the caller's
 	// connection.
 	Cut func(err error) bool
+	// Short returns what an upload that broke off with an error ends with
+	// towards the target.
+	Short func(err error) error
 	// Digest returns the Content-Digest that a body must match, or "".
 	Digest func(header http.Header) string
 	// Detach reports whether a dispatched request of a kind goes on without
@@ -34,6 +37,9 @@
 	if r.Cut == nil {
 		r.Cut = func(error) bool { return true }
 	}
+	if r.Short == nil {
+		r.Short = func(err error) error { return err }
+	}
 	if r.Digest == nil {
 		r.Digest = func(header http.Header) string { return header.Get(headerDigest) }
 	}
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -19,6 +19,7 @@
 	body    io.Reader
 	length  int64 // -1 when unknown
 	digest  *digest
+	short   func(error) error
 	count   atomic.Int64
 
 	started atomic.Bool // a target may have seen a part of the body
@@ -29,11 +30,11 @@
 
 var errStopped = errors.New("the body is no longer read")
 
-func newUpload(r *http.Request, control *http.ResponseController) *upload {
+func newUpload(r *http.Request, control *http.ResponseController, short func(error) error) *upload {
 	if r.Body == nil || r.Body == http.NoBody {
-		return &upload{control: control, body: http.NoBody}
+		return &upload{control: control, body: http.NoBody, short: short}
 	}
-	return &upload{control: control, body: r.Body, length: r.ContentLength}
+	return &upload{control: control, body: r.Body, length: r.ContentLength, short: short}
 }
 
 // Read returns io.EOF only after the digest was verified; the last bytes of a
@@ -54,8 +55,11 @@
 	if ended && u.length >= 0 && total < u.length {
 		return 0, io.ErrUnexpectedEOF
 	}
-	if !ended && (err != nil || total != u.length) {
-		return n, err
+	if !ended && err != nil {
+		return n, u.short(err)
+	}
+	if !ended && total != u.length {
+		return n, nil
 	}
 	if u.digest != nil && !u.digest.matches() {
 		return 0, errDigest
