--- a/entry/proxy/claim_test.go
+++ b/entry/proxy/claim_test.go
@@ -95,7 +95,7 @@
 			runs.Add(1)
 			started <- struct{}{}
 			<-finish
-			_, _ = io.WriteString(c, "HTTP/1.1 201 Created\r\nX-Order: 7\r\nContent-Length: 4\r\n\r\nmade")
+			_, _ = io.WriteString(c, "HTTP/1.1 201 Created\r\nX-Order: 7\r\nConnection: close\r\nContent-Length: 4\r\n\r\nmade")
 		})
 		control := newControl()
 		hooks := control.hooks()
