Subsets reach every instance; idle connections outlive the start of a drain

route: with three regions and few targets the windows of two regions left out the same instances, which then reached no target (156 instances, 2 targets, found by the property test).

--- a/bench/procs/fleet_test.go
+++ b/bench/procs/fleet_test.go
@@ -254,7 +254,10 @@
 	go func() { stopped <- f.entries[0].Stop() }()
 	f.until("entry takes no new requests", func() bool { return f.status(0) != http.StatusOK })
 	_, err = writer.Write(body[len(body)/2:])
-	f.check(err)
+	if err != nil {
+		early := <-uploaded
+		t.Fatalf("upload during the stop ended early: status %d: %s", early.status, early.answer)
+	}
 	f.check(writer.Close())
 	got := <-uploaded
 	var received stub.Answer
--- a/core/route/subset.go
+++ b/core/route/subset.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,7 +37,10 @@
 	for i := range targets {
 		regions[targets[i].Region] = append(regions[targets[i].Region], i)
 	}
-	for region, members := range regions {
+	// Where the window of a group does not hold all of it, the windows of other
+	// regions begin elsewhere in the order, so that they leave out others.
+	for number, region := range slices.Sorted(maps.Keys(regions)) {
+		members := regions[region]
 		slices.SortFunc(members, func(a, b int) int { return compare(targets[a], targets[b]) })
 		near := region == here.Region
 		rank, size, others := -1, 0, 0
@@ -53,6 +57,7 @@
 		if rank < 0 {
 			continue
 		}
+		rank = (rank + size*number/len(regions)) % size
 		for at, i := range members {
 			quota := quota(targets[i].Connections, near, others)
 			out[i] = window(rank, size, at, len(members), quota)
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -30,7 +30,7 @@
 		return nil, nil
 	case wire.KindRenew:
 		return deliver(m, func(r wire.Renew) {
-			a.post(func(now time.Time) { a.carry(now, a.roster.Renew(now, c.Peer().Instance, r)) })
+			a.post(func(now time.Time) { a.carry(now, a.roster.Renew(now, r)) })
 		})
 	case wire.KindOrders:
 		return deliver(m, func(o wire.Orders) {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -111,8 +111,10 @@
 	d.log.WithField("inflight", d.counts.inflight.Load()).Info("draining")
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace+d.settings.Limit)
 	defer cancel()
+	// The data path now asks callers to reconnect elsewhere with each response.
+	// Idle connections stay open until the end of the grace time: closing them
+	// here would cut off a request that is on its way on one of them.
 	d.agent.Leave(ctx)
-	d.traffic.SetKeepAlives(false)
 	grace := time.NewTimer(d.settings.Grace)
 	defer grace.Stop()
 	select {
