--- /dev/null
+++ b/bench/procs/harness_test.go
@@ -0,0 +1,275 @@
+package procs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/galenalock/galenalock/bench/procs"
+	"github.com/galenalock/galenalock/bench/stub"
+)
+
+// bound is how long the tests wait for a state of other processes.
+const bound = 30 * time.Second
+
+const serviceText = `
+[[service]]
+name = "tables"
+floor = "50%"
+policy = "fast"
+[[service.kind]]
+name = "lookup"
+repeat = true
+[[service]]
+name = "ledger"
+floor = "50%"
+[[service.kind]]
+name = "order"
+methods = ["POST"]
+repeat = false
+key = "required"
+timeout = "5s"
+[[service]]
+name = "intake"
+floor = "50%"
+[[service.kind]]
+name = "upload"
+methods = ["POST"]
+repeat = false
+upload = true
+timeout = "5m"
+[[route]]
+prefix = "/tables"
+service = "tables"
+strip = true
+[[route]]
+prefix = "/ledger"
+service = "ledger"
+strip = true
+[[route]]
+prefix = "/uploads"
+service = "intake"
+`
+
+var programs procs.Programs
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "galenalock-procs-")
+	if err == nil {
+		programs, err = procs.Build(folder, "control", "entry", "bench")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// fleet is a running fleet.
+type fleet struct {
+	*testing.T
+	procs.Fleet
+	at       procs.Place
+	replicas map[int]netip.AddrPort
+	admins   map[int]netip.AddrPort
+	control  map[int]*procs.Process
+	entries  []*procs.Process
+	targets  []*procs.Process
+}
+
+// layout is the size of a fleet.
+type layout struct{ replicas, entries, targets int } // targets of each service
+
+func start(t *testing.T, l layout) *fleet {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes, which the race detector does not see")
+	}
+	f := &fleet{
+		T: t, Fleet: procs.Fleet{Name: "test", Folder: t.TempDir(), Programs: programs},
+		at: procs.Place{Region: "salish", DataCentre: "salish-1"},
+	}
+	free, err := procs.Free(2 * l.replicas)
+	f.check(err)
+	f.replicas, f.admins, f.control = map[int]netip.AddrPort{}, map[int]netip.AddrPort{}, map[int]*procs.Process{}
+	for id := 1; id <= l.replicas; id++ {
+		f.replicas[id], f.admins[id] = free[2*id-2], free[2*id-1]
+	}
+	for id := 1; id <= l.replicas; id++ {
+		f.startControl(id)
+	}
+	f.submit(0, "first", serviceText, 1)
+	var peers []netip.AddrPort
+	for i := range l.entries {
+		p, err := f.Entry(fmt.Sprintf("entry-%d", i+1), f.at, peers...)
+		f.check(err)
+		f.entries = append(f.entries, p)
+		peers = append(peers, p.Address("peer"))
+		f.stopLater(p)
+	}
+	for _, service := range []string{"tables", "ledger", "intake"} {
+		for range l.targets {
+			p, err := f.Target(service, f.at, peers...)
+			f.check(err)
+			f.targets = append(f.targets, p)
+			f.stopLater(p)
+		}
+	}
+	for i := range f.entries {
+		f.until("entry serves", func() bool {
+			return f.status(i) == http.StatusOK && f.targetsKnown(i) == len(f.targets)
+		})
+	}
+	return f
+}
+
+// stopLater kills a process at the end of the test; graceful stops are what
+// some tests are about.
+func (f *fleet) stopLater(p *procs.Process) { f.Cleanup(p.Kill) }
+
+func (f *fleet) check(err error) {
+	f.Helper()
+	if err != nil {
+		f.Fatal(err)
+	}
+}
+
+// startControl starts a replica, or starts it again.
+func (f *fleet) startControl(id int) {
+	f.Helper()
+	p, err := f.Control(id, f.at, f.replicas, f.admins[id])
+	f.check(err)
+	f.control[id] = p
+	f.stopLater(p)
+}
+
+// ask reads a document of the administration interface from the first replica
+// that answers.
+func (f *fleet) ask(path string, into any) {
+	for id := 1; id <= len(f.admins); id++ {
+		if f.read(f.admins[id], path, into) {
+			return
+		}
+	}
+}
+
+// leader returns the number of the leading replica.
+func (f *fleet) leader() int {
+	var doc struct{ Leader int }
+	f.until("a leader", func() bool {
+		f.ask("/v1/replicas", &doc)
+		return doc.Leader != 0
+	})
+	return doc.Leader
+}
+
+// until waits for a state of other processes.
+func (f *fleet) until(what string, reached func() bool) {
+	f.Helper()
+	for end := time.Now().Add(bound); !reached(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			for _, p := range f.control {
+				for _, line := range p.Lines() {
+					f.Log(line)
+				}
+			}
+			f.Fatalf("not reached in %s: %s", bound, what)
+		}
+	}
+}
+
+func (f *fleet) status(entry int) int {
+	status, _ := f.send(http.MethodGet, entry, "/tables/x", nil, "")
+	return status
+}
+
+func (f *fleet) targetsKnown(entry int) int {
+	var s struct{ Targets int }
+	f.read(f.entries[entry].Address("admin"), "/v1/status", &s)
+	return s.Targets
+}
+
+// read reads a document and reports whether there was one.
+func (f *fleet) read(at netip.AddrPort, path string, into any) bool {
+	resp, err := http.Get(fmt.Sprintf("http://%s%s", at, path))
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(into) == nil
+}
+
+func (f *fleet) submit(base uint64, change, text string, want float64) {
+	f.Helper()
+	body, err := json.Marshal(map[string]any{"base": base, "change": change, "text": text})
+	f.check(err)
+	var answer map[string]any
+	f.until("change accepted", func() bool {
+		for _, admin := range f.admins {
+			resp, err := http.Post(fmt.Sprintf("http://%s/v1/submit", admin), "application/json", bytes.NewReader(body))
+			if err != nil {
+				continue
+			}
+			err = json.NewDecoder(resp.Body).Decode(&answer)
+			_ = resp.Body.Close()
+			if err == nil && resp.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		return false
+	})
+	if answer["revision"] != want {
+		f.Fatalf("change %s became revision %v, want %v", change, answer["revision"], want)
+	}
+}
+
+func (f *fleet) send(method string, entry int, path string, body io.Reader, key string) (int, []byte) {
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s%s", f.entries[entry].Address("traffic"), path), body)
+	f.check(err)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, data
+}
+
+// ran counts the executions by key over all targets.
+func (f *fleet) ran() map[string]int {
+	out := map[string]int{}
+	for _, p := range f.targets {
+		var c stub.Counts
+		f.read(p.Address("address"), "/stub/counts", &c)
+		for key, run := range c.Keys {
+			out[key] += run.Times
+		}
+	}
+	return out
+}
+
+// order sends one keyed order and returns the answer.
+func (f *fleet) order(entry int, key string) []byte {
+	f.Helper()
+	var answer []byte
+	f.until("order "+key, func() bool {
+		status, body := f.send(http.MethodPost, entry, "/ledger/orders", bytes.NewReader([]byte(key)), key)
+		answer = body
+		return status == http.StatusOK
+	})
+	return answer
+}
--- a/control/daemon/observe.go
+++ b/control/daemon/observe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/galenalock/galenalock/control/admin"
@@ -30,6 +32,7 @@
 	}
 	w := watch.New(watch.Settings{
 		Hello:  hello,
+		Seeds:  slices.Collect(maps.Values(d.settings.Replicas)),
 		Note:   func(event string) { ejections.Add(1, event) },
 		Mesh:   opts,
 		Handle: d.handle,
--- a/control/watch/watch.go
+++ b/control/watch/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,7 @@
 // Settings describe the replica.
 type Settings struct {
 	Hello  wire.Hello         // introduces the replica; its Replica number is not used
+	Seeds  []netip.AddrPort   // peer addresses of the other replicas
 	Note   func(event string) // counts events in the life of targets, may be nil
 	Mesh   []mesh.Option      // TLS and counters
 	Handle link.Handler       // receives what is not gossip
@@ -56,6 +58,7 @@
 			gossip.WithSelf(s.Hello.Instance, s.Hello.Start, gossip.Instance{
 				Role: wire.RoleControl, Region: s.Hello.Region, DataCentre: s.Hello.DataCentre, Peer: s.Hello.Peer,
 			}),
+			gossip.WithSeeds(s.Seeds...),
 			gossip.WithRand(rand.New(rand.NewPCG(rand.Uint64(), uint64(s.Hello.Start.UnixNano())))),
 		),
 		roster: roster.New(roster.WithSelf(s.Hello.Instance)),
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -84,7 +85,7 @@
 	s := &d.settings
 	return agent.New(agent.Settings{
 		Fleet: s.Fleet, Instance: s.Instance, Region: s.Region, DataCentre: s.DataCentre,
-		Peer: p.server.Addr(), Control: s.Control, Seeds: s.Peers,
+		Peer: p.server.Addr(), Control: s.Control, Seeds: slices.Concat(s.Peers, s.Control),
 		Data: s.Data, Ramp: s.Ramp, Start: d.start,
 	}, agent.Hooks{
 		Mesh: func(opts ...mesh.Option) *mesh.Mesh {
