--- a/core/state/bench_test.go
+++ b/core/state/bench_test.go
@@ -23,6 +23,25 @@
 	}
 }
 
+// BenchmarkSnapshot measures a snapshot of 100,000 claims with answers, during
+// which the replica does nothing else.
+func BenchmarkSnapshot(b *testing.B) {
+	m := state.New()
+	answer := &wire.Answer{Status: 201, Body: bytes.Repeat([]byte("x"), 300), Stored: true}
+	for i := range 100_000 {
+		key := fmt.Sprintf("0190f3c4-aaaa-7bbb-8ccc-%012d", i)
+		apply(m, 1, state.Command{Time: epoch, Claim: &wire.Claim{Service: "ledger", Key: key, Owner: "entry-1", Attempt: 1, Expires: time.Minute}})
+		apply(m, 1, state.Command{Time: epoch, Close: &wire.Close{Service: "ledger", Key: key, Owner: "entry-1", Attempt: 1, Outcome: wire.OutcomeDone, Answer: answer}})
+	}
+	for b.Loop() {
+		data, err := m.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "snapshot-bytes")
+	}
+}
+
 // BenchmarkSubmit measures a change of one line in a text of the target size,
 // and reports the size of a snapshot that holds the last 64 of them.
 func BenchmarkSubmit(b *testing.B) {
--- a/core/state/check.go
+++ b/core/state/check.go
@@ -8,11 +8,12 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// Years that commands may name. The end lies far enough below the year 10000
-// that retention added to it can still be encoded.
+// Years that commands may name. Times of commands are kept as nanoseconds,
+// which end in the year 2262; other times only have to be encodable.
 const (
 	firstYear = 1970
-	lastYear  = 9000
+	lastYear  = 2200
+	maxYear   = 9000
 )
 
 // check brings all times to UTC and returns why the command is malformed, or
@@ -51,7 +52,7 @@
 
 func checkTime(what string, t *time.Time) string {
 	*t = t.UTC()
-	if year := t.Year(); year < 1 || year > lastYear {
+	if year := t.Year(); year < 1 || year > maxYear {
 		return fmt.Sprintf("%s is in the year %d", what, year)
 	}
 	return ""
--- a/core/state/claims.go
+++ b/core/state/claims.go
@@ -8,29 +8,38 @@
 )
 
 type claimKey struct {
-	Service string `cbor:"service"`
-	Key     string `cbor:"key"`
+	Service string
+	Key     string
 }
 
 // claim is the record of a key. Its state is running, done, unknown or
 // released; a released record keeps only the attempt that was released, so
 // that a late duplicate of its Claim is not granted.
 type claim struct {
-	Print       uint64          `cbor:"print"`
-	Owner       string          `cbor:"owner"`
-	Incarnation time.Time       `cbor:"incarnation"`
-	Attempt     uint64          `cbor:"attempt"`
-	State       wire.ClaimState `cbor:"state"`
-	Made        time.Time       `cbor:"made"`
-	Until       time.Time       `cbor:"until"` // when the state changes by itself
-	Answer      *wire.Answer    `cbor:"answer,omitempty"`
+	Print       uint64
+	Owner       string
+	Incarnation time.Time
+	Attempt     uint64
+	State       wire.ClaimState
+	Made        time.Time
+	Until       time.Time // when the state changes by itself
+	// Answer is an encoded wire.Answer: it is smaller than the struct, and a
+	// snapshot, during which the replica does nothing else, only copies it.
+	Answer []byte
 }
 
 // retired is what remains of a claim: a key that does not count as new.
 type retired struct {
-	Print uint64          `cbor:"print"`
-	State wire.ClaimState `cbor:"state"` // expired or unknown
-	Until time.Time       `cbor:"until"` // zero: for ever
+	Print uint64
+	Until int64 // Unix nanoseconds, 0: for ever
+	Lost  bool  // its outcome is unknown, else it ran
+}
+
+func (r retired) state() wire.ClaimState {
+	if r.Lost {
+		return wire.ClaimUnknown
+	}
+	return wire.ClaimExpired
 }
 
 // owner is an instance that has claimed.
@@ -99,7 +108,7 @@
 		if old.Print != c.Fingerprint {
 			return &wire.Claimed{State: wire.ClaimMismatch}, true
 		}
-		return &wire.Claimed{State: old.State}, true
+		return &wire.Claimed{State: old.state()}, true
 	}
 	same := have.by(c.Owner, c.Incarnation, c.Attempt)
 	if have.State == wire.ClaimReleased {
@@ -111,7 +120,7 @@
 	if have.State == wire.ClaimRunning && same {
 		return &wire.Claimed{State: wire.ClaimGranted}, true
 	}
-	return &wire.Claimed{State: have.State, Answer: have.Answer}, true
+	return &wire.Claimed{State: have.State, Answer: have.answer()}, true
 }
 
 // close answers a Close. Only the attempt that holds a claim changes it.
@@ -139,7 +148,7 @@
 
 func (s *claims) closeAbsent(key claimKey, c *wire.Close, now time.Time) *wire.Claimed {
 	if old, ok := s.retired[key.digest()]; ok {
-		return &wire.Claimed{State: old.State}
+		return &wire.Claimed{State: old.state()}
 	}
 	if c.Outcome == wire.OutcomeReleased {
 		// The Claim may still be on its way. Granting it after its owner has
@@ -161,14 +170,13 @@
 // or the store of answers is full.
 func (s *claims) finish(key claimKey, c *claim, answer *wire.Answer, now time.Time) {
 	s.leave(key, c)
-	limited := limit(answer, MaxAnswers-s.stored)
-	c.State, c.Answer = wire.ClaimDone, limited
+	c.State, c.Answer = wire.ClaimDone, pack(answer, MaxAnswers-s.stored)
 	c.Until = now.Add(AnswerRetention)
 	if end := c.Made.Add(KeyRetention); end.Before(c.Until) {
 		c.Until = end
 	}
-	s.stored += size(limited)
-	s.due.add(dueItem{at: c.Until, key: key})
+	s.enter(key, c)
+	s.due.add(c.Until, key)
 }
 
 // lose makes a running claim unknown.
@@ -176,31 +184,33 @@
 	s.leave(key, c)
 	c.State = wire.ClaimUnknown
 	c.Until = c.Made.Add(KeyRetention)
-	s.unknown++
-	s.due.add(dueItem{at: c.Until, key: key})
+	s.enter(key, c)
+	s.due.add(c.Until, key)
 }
 
-func limit(a *wire.Answer, room int) *wire.Answer {
-	if n := size(a); n <= wire.MaxAnswer && n <= room {
-		return a
+// answer returns the recorded answer, or nil.
+func (c *claim) answer() *wire.Answer {
+	if c.Answer == nil {
+		return nil
 	}
-	small := &wire.Answer{Status: a.Status, Header: a.Header}
-	if size(small) > MaxOversize {
-		small.Header = nil
+	a := &wire.Answer{}
+	if err := wire.Decode(c.Answer, a); err != nil {
+		return nil // pack has encoded it
 	}
-	return small
+	return a
 }
 
-func size(a *wire.Answer) int {
-	if a == nil {
-		return 0
-	}
-	n := len(a.Body)
-	for name, values := range a.Header {
-		n += len(name)
-		for _, v := range values {
-			n += len(v)
+// pack encodes an answer, without the parts that do not fit.
+func pack(a *wire.Answer, room int) []byte {
+	if size := len(a.Body); size <= wire.MaxAnswer && size <= room {
+		if data := encode(a); len(data) <= wire.MaxAnswer+MaxHeader && len(data) <= room {
+			return data
 		}
 	}
-	return n
+	small := &wire.Answer{Status: a.Status, Header: a.Header}
+	if data := encode(small); len(data) <= MaxHeader {
+		return data
+	}
+	small.Header = nil
+	return encode(small)
 }
--- a/core/state/due.go
+++ b/core/state/due.go
@@ -6,12 +6,12 @@
 )
 
 // dueItem names something to look at when its time comes. An item may be out
-// of date; what it names decides by itself what has expired.
+// of date; what it names decides by itself what has expired. Items are small,
+// because there is one for each key that is retained.
 type dueItem struct {
-	at     time.Time
-	key    claimKey // a claim, if its service is set
-	owner  string   // an owner, if set
-	retire digest   // else a retired key
+	at     int64     // Unix nanoseconds
+	key    *claimKey // a claim; without a service, an owner
+	retire digest    // a retired key, if key is nil
 }
 
 // dueQueue is a priority queue of items by time.
@@ -21,7 +21,7 @@
 func (q dueQueue) Len() int { return len(q) }
 
 // Less is part of heap.Interface.
-func (q dueQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q dueQueue) Less(i, j int) bool { return q[i].at < q[j].at }
 
 // Swap is part of heap.Interface.
 func (q dueQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
@@ -36,11 +36,17 @@
 	return last
 }
 
-func (q *dueQueue) add(item dueItem) { heap.Push(q, item) }
+func (q *dueQueue) add(at time.Time, key claimKey) {
+	heap.Push(q, dueItem{at: at.UnixNano(), key: &key})
+}
+
+func (q *dueQueue) addOwner(at time.Time, name string) { q.add(at, claimKey{Key: name}) }
+
+func (q *dueQueue) addRetired(at int64, mark digest) { heap.Push(q, dueItem{at: at, retire: mark}) }
 
 // take returns the next item that is due, if any.
 func (q *dueQueue) take(now time.Time) (dueItem, bool) {
-	if len(*q) == 0 || (*q)[0].at.After(now) {
+	if len(*q) == 0 || (*q)[0].at > now.UnixNano() {
 		return dueItem{}, false
 	}
 	return heap.Pop(q).(dueItem), true
@@ -51,5 +57,5 @@
 	if len(q) == 0 {
 		return time.Time{}
 	}
-	return q[0].at
+	return time.Unix(0, q[0].at).UTC()
 }
--- a/core/state/expiry.go
+++ b/core/state/expiry.go
@@ -14,7 +14,7 @@
 	if !ok {
 		o = &owner{Incarnation: incarnation, running: map[claimKey]struct{}{}}
 		s.owners[name] = o
-		s.due.add(dueItem{at: now.Add(ownerRetention), owner: name})
+		s.due.addOwner(now.Add(ownerRetention), name)
 	}
 	o.Seen = now
 	if !incarnation.After(o.Incarnation) {
@@ -31,13 +31,13 @@
 // put adds a record.
 func (s *claims) put(key claimKey, c *claim) {
 	s.table[key] = c
-	s.due.add(dueItem{at: c.Until, key: key})
+	s.due.add(c.Until, key)
 	s.enter(key, c)
 }
 
 // enter counts a record.
 func (s *claims) enter(key claimKey, c *claim) {
-	s.stored += size(c.Answer)
+	s.stored += len(c.Answer)
 	switch c.State {
 	case wire.ClaimRunning:
 		s.running++
@@ -51,7 +51,7 @@
 
 // leave undoes enter before a record changes its state.
 func (s *claims) leave(key claimKey, c *claim) {
-	s.stored -= size(c.Answer)
+	s.stored -= len(c.Answer)
 	switch c.State {
 	case wire.ClaimRunning:
 		s.running--
@@ -78,14 +78,14 @@
 		switch {
 		case !ok:
 			return
-		case item.owner != "":
-			s.expireOwner(item.owner, now)
-		case item.key.Service != "":
-			s.expireClaim(item.key, now)
-		default:
-			if old, ok := s.retired[item.retire]; ok && !old.Until.IsZero() && !old.Until.After(now) {
+		case item.key == nil:
+			if old, ok := s.retired[item.retire]; ok && old.Until != 0 && old.Until <= now.UnixNano() {
 				delete(s.retired, item.retire)
 			}
+		case item.key.Service == "":
+			s.expireOwner(item.key.Key, now)
+		default:
+			s.expireClaim(*item.key, now)
 		}
 	}
 }
@@ -96,7 +96,7 @@
 		return
 	}
 	if end := o.Seen.Add(ownerRetention); end.After(now) {
-		s.due.add(dueItem{at: end, owner: name})
+		s.due.addOwner(end, name)
 		return
 	}
 	delete(s.owners, name)
@@ -115,18 +115,18 @@
 		s.drop(key)
 	case wire.ClaimUnknown:
 		s.drop(key)
-		s.retired[key.digest()] = retired{Print: c.Print, State: wire.ClaimUnknown}
+		s.retired[key.digest()] = retired{Print: c.Print, Lost: true}
 	case wire.ClaimDone:
 		s.drop(key)
 		if end := c.Made.Add(KeyRetention); end.After(now) {
-			s.retire(key.digest(), retired{Print: c.Print, State: wire.ClaimExpired, Until: end})
+			s.retire(key.digest(), retired{Print: c.Print, Until: end.UnixNano()})
 		}
 	}
 }
 
 func (s *claims) retire(mark digest, r retired) {
 	s.retired[mark] = r
-	if !r.Until.IsZero() {
-		s.due.add(dueItem{at: r.Until, retire: mark})
+	if r.Until != 0 {
+		s.due.addRetired(r.Until, mark)
 	}
 }
--- a/core/state/limits.go
+++ b/core/state/limits.go
@@ -5,15 +5,15 @@
 // Bounds of the state. The identifier table covers 36 days at 1,800 changes a
 // day.
 const (
-	MaxChanges  = 1 << 16
-	MaxTexts    = 64
-	MaxHistory  = 32 << 20  // bytes of the stored splices
-	MaxAnswers  = 128 << 20 // bytes of stored answers; beyond it only status and header are stored
-	MaxName     = 256       // bytes of an identifier or a name
-	MaxKey      = 1024      // bytes of an idempotency key
-	MaxLeases   = 1 << 14
-	MaxDrains   = 1 << 14
-	MaxOversize = 8 << 10 // bytes of the header stored with an answer over the limit
+	MaxChanges = 1 << 16
+	MaxTexts   = 64
+	MaxHistory = 32 << 20 // bytes of the stored splices
+	MaxAnswers = 64 << 20 // bytes of stored answers; beyond it only status and header are stored
+	MaxName    = 256      // bytes of an identifier or a name
+	MaxKey     = 1024     // bytes of an idempotency key
+	MaxLeases  = 1 << 14
+	MaxDrains  = 1 << 14
+	MaxHeader  = 8 << 10 // bytes of the header stored with an answer
 )
 
 // Times of claims, counted by the machine's time.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -120,10 +120,11 @@
 	return next
 }
 
-func encode(r Result) []byte {
-	data, err := wire.Encode(r)
+func encode(v any) []byte {
+	data, err := wire.Encode(v)
 	if err != nil {
-		// Every time in a result has passed check, and nothing else can fail.
+		// Every time in a result has passed check, and nothing else of the
+		// state's types can fail.
 		panic(err)
 	}
 	return data
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -38,14 +38,43 @@
 	Change change `cbor:"change"`
 }
 
+// savedClaim and savedRetired are arrays of plain values: they make up most of
+// a snapshot, and the replica does nothing else while it is made.
 type savedClaim struct {
-	Key   claimKey `cbor:"key"`
-	Claim *claim   `cbor:"claim"`
+	_           struct{} `cbor:",toarray"`
+	Service     string
+	Key         string
+	Print       uint64
+	Owner       string
+	Incarnation [2]int64 // seconds and nanoseconds
+	Attempt     uint64
+	State       wire.ClaimState
+	Made        int64 // Unix nanoseconds, as Until
+	Until       int64
+	Answer      []byte
 }
 
 type savedRetired struct {
-	Mark    digest  `cbor:"mark"`
-	Retired retired `cbor:"retired"`
+	_     struct{} `cbor:",toarray"`
+	Mark  digest
+	Print uint64
+	Until int64
+	Lost  bool
+}
+
+func saveClaim(key claimKey, c *claim) savedClaim {
+	return savedClaim{
+		Service: key.Service, Key: key.Key, Print: c.Print, Owner: c.Owner,
+		Incarnation: [2]int64{c.Incarnation.Unix(), int64(c.Incarnation.Nanosecond())},
+		Attempt:     c.Attempt, State: c.State, Made: c.Made.UnixNano(), Until: c.Until.UnixNano(), Answer: c.Answer,
+	}
+}
+
+func (s *savedClaim) restore() (claimKey, *claim) {
+	return claimKey{Service: s.Service, Key: s.Key}, &claim{
+		Print: s.Print, Owner: s.Owner, Incarnation: time.Unix(s.Incarnation[0], s.Incarnation[1]).UTC(),
+		Attempt: s.Attempt, State: s.State, Made: time.Unix(0, s.Made).UTC(), Until: time.Unix(0, s.Until).UTC(), Answer: s.Answer,
+	}
 }
 
 // large decodes snapshots, which come from this process's own disk or from
@@ -75,12 +104,14 @@
 	keys := slices.SortedFunc(maps.Keys(m.claims.table), func(a, b claimKey) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Key, b.Key))
 	})
+	s.Claims = make([]savedClaim, 0, len(keys))
 	for _, key := range keys {
-		s.Claims = append(s.Claims, savedClaim{Key: key, Claim: m.claims.table[key]})
+		s.Claims = append(s.Claims, saveClaim(key, m.claims.table[key]))
 	}
 	marks := slices.SortedFunc(maps.Keys(m.claims.retired), func(a, b digest) int { return bytes.Compare(a[:], b[:]) })
 	for _, mark := range marks {
-		s.Retired = append(s.Retired, savedRetired{Mark: mark, Retired: m.claims.retired[mark]})
+		r := m.claims.retired[mark]
+		s.Retired = append(s.Retired, savedRetired{Mark: mark, Print: r.Print, Until: r.Until, Lost: r.Lost})
 	}
 	return wire.Encode(s)
 }
@@ -126,14 +157,12 @@
 		}
 		o.running = map[claimKey]struct{}{}
 		m.claims.owners[name] = o
-		m.claims.due.add(dueItem{at: o.Seen.Add(ownerRetention), owner: name})
+		m.claims.due.addOwner(o.Seen.Add(ownerRetention), name)
 	}
-	for _, c := range s.Claims {
-		if c.Claim != nil {
-			m.claims.put(c.Key, c.Claim)
-		}
+	for i := range s.Claims {
+		m.claims.put(s.Claims[i].restore())
 	}
 	for _, r := range s.Retired {
-		m.claims.retire(r.Mark, r.Retired)
+		m.claims.retire(r.Mark, retired{Print: r.Print, Until: r.Until, Lost: r.Lost})
 	}
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -256,3 +256,23 @@
 		}
 	})
 }
+
+// Guards against answers that exceed what a replica may keep.
+func TestLargeAnswersAreNotStored(t *testing.T) {
+	is := is.New(t)
+	m := state.New()
+	for name, size := range map[string][2]int{"whole": {wire.MaxAnswer, 10}, "body": {wire.MaxAnswer + 1, 10}, "header": {10, state.MaxHeader + wire.MaxAnswer}} {
+		claim := wire.Claim{Service: "s", Key: name, Owner: "e", Attempt: 1, Expires: time.Minute}
+		_, err := apply(m, 1, state.Command{Time: epoch, Claim: &claim})
+		is.NoErr(err)
+		answer := &wire.Answer{Status: 200, Header: map[string][]string{"H": {string(bytes.Repeat([]byte("h"), size[1]))}}, Body: make([]byte, size[0]), Stored: true}
+		_, err = apply(m, 2, state.Command{Time: epoch, Close: &wire.Close{Service: "s", Key: name, Owner: "e", Attempt: 1, Outcome: wire.OutcomeDone, Answer: answer}})
+		is.NoErr(err)
+		got, err := apply(m, 3, state.Command{Time: epoch, Claim: &claim})
+		is.NoErr(err)
+		is.Equal(got.Claimed.State, wire.ClaimDone)
+		is.Equal(got.Claimed.Answer.Status, 200)
+		is.Equal(got.Claimed.Answer.Stored, name == "whole")
+		is.Equal(got.Claimed.Answer.Header == nil, name == "header")
+	}
+}
