--- a/control/admin/problem.go
+++ b/control/admin/problem.go
@@ -26,7 +26,7 @@
 	case errors.As(err, &unknown), errors.As(err, &maybe):
 		return &serve.ProblemError{
 			Status: http.StatusGatewayTimeout, Reason: "unknown", Title: "Outcome unknown",
-			Detail: "the change may have been accepted; resend it with the same identifier to learn its outcome",
+			Detail: "the change may have been accepted; send it again unchanged, with the same identifier, to learn its outcome",
 			Retry:  time.Second, Fields: map[string]any{"run": "unknown"},
 		}
 	case errors.As(err, &quorum):
--- a/control/daemon/fleet_test.go
+++ b/control/daemon/fleet_test.go
@@ -41,7 +41,7 @@
 	is := is.New(t)
 	target := netip.MustParseAddrPort("10.0.0.7:80")
 	var seen atomic.Bool
-	group := startGroup(t, 3, func(r *replica) {
+	group := startGroupWith(t, 3, nil, func(r *replica) {
 		r.daemon.Hooks.Evidence = func(time.Time, wire.Evidence) { seen.Store(true) }
 		r.daemon.Hooks.Decide = func(_ time.Time, leader bool, v *state.View) []state.Command {
 			if !leader || !seen.Load() || len(v.Leases) > 0 {
--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -30,6 +30,8 @@
 	t        testing.TB
 	settings daemon.Settings
 	daemon   *daemon.Daemon
+	scheme   string
+	client   *http.Client
 	cancel   context.CancelFunc
 	ended    chan error
 }
@@ -44,7 +46,14 @@
 
 // startGroup starts replicas that found a group. All addresses are bound
 // before the first replica runs.
-func startGroup(t testing.TB, size int, prepare ...func(*replica)) []*replica {
+func startGroup(t testing.TB, size int) []*replica {
+	t.Helper()
+	return startGroupWith(t, size, nil, nil)
+}
+
+// startGroupWith calls configure before and prepare after the addresses are
+// bound; both may be nil.
+func startGroupWith(t testing.TB, size int, configure, prepare func(*replica)) []*replica {
 	t.Helper()
 	addresses := map[uint64]netip.AddrPort{}
 	for id := range size {
@@ -52,7 +61,10 @@
 	}
 	var out []*replica
 	for id := range size {
-		r := &replica{t: t, settings: settings(t, id+1, addresses)}
+		r := &replica{t: t, settings: settings(t, id+1, addresses), scheme: "http", client: client}
+		if configure != nil {
+			configure(r)
+		}
 		r.bind()
 		out = append(out, r)
 	}
@@ -60,8 +72,8 @@
 		addresses[uint64(r.settings.Replica)] = r.settings.Peer
 	}
 	for _, r := range out {
-		for _, f := range prepare {
-			f(r)
+		if prepare != nil {
+			prepare(r)
 		}
 		r.run()
 	}
@@ -123,12 +135,12 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	req, err := http.NewRequest(method, "http://"+r.settings.Admin.String()+path, bytes.NewReader(data))
+	req, err := http.NewRequest(method, r.scheme+"://"+r.settings.Admin.String()+path, bytes.NewReader(data))
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	req.Header.Set(admin.DeadlineHeader, strconv.FormatInt(wait.Milliseconds(), 10))
-	resp, err := client.Do(req)
+	resp, err := r.client.Do(req)
 	if err != nil {
 		return 0, map[string]any{"error": err.Error()}
 	}
