A founder with an empty folder asks the others first

A replica whose disk is lost while found is still set would found again and vote as if it had never acknowledged anything. It now recovers when another replica answers for a group with a majority.

--- a/control/daemon/failure_test.go
+++ b/control/daemon/failure_test.go
@@ -1,9 +1,11 @@
 package daemon_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -110,6 +112,11 @@
 // accepted change be lost when another one fails right after.
 func TestLostDiskAndAnotherFailure(t *testing.T) {
 	t.Parallel()
+	t.Run("found removed", func(t *testing.T) { t.Parallel(); lostDisk(t, false) })
+	t.Run("found left", func(t *testing.T) { t.Parallel(); lostDisk(t, true) })
+}
+
+func lostDisk(t *testing.T, found bool) {
 	is := is.New(t)
 	group := startGroup(t, 3)
 	group[0].settle(0, "first", serviceText(0))
@@ -118,7 +125,9 @@
 	is.NoErr(os.RemoveAll(group[lost].settings.Data))
 	other := group[(lost+1)%3]
 	is.Equal(other.settle(1, "second", serviceText(1))["revision"], 2.0)
-	group[lost].restart()
+	var log bytes.Buffer
+	group[lost].settings.Level, group[lost].settings.Log = "warning", &log
+	group[lost].restartAs(found)
 	// The replica answers only when it has caught up.
 	is.Equal(group[lost].settle(2, "third", serviceText(2))["revision"], 3.0)
 	for role := ""; role != "leader" && role != "follower"; {
@@ -129,6 +138,8 @@
 	is.Equal(group[lost].settle(3, "fourth", serviceText(3))["revision"], 4.0)
 	_, doc := group[lost].ask(http.MethodGet, "/v1/history", nil)
 	is.Equal(len(doc["revisions"].([]any)), 4)
+	group[lost].stop()
+	is.Equal(strings.Contains(log.String(), "found ignored"), found)
 }
 
 // Guards against a refused change that looks failed while it may be accepted,
--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -117,7 +117,12 @@
 
 func (r *replica) restart() {
 	r.t.Helper()
-	r.settings.Found = false
+	r.restartAs(false)
+}
+
+func (r *replica) restartAs(found bool) {
+	r.t.Helper()
+	r.settings.Found = found
 	r.settings.Replicas = maps.Clone(r.settings.Replicas)
 	r.bind()
 	r.run()
