--- a/entry/proxy/harness_test.go
+++ b/entry/proxy/harness_test.go
@@ -85,6 +85,7 @@
 	addr   string
 	client *http.Client
 	view   proxy.View
+	server *httptest.Server
 }
 
 // start runs a proxy in front of the targets, which are picked in order.
@@ -121,6 +122,7 @@
 	protocols.SetUnencryptedHTTP2(h2c)
 	transport := &http.Transport{Protocols: protocols, DisableCompression: true, ExpectContinueTimeout: time.Minute}
 	e.client = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	e.server = server
 	e.url, e.addr = server.URL, server.Listener.Addr().String()
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
@@ -152,6 +154,9 @@
 		return 0, nil, "", err
 	}
 	defer response.Body.Close()
+	if response.Close {
+		response.Header.Set("Connection", "close") // net/http removes it
+	}
 	data, err := io.ReadAll(response.Body)
 	return response.StatusCode, response.Header, string(data), err
 }
--- /dev/null
+++ b/entry/proxy/track.go
@@ -0,0 +1,14 @@
+package proxy
+
+import "github.com/galenalock/galenalock/core/drain"
+
+// Tracked returns an Enter hook that registers requests with a drain core.
+func Tracked(core *drain.Core) func(Request) (leave func(), ok bool) {
+	return func(r Request) (func(), bool) {
+		number, ok := core.Enter(drain.Request{ID: r.ID, Service: r.Service.Name, Kind: r.Kind.Name, Start: r.Start})
+		if !ok {
+			return nil, false
+		}
+		return func() { core.Leave(number) }, true
+	}
+}
