--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -19,7 +19,11 @@
 	for name, values := range a.response.Header {
 		h[name] = values
 	}
+	announced := h["Trailer"]
 	removeHop(h)
+	if c.r.Method == http.MethodHead && announced != nil {
+		h["Trailer"] = announced // describes the response to a GET
+	}
 	delete(h, headerLoad)
 	delete(h, headerRun)
 	delete(h, headerShed)
@@ -35,6 +39,11 @@
 	c.closing(h)
 	c.written = true
 	c.w.WriteHeader(a.response.StatusCode)
+	if a.response.ContentLength < 0 && bodied(c.r.Method, a.response.StatusCode) {
+		// The first byte of an event stream may come much later. A caller that
+		// left is noticed when the body is written.
+		_ = c.control.Flush()
+	}
 	err := c.copy(a, keep)
 	a.response.Body.Close()
 	if err != nil {
