--- a/entry/proxy/bench_test.go
+++ b/entry/proxy/bench_test.go
@@ -34,6 +34,7 @@
 		callers                  int
 	}{
 		{"lookup callers=1", "GET", "/tables/x", "", 1},
+		{"change callers=1", "POST", "/tables/x", "data", 1},
 		{"lookup callers=16", "GET", "/tables/x", "", 16},
 		{"change callers=16", "POST", "/tables/x", "data", 16},
 		{"upload 256 KiB callers=4", "PUT", "/files/x", strings.Repeat("u", 256<<10), 4},
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -8,9 +8,17 @@
 	"sync"
 )
 
-const copySize = 32 << 10
+// Sizes of copy buffers. Most responses are short; 32 KiB for each of them
+// was the largest part of the memory that one request took.
+const (
+	copySize  = 32 << 10
+	shortSize = 4 << 10
+)
 
-var copies = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+var (
+	copies = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+	shorts = sync.Pool{New: func() any { b := make([]byte, shortSize); return &b }}
+)
 
 // reply streams the response of an attempt to the caller. The capture, if
 // any, gets a copy.
@@ -65,11 +73,15 @@
 // copy streams the body. A caller that left does not stop the body of a
 // request that goes on without it.
 func (c *call) copy(a *attempt, keep *capture) error {
-	buffer, ok := copies.Get().(*[]byte)
+	buffers := &copies
+	if length := a.response.ContentLength; length >= 0 && length <= shortSize {
+		buffers = &shorts
+	}
+	buffer, ok := buffers.Get().(*[]byte)
 	if !ok {
 		return io.ErrShortBuffer
 	}
-	defer copies.Put(buffer)
+	defer buffers.Put(buffer)
 	gone := false
 	for {
 		n, err := a.response.Body.Read(*buffer)
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -111,7 +111,9 @@
 		_ = c.control.EnableFullDuplex()
 		return nil
 	}
-	c.data, err = io.ReadAll(io.LimitReader(c.upload, limit+1))
+	if c.data, err = c.upload.all(limit); err == nil && int64(len(c.data)) <= limit {
+		return nil
+	}
 	switch {
 	case int64(len(c.data)) > limit:
 		return no(refuse.TooLarge, "")
@@ -119,10 +121,28 @@
 		return no(refuse.BadDigest, "")
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return no(refuse.Deadline, "the body did not arrive in time")
-	case err != nil:
-		return no(refuse.BadRequest, "the body broke off: "+err.Error())
 	}
-	return nil
+	return no(refuse.BadRequest, "the body broke off: "+err.Error())
+}
+
+// all reads the body, but no more than one byte over the limit.
+func (u *upload) all(limit int64) ([]byte, error) {
+	switch {
+	case u.length == 0 && u.digest == nil:
+		u.ended.Store(true)
+		return nil, nil
+	case u.length > 0 && u.length <= limit:
+		data := make([]byte, u.length)
+		if _, err := io.ReadFull(u, data); err != nil {
+			return nil, err
+		}
+		_, err := u.Read(nil) // lets HTTP/1.1 see the end of the body
+		if errors.Is(err, io.EOF) {
+			err = nil
+		}
+		return data, err
+	}
+	return io.ReadAll(io.LimitReader(u, limit+1))
 }
 
 func expects(r *http.Request) bool {
