--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -30,6 +30,7 @@
 	undo    func()       // told that no byte was sent after all, may be nil
 	touched atomic.Bool  // a target may have run the request
 	written bool         // the head of the response went to the caller
+	status  int
 }
 
 func newCall(p *Proxy, w http.ResponseWriter, r *http.Request) *call {
@@ -60,7 +61,7 @@
 	defer leave()
 	err := c.run()
 	if err == nil {
-		hooks.Answered(c.request.Service, hooks.Now().Sub(c.request.Start))
+		hooks.Answered(c.request, c.status, hooks.Now().Sub(c.request.Start))
 	}
 	return err
 }
--- a/entry/proxy/claim.go
+++ b/entry/proxy/claim.go
@@ -137,7 +137,7 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
 	c.closing(h)
-	c.written = true
+	c.written, c.status = true, answer.Status
 	c.w.WriteHeader(answer.Status)
 	// A caller that left can ask again.
 	_, _ = c.w.Write(answer.Body)
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -64,8 +64,9 @@
 	// Silent is told that closed old connections of a target were silent.
 	Silent func(target Target, closed int)
 
-	// Answered, Refused and Retried count.
-	Answered func(service *spec.Service, duration time.Duration)
+	// Answered is told of each response that was passed on completely, also of
+	// recorded ones; Refused, Retried and Claimed count.
+	Answered func(r Request, status int, duration time.Duration)
 	Refused  func(reason refuse.Reason)
 	Retried  func(reason Reason)
 	Claimed  func(state wire.ClaimState)
@@ -114,7 +115,7 @@
 		h.Silent = func(Target, int) {}
 	}
 	if h.Answered == nil {
-		h.Answered = func(*spec.Service, time.Duration) {}
+		h.Answered = func(Request, int, time.Duration) {}
 	}
 	if h.Refused == nil {
 		h.Refused = func(refuse.Reason) {}
--- a/entry/proxy/match_test.go
+++ b/entry/proxy/match_test.go
@@ -84,6 +84,42 @@
 	}
 }
 
+// Guards against two spellings of one key that run a request twice, and
+// against a key that covers two different requests.
+func TestKeysAndFingerprints(t *testing.T) {
+	is := is.New(t)
+	var last wire.Claim
+	p := local(t, proxy.Hooks{Claim: func(_ context.Context, c wire.Claim) (wire.Claimed, error) {
+		last = c
+		return wire.Claimed{State: wire.ClaimUnknown}, nil
+	}}, func(*http.Request) {})
+	claim := func(url, key, body, workspace string) wire.Claim {
+		last = wire.Claim{}
+		r := httptest.NewRequest(http.MethodPost, url, strings.NewReader(body))
+		r.Host = "ledger.example"
+		r.Header["Idempotency-Key"] = []string{key}
+		if workspace != "" {
+			r.Header.Set("Galenalock-Workspace", workspace)
+		}
+		p.ServeHTTP(httptest.NewRecorder(), r)
+		return last
+	}
+	long := strings.Repeat("k", 255)
+	for key, want := range map[string]string{
+		"k": "k", `"k"`: "k", " k\t": "k", `"a\"b\\c"`: `a"b\c`, long: long,
+		"": "", `""`: "", `"`: `"`, `"a"b"`: "", `"a\b"`: "", "a b": "", "k\x7f": "", "é": "", long + "k": "",
+	} {
+		is.Equal(claim("/orders", key, "x", "").Key, want)
+	}
+	seen := map[uint64]bool{}
+	for _, c := range [][3]string{{"/orders", "x", ""}, {"/orders/x", "", ""}, {"/orders", "y", ""}, {"/orders?x", "x", ""}, {"/orders", "x", "pier-3"}} {
+		mark := claim(c[0], "k", c[1], c[2]).Fingerprint
+		is.True(mark != 0 && !seen[mark])
+		is.Equal(claim(c[0], "other", c[1], c[2]).Fingerprint, mark)
+		seen[mark] = true
+	}
+}
+
 // Guards against a recorded response that is given up during a long outage of
 // control, and against a shutdown that does not wait for it.
 func TestRecordSurvivesOutage(t *testing.T) {
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -45,7 +45,7 @@
 		keep.begin(a.response.StatusCode, h)
 	}
 	c.closing(h)
-	c.written = true
+	c.written, c.status = true, a.response.StatusCode
 	c.w.WriteHeader(a.response.StatusCode)
 	if a.response.ContentLength < 0 && bodied(c.r.Method, a.response.StatusCode) {
 		// The first byte of an event stream may come much later. A caller that
