--- a/bench/trial/real.go
+++ b/bench/trial/real.go
@@ -149,7 +149,9 @@
 		return
 	}
 	a.endpoint.Load(now, a.load, w.scene.Slots)
-	r.gate.Report(a.load, w.scene.Slots)
+	if q := &w.requests[a.request]; q.ticket != nil {
+		r.gate.Report(q.ticket, a.load, w.scene.Slots)
+	}
 }
 
 func (r *real) again(q *request, reason retry.Reason) bool {
@@ -199,6 +201,8 @@
 		r.update(now)
 	}
 	r.decide(r.gate.Tick(now))
+	_, _, waiting := r.gate.Limit()
+	r.budget.Busy(waiting > 0)
 }
 
 // orders is the arrival of orders from the leader.
--- a/bench/trial/request.go
+++ b/bench/trial/request.go
@@ -21,6 +21,7 @@
 	entry    int
 	kind     int
 	born     time.Duration
+	size     float64 // its own part of the service time, standard normal
 	attempts int
 	live     []int32
 	tried    int // target of the first attempt
@@ -32,6 +33,7 @@
 	request  int32
 	entry    int
 	kind     int
+	size     float64
 	target   int
 	place    place
 	sent     time.Duration
@@ -89,7 +91,7 @@
 		w.requests = append(w.requests, request{})
 	}
 	r := &w.requests[id]
-	*r = request{gen: r.gen + 1, entry: at, kind: kind, born: w.now, live: r.live[:0], tried: -1}
+	*r = request{gen: r.gen + 1, entry: at, kind: kind, born: w.now, size: w.arrivals.NormFloat64(), live: r.live[:0], tried: -1}
 	w.measure.offer(w, r)
 	w.events.push(event{at: int64(w.now + w.scene.Kinds[kind].Timeout), kind: timeout, id: id, gen: r.gen})
 	w.entries[at].ask(id)
@@ -112,7 +114,7 @@
 		w.attempts = append(w.attempts, attempt{})
 	}
 	a := &w.attempts[at]
-	*a = attempt{gen: a.gen + 1, request: id, entry: r.entry, kind: r.kind, target: to, sent: w.now, probe: probe}
+	*a = attempt{gen: a.gen + 1, request: id, entry: r.entry, kind: r.kind, size: r.size, target: to, sent: w.now, probe: probe}
 	r.attempts++
 	r.live = append(r.live, at)
 	if r.tried < 0 {
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -11,16 +11,21 @@
 const (
 	// decrease is the factor of the limit after an interval of overload.
 	decrease = 0.9
+	// increase is the step of the limit in shares of its floor, so that entries
+	// with a small share move in small steps; in shares of the limit itself
+	// while the targets report a use below idle.
+	increase = 0.1
+	idle     = 0.5
 	// crowded is the mean reported use above which targets queue requests.
 	crowded = 1.0
 	// busy is the share of the limit in use from which it may grow.
 	busy = 0.8
 	// sampleShift is the weight of one slot-time in the average of its kind.
-	sampleShift = 4
+	sampleShift = 6
 	// guess is the slot-time of a kind that has not been measured.
 	guess = 10 * time.Millisecond
 	// queued bounds the waiting requests in multiples of the limit.
-	queued = 16
+	queued = 64
 	// interval is the time between two moves of the limit.
 	interval = 100 * time.Millisecond
 )
@@ -38,6 +43,7 @@
 	queue    []*Ticket // by finish
 	kinds    map[string]time.Duration
 	mean     time.Duration
+	stretch  float64 // time in flight over slot-time
 
 	moved   time.Time
 	used    float64 // sum of reported use in this interval
@@ -62,7 +68,7 @@
 func New(now time.Time, opts ...Option) *Gate {
 	g := &Gate{
 		patience: time.Second, count: func(refuse.Reason) {}, limit: 1, floor: 1, ceiling: 1,
-		kinds: map[string]time.Duration{}, mean: guess, moved: now,
+		kinds: map[string]time.Duration{}, mean: guess, stretch: 1, moved: now,
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -121,7 +127,11 @@
 	defer g.mu.Unlock()
 	g.inflight--
 	if answered {
-		took := now.Sub(t.began)
+		// Above its slots a target lets requests queue; that time belongs to the
+		// load and not to the kind, and would make all kinds look alike.
+		stretch := max(1, t.use)
+		g.stretch += (stretch - g.stretch) / (1 << sampleShift)
+		took := time.Duration(float64(now.Sub(t.began)) / stretch)
 		old, ok := g.kinds[t.Kind]
 		if !ok {
 			old = took
@@ -139,12 +149,14 @@
 	g.queue = slices.DeleteFunc(g.queue, func(o *Ticket) bool { return o == t })
 }
 
-// Report takes in the load that a target reported: requests in flight there
-// and its limit.
-func (g *Gate) Report(inflight, limit int) {
+// Report takes in the load that a target reported in its response to a request:
+// requests in flight there and its limit.
+func (g *Gate) Report(t *Ticket, inflight, limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.used += float64(inflight) / float64(max(1, limit))
+	use := float64(inflight) / float64(max(1, limit))
+	t.use = use
+	g.used += use
 	g.reports++
 }
 
@@ -166,12 +178,16 @@
 }
 
 func (g *Gate) move(now time.Time) {
-	crowding := g.reports > 0 && g.used/float64(g.reports) > crowded
+	mean := g.used / float64(max(1, g.reports))
 	switch {
-	case crowding || g.sheds > 0:
+	case mean > crowded || g.sheds > 0:
 		g.limit = max(g.floor, g.limit*decrease)
 	case float64(g.peak) >= busy*g.limit:
-		g.limit = min(g.ceiling, g.limit+1)
+		step := g.floor * increase
+		if mean < idle {
+			step = max(step, g.limit*increase)
+		}
+		g.limit = min(g.ceiling, g.limit+step)
 	}
 	g.moved, g.used, g.reports, g.sheds, g.peak = now, 0, 0, 0, g.inflight
 }
@@ -199,7 +215,7 @@
 	for len(g.queue) > 0 && float64(g.inflight) < g.limit {
 		t := g.queue[0]
 		g.queue = slices.Delete(g.queue, 0, 1)
-		if now.Add(t.expected / 2).After(t.finish) {
+		if now.Add(t.expected).After(t.finish) {
 			g.refuse(t, refuse.Deadline)
 		} else {
 			g.start(now, t)
@@ -215,10 +231,9 @@
 	work := time.Duration(0) // slot-time ahead in the queue
 	for i := 0; i < len(g.queue); i++ {
 		t := g.queue[i]
-		// A slot frees every mean/limit; the first frees half of that from now.
-		wait := time.Duration(float64(work) / g.limit)
+		wait := time.Duration(float64(work) * g.stretch / g.limit)
 		full := i >= int(queued*g.limit)
-		if !full && !now.Add(wait+t.expected).After(t.finish) {
+		if !full && !now.Add(wait+time.Duration(float64(t.expected)*g.stretch)).After(t.finish) {
 			work += t.expected
 			continue
 		}
--- a/core/limit/ticket.go
+++ b/core/limit/ticket.go
@@ -29,6 +29,7 @@
 	expected time.Duration // slot-time of its kind
 	finish   time.Time     // latest end: the deadline or the patience of the queue
 	began    time.Time
+	use      float64 // of the target's slots, as reported with the response
 }
 
 // density is the weight per slot-second.
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -30,6 +30,7 @@
 	count   func(reason Reason, verdict Verdict)
 	epoch   time.Time
 
+	busy     atomic.Bool
 	tokens   atomic.Int64
 	refilled atomic.Int64 // time of the last refill since the epoch
 	quantile atomic.Int64 // estimate of the 95th percentile in nanoseconds
@@ -59,6 +60,10 @@
 	return b
 }
 
+// Busy tells whether requests wait for admission. Hedges would then take the
+// slots of requests that have not run at all.
+func (b *Budget) Busy(waiting bool) { b.busy.Store(waiting) }
+
 // Request adds the share of one request.
 func (b *Budget) Request() {
 	if b.tokens.Add(b.share) > saved {
@@ -76,7 +81,7 @@
 
 func (b *Budget) verdict(now time.Time, reason Reason, attempts int, left time.Duration) Verdict {
 	switch {
-	case reason == Full:
+	case reason == Full, reason == Hedging && b.busy.Load():
 		return Useless
 	case attempts >= most:
 		return Enough
--- a/core/retry/budget_test.go
+++ b/core/retry/budget_test.go
@@ -77,3 +77,14 @@
 	is.True(b.Allow(start, retry.Broken, 1, time.Second))
 	is.True(!b.Allow(start, retry.Broken, 3, time.Second))
 }
+
+// Guards against hedges that take the slots of waiting requests.
+func TestNoHedgeWhileRequestsWait(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(start)
+	b.Busy(true)
+	is.True(!b.Allow(start, retry.Hedging, 1, time.Second))
+	is.True(b.Allow(start, retry.Broken, 1, time.Second))
+	b.Busy(false)
+	is.True(b.Allow(start, retry.Hedging, 1, time.Second))
+}
--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -7,7 +7,8 @@
 // when an attempt has failed it calls Allow with the reason. It makes the
 // further attempt only when Allow reports true, with the deadline that is left.
 // It calls Observe with the latency of each answered attempt and
-// with the age of each attempt that is given up, such as the loser of a hedge.
+// with the age of each attempt that is given up, such as the loser of a hedge. The control goroutine
+// calls Busy with whether requests wait at the gate of core/limit.
 //
 // Each request adds a share of a token (10%), each further attempt takes a
 // whole one. A small reserve refills with time, so that a service with little
