--- a/bench/trial/real.go
+++ b/bench/trial/real.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/galenalock/galenalock/core/eject"
@@ -106,6 +107,11 @@
 			return r.index[e.Address()], true
 		}
 	}
+	if q.attempts == 0 && kind.Repeat {
+		if e := r.router.Sample(w.wall(), w.choice.Uint64()); e != nil {
+			return r.index[e.Address()], false
+		}
+	}
 	var avoid *route.Endpoint
 	if q.tried >= 0 {
 		avoid = r.router.Endpoint(address(q.tried))
@@ -231,6 +237,12 @@
 		if p.Out && !held {
 			p.Ready = now
 		}
+		switch watched := slices.Contains(r.keeper.Watched(service), p.Address); {
+		case !watched:
+			p.Watched = time.Time{}
+		case p.Watched.IsZero():
+			p.Watched, changed = now, true
+		}
 		weight := r.handles[i].Weight()
 		if p.Out != held || p.Probe != probe || math.Abs(p.Weight-weight) >= published {
 			p.Out, p.Probe, p.Weight = held, probe, weight
--- a/core/eject/decide.go
+++ b/core/eject/decide.go
@@ -18,7 +18,7 @@
 	// quiet is how long a suspect without any new evidence stays on the list.
 	quiet = 5 * time.Second
 	// atLeast is how long a suspect is watched before it is cleared.
-	atLeast = 2 * time.Second
+	atLeast = time.Second
 	// doubt is the score below which a suspect is cleared.
 	doubt = 1.0
 	// commonShare is the share of suspects above which a dependency is the
--- a/core/eject/eject_test.go
+++ b/core/eject/eject_test.go
@@ -79,7 +79,7 @@
 	k.Step(now.Add(took + eject.Lease)) // cut off from control
 	fmt.Println(len(k.Out("tables")))
 	// Output:
-	// 10.0.0.5:8080 200ms
+	// 10.0.0.5:8080 300ms
 	// 0
 }
 
--- a/core/eject/pool.go
+++ b/core/eject/pool.go
@@ -16,7 +16,7 @@
 	interval = 100 * time.Millisecond
 	// fastIntervals and carefulIntervals are the least intervals to a decision;
 	// a pause shorter than that cannot eject a target.
-	fastIntervals    = 3
+	fastIntervals    = 4
 	carefulIntervals = 8
 
 	// quietRate and failingRate are the failure shares that the second test
--- a/core/health/evidence.go
+++ b/core/health/evidence.go
@@ -11,15 +11,20 @@
 const (
 	// MaxRows bounds the targets in one message.
 	MaxRows = 16
-	// Pause is the least time between two messages.
-	Pause = 250 * time.Millisecond
+	// MaxMessages bounds the messages in any second.
+	MaxMessages = 4
+	// Pause is the least time between two messages. It is shorter than an even
+	// share of the second, so that the first reports about a new suspect do
+	// not wait.
+	Pause = 100 * time.Millisecond
 )
 
 // Evidence returns the unreported evidence about suspects and watched targets,
 // or nil when there is none, when the last report is too recent, or when most
 // targets look unhealthy from here. The rows are valid until the next call.
 func (m *Monitor) Evidence(now time.Time) []wire.Sighted {
-	if now.Sub(m.sent) < Pause {
+	last := m.sent[(m.next+MaxMessages-1)%MaxMessages]
+	if now.Sub(last) < Pause || now.Sub(m.sent[m.next]) < time.Second {
 		return nil
 	}
 	m.rows = m.rows[:0]
@@ -43,7 +48,7 @@
 		m.rows = append(m.rows, t.row(m.service))
 		t.state.clear(now)
 	}
-	m.sent = now
+	m.sent[m.next], m.next = now, (m.next+1)%MaxMessages
 	return m.rows
 }
 
@@ -54,7 +59,7 @@
 	if s.report.all() == 0 || m.regions[t.Region].factor < 1 {
 		return false
 	}
-	return s.watched || s.sum >= suspicion || s.report.severe > 0 && s.sum > 0
+	return s.watched || s.sum >= reported || s.report.severe > 0 && s.sum > 0
 }
 
 func (t *Target) row(service string) wire.Sighted {
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -23,6 +23,9 @@
 	// suspicion is the local sum of two more bad than good observations in
 	// doubt; below it the weight stays 1.
 	suspicion = 3.0
+	// reported is the local sum from which a target is reported: three bad
+	// observations in a row. From two, noise made half of the control traffic.
+	reported = 4.5
 	// decline is the sum over which the weight falls by a factor of e.
 	decline = 4.0
 	// least is the lowest local weight: without traffic there is no evidence.
@@ -57,7 +60,8 @@
 	watch     map[netip.AddrPort]struct{}
 	ticked    time.Time
 	refreshed time.Time
-	sent      time.Time
+	sent      [MaxMessages]time.Time // of the last messages
+	next      int                    // the oldest of them
 	blind     bool
 	selfcheck func(bad, seen int) bool
 	rows      []wire.Sighted
--- a/core/health/target.go
+++ b/core/health/target.go
@@ -12,8 +12,8 @@
 	// they are pending. Further ones are judged when they end.
 	pendingSlots = 64
 	// severe is the multiple of the percentile from which one attempt makes a
-	// target a suspect. Healthy heavy-tailed targets pass it in well under 1%
-	// of the requests, a 10x slow one in about a third.
+	// target a suspect. Healthy heavy-tailed targets pass it in about 0.1%
+	// of the requests, a 10x slow one in a fifth (log-normal, sigma 1).
 	severe = 4
 )
 
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -6,7 +6,9 @@
 // age of reported load move with time. Update publishes an immutable snapshot.
 //
 // A traffic goroutine calls Pick with the time, a random draw and an optional
-// endpoint to avoid (the target of the first attempt). It then calls
+// endpoint to avoid (the target of the first attempt). For the first attempt of
+// a repeatable request it asks Probe and then Sample before, which return a
+// target in probation or a suspect that needs evidence, mostly nil. It then calls
 // Endpoint.Begin before it opens or takes a connection, Endpoint.Load when a
 // response carries Galenalock-Load, Endpoint.Bytes when bytes were exchanged,
 // and Endpoint.End once the attempt has ended. Endpoint.Limit is the number of
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -9,6 +9,12 @@
 	// candidate whatever it costs. A slow target would lose every comparison
 	// and give no evidence of its state.
 	explore = 16
+	// One repeatable request in sampleShare goes to a suspect of the same data
+	// centre for the time sampled after control began to watch it. At light
+	// load the comparison of candidates otherwise keeps nearly all requests
+	// away, and the evidence for a decision takes many seconds.
+	sampleShare = 4
+	sampled     = time.Second
 )
 
 // choice is a candidate with its expected cost and use.
@@ -59,6 +65,21 @@
 	return nil
 }
 
+// Sample returns a suspect that needs evidence, for a repeatable request, or
+// nil. A suspect that already uses most of its slots gets no further ones.
+func (r *Router) Sample(now time.Time, draw uint64) *Endpoint {
+	s := r.current.Load()
+	if len(s.samples) == 0 || draw%sampleShare != 0 {
+		return nil
+	}
+	c := &s.samples[draw/sampleShare%uint64(len(s.samples))]
+	load, slots := c.endpoint.load(uint32(now.Sub(r.epoch).Milliseconds()), c.slots)
+	if !now.Before(c.until) || !c.endpoint.free() || load+1 > spill*slots {
+		return nil
+	}
+	return c.endpoint
+}
+
 // better draws two members and returns the cheaper one that has a connection
 // left. When neither will do, it scans the tier once.
 func (t *tier) better(ms uint32, draw uint64, avoid *Endpoint) choice {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -82,7 +82,11 @@
 		case t.Probe:
 			next.probes = append(next.probes, e)
 		case !t.Out:
-			next.tiers[r.distance(t)].add(member{endpoint: e, weight: r.weight(now, t), slots: float64(max(1, t.Slots))})
+			slots := float64(max(1, t.Slots))
+			next.tiers[r.distance(t)].add(member{endpoint: e, weight: r.weight(now, t), slots: slots})
+			if until := t.Watched.Add(sampled); r.distance(t) == sameDataCentre && now.Before(until) {
+				next.samples = append(next.samples, sample{endpoint: e, slots: slots, until: until})
+			}
 		}
 	}
 	r.known = known
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -40,6 +40,14 @@
 
 // snapshot is immutable once published.
 type snapshot struct {
-	tiers  [tiers]tier
-	probes []*Endpoint
+	tiers   [tiers]tier
+	probes  []*Endpoint
+	samples []sample
+}
+
+// sample is a suspect that gets a share of the repeatable requests for a while.
+type sample struct {
+	endpoint *Endpoint
+	slots    float64
+	until    time.Time
 }
--- a/core/route/subset.go
+++ b/core/route/subset.go
@@ -54,23 +54,29 @@
 			continue
 		}
 		for at, i := range members {
-			quota := quota(targets[i].Connections, near, others)
+			quota := quota(targets[i].Connections, near, size, others)
 			out[i] = window(rank, size, at, len(members), quota)
 		}
 	}
 	return out
 }
 
-// quota is the number of a target's connections that a group shares.
-func quota(connections int, near bool, others int) int {
+// quota is the number of a target's connections that a group of the given size
+// shares. The instances of other regions get what nearShare leaves, and more
+// when that takes to give every instance one.
+func quota(connections int, near bool, size, others int) int {
 	if others == 0 {
 		return connections
 	}
-	reserved := int(float64(connections) * nearShare)
+	home, away := size, others
+	if !near {
+		home, away = others, size
+	}
+	spare := max(connections-int(float64(connections)*nearShare), min(away, connections-home))
 	if near {
-		return reserved
+		return connections - spare
 	}
-	return connections - reserved
+	return spare
 }
 
 // window returns the connections of the instance at a rank of size instances
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -17,6 +17,7 @@
 	Weight      float64   // from core/health, 1 for a healthy target
 	Out         bool      // a grant holds it out of service
 	Probe       bool      // held out, but takes a few repeatable requests
+	Watched     time.Time // since when control watches it as a suspect, zero: not
 	Drained     bool      // draining, leaving, gone or drained by an operator
 }
 
