bench: send the announcements of a target one by one

The announcement of leaving could overtake a renewal in flight, so that an entry saw sequence numbers out of order.

--- a/bench/stub/announce.go
+++ b/bench/stub/announce.go
@@ -42,11 +42,14 @@
 }
 
 // announceOnce sends one announcement to the first entry that accepts it,
-// beginning with another entry each time.
+// beginning with another entry each time. Announcements are sent one by one, so
+// that their sequence numbers arrive in order.
 func (s *Stub) announceOnce(ctx context.Context) error {
 	if len(s.settings.Entries) == 0 {
 		return nil
 	}
+	s.announcing.Lock()
+	defer s.announcing.Unlock()
 	renewal := s.renewal()
 	body, err := json.Marshal(renewal)
 	if err != nil {
--- a/bench/stub/stub.go
+++ b/bench/stub/stub.go
@@ -31,6 +31,8 @@
 	leaving  atomic.Bool
 	fault    atomic.Pointer[timed]
 
+	announcing sync.Mutex
+
 	mu   sync.Mutex
 	rand *rand.Rand
 }
