entry: let the owners of a target ask each other before its end

The roster asks the other owner for a newer renewal before it declares a target gone (roster.Ask); the agent did not carry that out, so a crashed target stayed in the registry. The question travels as a call of the kind renew. The process test does not reach the state in 30 s without the change and passes with it (go test ./bench/procs -run Forgotten, 26 s, not under -short).

--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -29,6 +29,9 @@
 		a.post(func(now time.Time) { a.perform(now, a.gossip.Receive(now, c.Peer().Instance, message)) })
 		return nil, nil
 	case wire.KindRenew:
+		if m.Call != 0 {
+			return a.answerAsk(m)
+		}
 		return deliver(m, func(r wire.Renew) {
 			a.post(func(now time.Time) { a.carry(now, a.roster.Renew(now, r)) })
 		})
@@ -136,6 +139,8 @@
 			a.perform(now, a.gossip.Put(now, action.Record))
 		case roster.Forward:
 			a.forward(action)
+		case roster.Ask:
+			a.askOwner(action)
 		}
 	}
 }
