--- a/core/gossip/core.go
+++ b/core/gossip/core.go
@@ -18,6 +18,8 @@
 	// the 5 s in which a leaving target must be known.
 	DigestInterval = time.Second
 	sweepInterval  = 10 * time.Second
+	// connectInterval bounds the processor time for shells that tick more often.
+	connectInterval = 200 * time.Millisecond
 	// joinLimit bounds how long a new instance waits for its first exchange
 	// before it links to its ring successors.
 	joinLimit = 2 * time.Second
@@ -54,9 +56,10 @@
 	refuted  time.Time
 	recent   []change
 
-	nextDigest time.Time
-	nextSweep  time.Time
-	nextRejoin time.Time
+	nextConnect time.Time
+	nextDigest  time.Time
+	nextSweep   time.Time
+	nextRejoin  time.Time
 
 	out   []Action
 	news  []*Record // learned from source in this step
@@ -155,9 +158,12 @@
 	if now.Sub(c.born) >= joinLimit && len(c.peers) > 0 {
 		c.joined = true
 	}
-	c.connect(now)
-	c.suspect(now)
-	c.expire(now)
+	if !now.Before(c.nextConnect) {
+		c.nextConnect = now.Add(connectInterval)
+		c.connect(now)
+		c.suspect(now)
+		c.expire(now)
+	}
 	if !now.Before(c.nextDigest) {
 		c.nextDigest = now.Add(DigestInterval)
 		c.sendDigests()
