Entry stops by the drain core; admissions carry the gate's ticket

The drain core decides when a stop ends and lists the requests that are cut off; each is logged and counted. The gate needs the ticket of a reported load and whether a request was answered.

--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -14,6 +14,7 @@
 	Verdicts    Name = "verdicts"
 	Durations   Name = "duration"
 	Inflight    Name = "inflight"
+	Cuts        Name = "cuts"
 	RevisionNow Name = "revision"
 	Links       Name = "links"
 	LinkBytes   Name = "linkbytes"
@@ -42,6 +43,7 @@
 	Retries:     {"counter", "{attempt}", "reason", "Further attempts, by reason"},
 	Verdicts:    {"counter", "{attempt}", "verdict", "Decisions of the retry budgets on further attempts, by verdict"},
 	Durations:   {"histogram", "s", "service", "Time from the first byte of a request to the last byte of its answer"},
+	Cuts:        {"counter", "{request}", "service", "Requests cut off by a stop at its time limit or by a second signal"},
 	Inflight:    {"gauge", "{request}", "", "Requests in flight"},
 	RevisionNow: {"gauge", "1", "", "Revision of the configuration in force"},
 	Links:       {"gauge", "{link}", "", "Open links to other processes"},
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -82,7 +82,9 @@
 	var inflight, slots int
 	if n, _ := fmt.Sscanf(o.Load, "inflight=%d limit=%d", &inflight, &slots); n == 2 {
 		d.target.endpoint.Load(o.End, inflight, slots)
-		d.lane.gate.Report(inflight, slots)
+		if ticket, ok := at.Request.Admission.Handle.(*limit.Ticket); ok {
+			d.lane.gate.Report(ticket, inflight, slots)
+		}
 	}
 }
 
@@ -110,13 +112,13 @@
 }
 
 // Admit waits for the right to run a request.
-func (a *Agent) Admit(ctx context.Context, r proxy.Request) (func(), error) {
+func (a *Agent) Admit(ctx context.Context, r proxy.Request) (proxy.Admission, error) {
 	if !a.rates.allow(r.Workspace) {
-		return nil, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, Retry: retryLater}
+		return proxy.Admission{}, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, Retry: retryLater}
 	}
 	l := a.lane(r.Service.Name)
 	if l == nil {
-		return func() {}, nil // Pick refuses the request
+		return proxy.Admission{}, nil // Pick refuses the request
 	}
 	ticket := &limit.Ticket{
 		Kind: r.Kind.Name, Weight: r.Kind.Weight, Deadline: r.Deadline, Wake: make(chan limit.Verdict, 1),
@@ -128,11 +130,12 @@
 	}
 	switch verdict {
 	case limit.Admitted:
-		return func() { wake(l.gate.Done(time.Now(), ticket, true)) }, nil
+		release := func(answered bool) { wake(l.gate.Done(time.Now(), ticket, answered)) }
+		return proxy.Admission{Handle: ticket, Release: release}, nil
 	case limit.Refused:
-		return nil, &refuse.Error{Reason: ticket.Reason, Run: refuse.NotRun, Retry: retryLater}
+		return proxy.Admission{}, &refuse.Error{Reason: ticket.Reason, Run: refuse.NotRun, Retry: retryLater}
 	}
-	return nil, &refuse.Error{Reason: refuse.Deadline, Run: refuse.NotRun, Err: ctx.Err()}
+	return proxy.Admission{}, &refuse.Error{Reason: refuse.Deadline, Run: refuse.NotRun, Err: ctx.Err()}
 }
 
 // await waits for the verdict on a queued ticket.
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -9,6 +9,7 @@
 	"go.uber.org/dig"
 
 	"github.com/galenalock/galenalock/core/certs"
+	"github.com/galenalock/galenalock/core/drain"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/mesh"
@@ -110,9 +111,13 @@
 		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Admit: a.Admit,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, Hedge: a.Hedge,
 		Answered: c.answered, Refused: c.refused, Retried: c.retried, Claimed: c.claimed,
-		Enter: func(proxy.Request) (func(), bool) {
+		Enter: func(r proxy.Request) (func(), bool) {
+			number, ok := d.flights.Enter(drain.Request{ID: r.ID, Service: r.Service.Name, Kind: r.Kind.Name, Start: r.Start})
+			if !ok {
+				return nil, false
+			}
 			c.inflight.Add(1)
-			return func() { c.inflight.Add(-1) }, true
+			return func() { c.inflight.Add(-1); d.flights.Leave(number) }, true
 		},
 	}, proxy.WithOwner(d.settings.Instance, d.start))
 }
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -6,7 +6,6 @@
 
 	"github.com/galenalock/galenalock/core/meter"
 	"github.com/galenalock/galenalock/core/refuse"
-	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -20,6 +19,7 @@
 	claims    *meter.Counter
 	crossing  *meter.Counter
 	bytes     *meter.Counter
+	cut       *meter.Counter
 	durations *meter.Histogram
 	inflight  atomic.Int64
 }
@@ -32,7 +32,7 @@
 	}{
 		{meter.Requests, &c.requests}, {meter.Refusals, &c.refusals}, {meter.Retries, &c.retries},
 		{meter.Verdicts, &c.verdicts}, {meter.Claims, &c.claims}, {meter.Crossing, &c.crossing},
-		{meter.LinkBytes, &c.bytes},
+		{meter.LinkBytes, &c.bytes}, {meter.Cuts, &c.cut},
 	} {
 		counter, err := m.Counter(one.name)
 		if err != nil {
@@ -47,9 +47,9 @@
 	return c, m.Gauge(meter.Inflight, func() float64 { return float64(c.inflight.Load()) })
 }
 
-func (c *counts) answered(s *spec.Service, took time.Duration) {
-	c.requests.Add(1, s.Name)
-	c.durations.Record(took.Seconds(), s.Name)
+func (c *counts) answered(r proxy.Request, _ int, took time.Duration) {
+	c.requests.Add(1, r.Service.Name)
+	c.durations.Record(took.Seconds(), r.Service.Name)
 }
 
 func (c *counts) refused(reason refuse.Reason) { c.refusals.Add(1, string(reason)) }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenalock/galenalock/core/certs"
+	"github.com/galenalock/galenalock/core/drain"
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/meter"
 	"github.com/galenalock/galenalock/core/serve"
@@ -18,8 +19,15 @@
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
-// reloadEvery is how often key files are read again.
-const reloadEvery = 10 * time.Second
+const (
+	// reloadEvery is how often key files are read again.
+	reloadEvery = 10 * time.Second
+	// leaveTimeout bounds the announcement of the stop to the fleet.
+	leaveTimeout = 2 * time.Second
+	// flushTimeout bounds the end of responses that have been written and of
+	// records of claims.
+	flushTimeout = 10 * time.Second
+)
 
 // Daemon is one entry.
 type Daemon struct {
@@ -35,6 +43,7 @@
 	traffic  *serve.Server
 	peer     *serve.Server
 	admin    *serve.Server
+	flights  *drain.Core
 	stopping atomic.Bool
 	drained  atomic.Bool // by an operator
 	hurry    chan struct{}
@@ -48,6 +57,7 @@
 		return nil, fault
 	}
 	d := &Daemon{settings: s, start: time.Now(), hurry: make(chan struct{}, 1)}
+	d.flights = drain.New(drain.WithTimes(s.Grace, s.Limit))
 	if err := d.assemble(); err != nil {
 		return nil, err
 	}
@@ -109,36 +119,51 @@
 func (d *Daemon) drain() {
 	d.stopping.Store(true)
 	d.log.WithField("inflight", d.counts.inflight.Load()).Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace+d.settings.Limit)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	// The data path now asks callers to reconnect elsewhere with each response.
 	// Idle connections stay open until the end of the grace time: closing them
 	// here would cut off a request that is on its way on one of them.
 	d.agent.Leave(ctx)
-	grace := time.NewTimer(d.settings.Grace)
-	defer grace.Stop()
-	select {
-	case <-grace.C:
-	case <-d.hurry:
-		cancel()
-	}
-	finished := make(chan error, 1)
-	go func() { finished <- d.traffic.Shutdown(ctx) }()
-	var err error
-	select {
-	case err = <-finished:
-	case <-d.hurry:
-		cancel()
-		err = <-finished
+	d.flights.Stop(time.Now())
+	d.awaitFlights()
+	for _, r := range d.flights.Cut() {
+		d.log.WithFields(logrus.Fields{
+			logs.FieldRequest: r.ID, "service": r.Service, "kind": r.Kind, "age": time.Since(r.Start).String(),
+		}).Warn("request cut off")
+		d.counts.cut.Add(1, r.Service)
 	}
-	if err != nil {
-		d.log.WithField("inflight", d.counts.inflight.Load()).WithField(logs.FieldError, err.Error()).Warn("requests cut off")
+	ctx, cancel = context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if len(d.flights.Cut()) == 0 {
+		if err := d.traffic.Shutdown(ctx); err != nil {
+			d.log.WithField(logs.FieldError, err.Error()).Warn("connections closed")
+		}
 	}
 	for _, a := range d.proxy.Settle(ctx) {
 		d.log.WithField("service", a.Service).Warn("outcome of a claim not recorded")
 	}
 }
 
+// awaitFlights waits until no request is in flight, the time limit has passed
+// or a second signal ends the wait.
+func (d *Daemon) awaitFlights() {
+	for {
+		phase, next := d.flights.Step(time.Now())
+		if phase == drain.Ended {
+			return
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-timer.C:
+		case <-d.flights.Done():
+		case <-d.hurry:
+			d.flights.Stop(time.Now())
+		}
+		timer.Stop()
+	}
+}
+
 func (d *Daemon) close() {
 	d.proxy.Close()
 	d.traffic.Close()
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -86,11 +86,20 @@
 		return err
 	}
 	defer c.upload.stop()
-	release, err := c.proxy.hooks.Admit(ctx, c.request)
+	admitted, err := c.proxy.hooks.Admit(ctx, c.request)
 	if err != nil {
 		return admission(ctx, err)
 	}
-	defer release()
+	c.request.Admission = admitted
+	answered := false
+	defer func() { admitted.release(answered) }()
+	err = c.carry(ctx, detached)
+	answered = err == nil
+	return err
+}
+
+// carry carries an admitted request to its end.
+func (c *call) carry(ctx, detached context.Context) error {
 	c.header = c.outgoing()
 	if c.key != "" {
 		return c.claim(ctx, detached)
--- a/entry/proxy/example_test.go
+++ b/entry/proxy/example_test.go
@@ -27,7 +27,7 @@
 	view := &proxy.View{Text: text, Revision: 1, Ready: true}
 	p := proxy.New(proxy.Hooks{
 		View: func() *proxy.View { return view },
-		Pick: func(*spec.Service, []netip.AddrPort, time.Time) (proxy.Target, bool) {
+		Pick: func(proxy.Request, []netip.AddrPort, time.Time) (proxy.Target, bool) {
 			return proxy.Target{Address: netip.MustParseAddrPort(target.Listener.Addr().String())}, true
 		},
 	})
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -41,9 +41,9 @@
 	Begin func(Attempt)
 	End   func(Attempt, Outcome)
 
-	// Admit waits for the right to run the request and returns what gives it
-	// back. Its error should be a *refuse.Error with run "no".
-	Admit func(ctx context.Context, r Request) (release func(), err error)
+	// Admit waits for the right to run the request. Its error should be a
+	// *refuse.Error with run "no".
+	Admit func(ctx context.Context, r Request) (Admission, error)
 	// Enter registers a request in flight and returns what ends it; false
 	// refuses the request because the instance is shutting down.
 	Enter func(r Request) (leave func(), ok bool)
@@ -90,7 +90,7 @@
 		h.End = func(Attempt, Outcome) {}
 	}
 	if h.Admit == nil {
-		h.Admit = func(context.Context, Request) (func(), error) { return func() {}, nil }
+		h.Admit = func(context.Context, Request) (Admission, error) { return Admission{}, nil }
 	}
 	if h.Enter == nil {
 		h.Enter = func(Request) (func(), bool) { return func() {}, true }
--- a/entry/proxy/match_test.go
+++ b/entry/proxy/match_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	hooks.View = func() *proxy.View { return &proxy.View{Text: text, Ready: true} }
-	hooks.Pick = func(*spec.Service, []netip.AddrPort, time.Time) (proxy.Target, bool) { return proxy.Target{}, true }
+	hooks.Pick = func(proxy.Request, []netip.AddrPort, time.Time) (proxy.Target, bool) { return proxy.Target{}, true }
 	return proxy.New(hooks, proxy.WithPool(pool.New(pool.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
 		near, far := net.Pipe()
 		go func() {
--- a/entry/proxy/race_test.go
+++ b/entry/proxy/race_test.go
@@ -92,7 +92,7 @@
 					first = answers(t, c.first, seen)
 				}
 				j := newJournal()
-				h := j.fill(proxy.Hooks{Retry: func(*spec.Service, proxy.Reason) bool { return budget }})
+				h := j.fill(proxy.Hooks{Retry: func(proxy.Request, proxy.Reason) bool { return budget }})
 				e := start(t, false, h, c.rules, first, answers(t, fine, seen))
 				status, _, _, err := e.send(c.method, "/tables/x", strings.NewReader(c.body))
 				is.NoErr(err)
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -53,11 +53,11 @@
 		{"shed", fmt.Sprintf(note, ""), proxy.Hooks{}, []netip.AddrPort{answers(t, shed, nil)}},
 		{"broken", fmt.Sprintf(note, ""), proxy.Hooks{}, []netip.AddrPort{mute}},
 		{"deadline", fmt.Sprintf(get, "Galenalock-Deadline: 0\r\n"), proxy.Hooks{}, []netip.AddrPort{mute}},
-		{"overload", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (func(), error) {
-			return nil, errors.New("full")
+		{"overload", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (proxy.Admission, error) {
+			return proxy.Admission{}, errors.New("full")
 		}}, nil},
-		{"rate", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (func(), error) {
-			return nil, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, Retry: time.Second}
+		{"rate", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (proxy.Admission, error) {
+			return proxy.Admission{}, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, Retry: time.Second}
 		}}, nil},
 		{"draining", fmt.Sprintf(get, ""), proxy.Hooks{Enter: func(proxy.Request) (func(), bool) { return nil, false }}, nil},
 		{"notready", fmt.Sprintf(get, ""), proxy.Hooks{View: func() *proxy.View { return nil }}, nil},
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -35,6 +35,19 @@
 	Workspace string
 	Start     time.Time
 	Deadline  time.Time
+	Admission Admission
+}
+
+// Admission is the right to run a request.
+type Admission struct {
+	Handle  any                 // the caller's own reference, returned in the requests of attempts
+	Release func(answered bool) // gives the right back; may be nil
+}
+
+func (a Admission) release(answered bool) {
+	if a.Release != nil {
+		a.Release(answered)
+	}
 }
 
 // Attempt is one dispatch of a request to a target.
