Give the simulated files of FuzzOpen their own memory

The fuzzer reported a log that did not open again. The simulated disk appended to the fuzzer's own slices, and so changed the other input; run from a file the same input passes, also 3000 times.

--- a/core/store/damage_test.go
+++ b/core/store/damage_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"bytes"
 	"errors"
 	"strings"
 	"testing"
@@ -145,9 +146,9 @@
 		if _, err := open(d); err != nil {
 			t.Fatal(err)
 		}
-		d.now[dir+"/log-0000000000000001"] = &inode{data: first}
+		d.now[dir+"/log-0000000000000001"] = &inode{data: bytes.Clone(first)}
 		if len(second) > 0 {
-			d.now[dir+"/log-0000000000000002"] = &inode{data: second}
+			d.now[dir+"/log-0000000000000002"] = &inode{data: bytes.Clone(second)}
 		}
 		s, err := open(d)
 		if err != nil {
