--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -131,7 +131,7 @@
 func TestUnsolicitedResponse(t *testing.T) {
 	for _, naive := range []bool{true, false} {
 		is := is.New(t)
-		extra := make(chan struct{}, 1)
+		extra, sent := make(chan struct{}), make(chan struct{})
 		target := listen(t, func(c net.Conn, in *bufio.Reader) {
 			for {
 				r, err := http.ReadRequest(in)
@@ -142,7 +142,7 @@
 				if r.URL.Path == "/1" {
 					<-extra
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
-					extra <- struct{}{}
+					sent <- struct{}{}
 				}
 			}
 		})
@@ -160,7 +160,7 @@
 		}
 		is.Equal(get("/1"), "/1")
 		extra <- struct{}{}
-		<-extra
+		<-sent
 		is.Equal(get("/2") == "no", naive)
 		p.Close()
 	}
