--- a/entry/proxy/match_test.go
+++ b/entry/proxy/match_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/galenalock/galenalock/core/meter"
 	"github.com/galenalock/galenalock/core/pool"
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
@@ -150,3 +151,25 @@
 		p.Close()
 	})
 }
+
+// Guards against requests, refusals and retries that no metric shows.
+func TestCounted(t *testing.T) {
+	is := is.New(t)
+	m, err := meter.New()
+	is.NoErr(err)
+	hooks, err := proxy.Hooks{Retry: always}.Counted(m)
+	is.NoErr(err)
+	e := start(t, false, hooks, proxy.Rules{}, refusing(t), answers(t, fine, nil))
+	for _, path := range []string{"/tables/x", "/none"} {
+		_, _, _, err = e.send(http.MethodGet, path, nil)
+		is.NoErr(err)
+	}
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, attribute := range []string{`service="tables"`, `reason="connect"`, `reason="nomethod"`} {
+		if !strings.Contains(w.Body.String(), attribute) {
+			t.Errorf("no %s in:\n%s", attribute, w.Body.String())
+		}
+	}
+	is.NoErr(m.Close(t.Context()))
+}
