--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -211,3 +211,51 @@
 	})
 	is.True(pool.Unsent(err))
 }
+
+// Guards against old connections of a target that stay in use after one of
+// them was found silent, and against more idle connections than are kept.
+func TestDrop(t *testing.T) {
+	is := is.New(t)
+	target := listen(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	now := time.Unix(0, 0)
+	p := pool.New(pool.WithNow(func() time.Time { return now }), pool.WithSpare(3))
+	defer p.Close()
+	var open []*pool.Response
+	for range 4 {
+		response, err := p.Do(context.Background(), &pool.Request{Target: target, Method: http.MethodGet, URI: "/", Host: "x"})
+		is.NoErr(err)
+		open = append(open, response)
+		now = now.Add(time.Second)
+	}
+	for _, response := range open {
+		is.NoErr(drain(response))
+	}
+	is.Equal(p.Idle(target), 3)
+	is.Equal(p.Drop(target, time.Unix(2, 0)), 2)
+	is.Equal(p.Idle(target), 1)
+}
+
+// Guards against a failed write that counts as unsent although a byte left.
+func TestUnsentWrites(t *testing.T) {
+	for _, read := range []int{0, 1} {
+		is := is.New(t)
+		p := pool.New(pool.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				_, _ = far.Read(make([]byte, read))
+				far.Close()
+			}()
+			return near, nil
+		}))
+		_, err := p.Do(context.Background(), &pool.Request{Method: http.MethodPost, URI: "/", Host: "x", Once: true})
+		is.True(err != nil)
+		is.Equal(pool.Unsent(err), read == 0)
+	}
+}
