eject: no conviction on old evidence after a common fault

Cause: entries that see a common fault stop to report. Some suspects were then cleared after 5 s of silence, fewer than half were left, and those were convicted 7 s into the fault on evidence from its first second. Cleared targets now count as bad while their evidence lasts, and a conviction takes evidence of the last second.

--- a/core/eject/decide.go
+++ b/core/eject/decide.go
@@ -187,13 +187,13 @@
 			continue
 		}
 		ready++
-		if !r.is("suspect") {
-			continue
-		}
+		// Entries that see a common fault stop to report. Targets that are
+		// cleared for that still count as bad, and old evidence convicts none.
 		if r.pool.score() >= s.policy.Threshold()/2 {
 			bad++
 		}
-		if r.pool.score() >= s.policy.Threshold() && !r.pool.contradicted(now) {
+		fresh := now.Sub(r.pool.last) < stale
+		if r.is("suspect") && fresh && r.pool.score() >= s.policy.Threshold() && !r.pool.contradicted(now) {
 			ripe = append(ripe, r)
 		}
 	}
--- a/core/eject/eject_test.go
+++ b/core/eject/eject_test.go
@@ -115,6 +115,13 @@
 				report(l, now, "salish", j+2, 0, 6, 0)
 			}
 		}},
+		{"most targets slow, then few reports", health.Fast, false, 70, func(l *eject.Leader, now time.Time, i int) {
+			for j := range 12 {
+				if i < 10 || j >= 5 && j < 10 {
+					report(l, now, "salish", j, 0, 6, 0)
+				}
+			}
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
