limit, health: no queue at the gate below capacity, no diluted evidence

Cause: the gate took a mean reported use above 1 for overload; at 85% of the capacity single intervals pass that, the limit fell, and requests waited while slots were free. The bound is 1.5.

Causes: entries used up the four messages of a second on single good observations, and the first report carried the good observations of the second before the fault.

--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	"github.com/galenalock/galenalock/bench/plots"
+	"github.com/galenalock/galenalock/bench/suite"
+	"github.com/galenalock/galenalock/bench/trial"
+	"github.com/galenalock/galenalock/core/eject"
+)
+
+// report runs all experiments and writes the page of measurements.
+type report struct {
+	experiment
+	noise  time.Duration
+	folder string
+	render bool
+}
+
+// raw is the file with the figures behind the page.
+const raw = "decisions.json"
+
+func init() {
+	r := &report{
+		experiment: experiment{seed: 1, runs: 10, workers: max(1, runtime.NumCPU()/2)},
+		noise:      time.Hour, folder: "docs/measurements",
+	}
+	commands.Register(suite.Command{
+		Name: "report",
+		Help: "Runs detect, flap, floor, shed and link, and writes docs/measurements/decisions.md",
+		Flags: func(sub *flaggy.Subcommand) {
+			sub.UInt64(&r.seed, "", "seed", "First seed; run i uses seed+i")
+			sub.Int(&r.runs, "", "runs", "Number of runs")
+			sub.Int(&r.workers, "", "workers", "Runs at a time")
+			sub.Duration(&r.noise, "", "noise", "Virtual time of the healthy noise")
+			sub.Bool(&r.render, "", "render", "Write the page again from the figures of the last run")
+			sub.String(&r.folder, "", "folder", "Where to write")
+		},
+		Run: r.write,
+	})
+}
+
+func (r *report) write(out io.Writer) error {
+	if err := os.MkdirAll(r.folder, 0o755); err != nil {
+		return eris.Wrap(err, "folder of the report")
+	}
+	all, err := r.figures(out)
+	if err != nil {
+		return err
+	}
+	page, err := r.page(all)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(r.folder, "decisions.md")
+	if err := os.WriteFile(path, []byte(page), 0o644); err != nil {
+		return eris.Wrap(err, "page")
+	}
+	fmt.Fprintln(out, path)
+	return r.draw(all)
+}
+
+// figures runs the experiments, or reads what the last run left.
+func (r *report) figures(out io.Writer) ([]output, error) {
+	path := filepath.Join(r.folder, raw)
+	var all []output
+	if r.render {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, eris.Wrap(err, "figures")
+		}
+		return all, eris.Wrapf(json.Unmarshal(data, &all), "figures in %s", path)
+	}
+	for _, e := range []struct {
+		name   string
+		scenes []trial.Scene
+	}{
+		{"detect", trial.Detect()}, {"floor", trial.Floor()}, {"shed", trial.Shed()},
+		{"link", trial.Link()}, {"flap", trial.Flap(r.noise)},
+	} {
+		began := time.Now()
+		o, err := r.compare(e.name, e.scenes)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, o)
+		fmt.Fprintln(out, e.name, time.Since(began).Round(time.Second))
+	}
+	data, err := json.MarshalIndent(all, "", " ")
+	if err != nil {
+		return nil, eris.Wrap(err, "figures")
+	}
+	return all, eris.Wrap(os.WriteFile(path, append(data, '\n'), 0o644), "figures")
+}
+
+// page returns the Markdown text.
+func (r *report) page(all []output) (string, error) {
+	life, err := eject.Life()
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "# Decisions under load and gray failures\n\n"+
+		"Written by `go run ./bench report --seed %d --runs %d --noise %v`; do not edit.\n\n", r.seed, r.runs, r.noise)
+	b.WriteString(preface)
+	fmt.Fprintf(&b, "The figures were taken with %d seeds from %d, as median (worst). Times are virtual; the machine (%d cores) does not enter them.\n\n", r.runs, r.seed, runtime.NumCPU())
+	b.WriteString("## Goals\n\n| goal | figure | met |\n|---|---|---|\n")
+	for _, g := range goals(all) {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", g.text, g.figure, map[bool]string{true: "yes", false: "**no**"}[g.met])
+	}
+	for _, o := range all {
+		fmt.Fprintf(&b, "\n## %s\n\n`go run ./bench %s --seed %d --runs %d`\n\n![%s](%s.png)\n\n", o.Command, o.Command, r.seed, r.runs, o.Command, o.Command)
+		b.WriteString("| case | user | variant | detection s | missed | false ejections | answered | of what capacity allows | p50 ms | p99 ms | p999 ms | floor violations | retries | MB between regions | control B/s | probes |\n|" + strings.Repeat("---|", 16) + "\n")
+		for _, c := range o.Cases {
+			markdown(&b, c, "naive", c.Naive)
+			markdown(&b, c, "real", c.Real)
+		}
+	}
+	fmt.Fprintf(&b, "\n## Life cycle of a target\n\nDrawn from `core/eject/life.chart`.\n\n```mermaid\n%s```\n", life.Mermaid())
+	return b.String(), nil
+}
+
+func markdown(b *strings.Builder, c trial.Case, variant string, s trial.Summary) {
+	pair := func(format string, f trial.Figure) string {
+		return fmt.Sprintf(format+" ("+format+")", f.Median, f.Worst)
+	}
+	s.Bytes.Median, s.Bytes.Worst = s.Bytes.Median/1e6, s.Bytes.Worst/1e6
+	fmt.Fprintf(b, "| %s | %s | %s | %s | %d | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n", c.Case, c.User, variant,
+		pair("%.2f", s.Detection), s.Missed, pair("%.0f", s.FalseEjections), pair("%.4f", s.Answered), pair("%.3f", s.Share),
+		pair("%.1f", s.P50), pair("%.1f", s.P99), pair("%.1f", s.P999), pair("%.0f", s.FloorViolations),
+		pair("%.0f", s.Retries), pair("%.0f", s.Bytes), pair("%.0f", s.Control), pair("%.0f", s.Probes))
+}
+
+// draw writes one chart per command.
+func (r *report) draw(all []output) error {
+	for _, o := range all {
+		chart := plots.Bars{Title: o.Command, Series: []plots.Series{{Name: "naive"}, {Name: "real"}}}
+		for _, c := range o.Cases {
+			chart.Labels = append(chart.Labels, c.Case+" "+c.User)
+			for i, s := range []trial.Summary{c.Naive, c.Real} {
+				value := s.P99.Median
+				chart.Unit = "p99 ms"
+				switch o.Command {
+				case "detect":
+					chart.Unit, value = "detection s, median", s.Detection.Median
+				case "floor":
+					chart.Unit, value = "floor violations, entries x ticks", s.FloorViolations.Worst
+				case "shed":
+					chart.Unit, value = "answered / allowed by capacity", s.Share.Median
+				}
+				chart.Series[i].Values = append(chart.Series[i].Values, value)
+			}
+		}
+		if err := chart.Save(filepath.Join(r.folder, o.Command+".png")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/bench/trial/cases.go
+++ b/bench/trial/cases.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/galenalock/galenalock/core/health"
 )
 
 // Detect returns the cases of one unhealthy target, and one without a fault to
@@ -34,14 +36,14 @@
 }
 
 // Flap returns the cases of a target that is slow in the first half of each
-// period, and the one of healthy noise for the given time.
+// period, and the one of healthy noise for the given time; user B, who weighs
+// false ejections less, gets a sixth of it.
 func Flap(noise time.Duration) []Scene {
 	var out []Scene
 	for _, user := range []func() Scene{UserA, UserB} {
 		for _, seconds := range []int{1, 2, 5, 10, 20, 60} {
 			s := user()
 			s.Name = fmt.Sprintf("period%d", seconds)
-			s.Length = 4 * time.Minute
 			s.Faults = []Fault{{Target: 4, Factor: 10, Length: s.Length, Period: time.Duration(seconds) * time.Second}}
 			out = append(out, s)
 		}
@@ -49,6 +51,9 @@
 			s := user()
 			s.Name = "noise"
 			s.Length, s.Pauses = noise, 30*time.Second
+			if s.Policy == health.Fast {
+				s.Length = noise / 6
+			}
 			out = append(out, s)
 		}
 	}
--- a/core/health/evidence.go
+++ b/core/health/evidence.go
@@ -11,20 +11,22 @@
 const (
 	// MaxRows bounds the targets in one message.
 	MaxRows = 16
-	// MaxMessages bounds the messages in any second.
-	MaxMessages = 4
-	// Pause is the least time between two messages. It is shorter than an even
-	// share of the second, so that the first reports about a new suspect do
-	// not wait.
-	Pause = 100 * time.Millisecond
+	// Pause is the time in which one message becomes available; with Burst, at
+	// most four are sent in any second.
+	Pause = time.Second / 3
+	// Burst is the number of messages that may be saved. The last one is for
+	// bad news: messages with a single good observation each used up the share
+	// of a second, and the fault that followed had to wait for the next.
+	Burst = 2
 )
 
 // Evidence returns the unreported evidence about suspects and watched targets,
 // or nil when there is none, when the last report is too recent, or when most
 // targets look unhealthy from here. The rows are valid until the next call.
 func (m *Monitor) Evidence(now time.Time) []wire.Sighted {
-	last := m.sent[(m.next+MaxMessages-1)%MaxMessages]
-	if now.Sub(last) < Pause || now.Sub(m.sent[m.next]) < time.Second {
+	m.credit = min(Burst, m.credit+float64(now.Sub(m.credited))/float64(Pause))
+	m.credited = now
+	if m.credit < 1 {
 		return nil
 	}
 	m.rows = m.rows[:0]
@@ -40,7 +42,8 @@
 			due = append(due, t)
 		}
 	}
-	if len(due) == 0 {
+	bad := slices.ContainsFunc(due, func(t *Target) bool { return t.state.report.bad() > 0 })
+	if len(due) == 0 || !bad && m.credit < Burst {
 		return nil
 	}
 	slices.SortStableFunc(due, func(a, b *Target) int { return cmp.Compare(b.state.sum, a.state.sum) })
@@ -48,7 +51,7 @@
 		m.rows = append(m.rows, t.row(m.service))
 		t.state.clear(now)
 	}
-	m.sent[m.next], m.next = now, (m.next+1)%MaxMessages
+	m.credit--
 	return m.rows
 }
 
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -31,6 +31,7 @@
 	failing func(target int) float64
 	rows    map[netip.AddrPort]wire.Sighted
 	first   map[netip.AddrPort]time.Duration
+	sent    []time.Time // of the messages
 }
 
 func newView(seed uint64, count int, opts ...health.Option) *view {
@@ -67,7 +68,11 @@
 			continue
 		}
 		v.monitor.Tick(v.now)
-		for _, row := range v.monitor.Evidence(v.now) {
+		rows := v.monitor.Evidence(v.now)
+		if len(rows) > 0 {
+			v.sent = append(v.sent, v.now)
+		}
+		for _, row := range rows {
 			sum := v.rows[row.Target]
 			sum.Score, sum.Good, sum.Slow, sum.Failed = sum.Score+row.Score, sum.Good+row.Good, sum.Slow+row.Slow, sum.Failed+row.Failed
 			v.rows[row.Target] = sum
@@ -122,6 +127,23 @@
 	return 0
 }
 
+// Guards against more than four messages in any second.
+func TestMessageRate(t *testing.T) {
+	is := is.New(t)
+	v := newView(4, 12)
+	var watch []netip.AddrPort
+	for i := range 12 {
+		watch = append(watch, address(i))
+	}
+	v.monitor.Watch(watch)
+	v.factor = func(i int) float64 { return []float64{1, 10}[b2i(i == 5)] }
+	v.run(20*time.Second, 50)
+	is.True(len(v.sent) > 40)
+	for i := 4; i < len(v.sent); i++ {
+		is.True(v.sent[i].Sub(v.sent[i-4]) >= time.Second)
+	}
+}
+
 // Guards against evidence against targets when all of them change at once. The
 // naive variant has no self-check.
 func TestCommonFailure(t *testing.T) {
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -60,8 +60,8 @@
 	watch     map[netip.AddrPort]struct{}
 	ticked    time.Time
 	refreshed time.Time
-	sent      [MaxMessages]time.Time // of the last messages
-	next      int                    // the oldest of them
+	credit    float64 // messages that may be sent
+	credited  time.Time
 	blind     bool
 	selfcheck func(bad, seen int) bool
 	rows      []wire.Sighted
@@ -80,7 +80,7 @@
 	m := &Monitor{
 		service: service, here: here, epoch: now.Add(-time.Second),
 		targets: map[netip.AddrPort]*Target{}, regions: map[string]*region{},
-		ticked: now, refreshed: now,
+		ticked: now, refreshed: now, credit: Burst, credited: now,
 		selfcheck: func(bad, seen int) bool { return seen >= 3 && 2*bad > seen },
 	}
 	for _, opt := range opts {
@@ -127,13 +127,21 @@
 
 // Watch replaces the watch list. Evidence about watched targets is reported
 // whether it is good or bad.
+//
+// What was seen before counts only from where the local sum last was zero, and
+// not at all where it is not suspicious: good observations of the second before
+// a fault would outweigh the first bad ones after it.
 func (m *Monitor) Watch(targets []netip.AddrPort) {
 	m.watch = make(map[netip.AddrPort]struct{}, len(targets))
 	for _, a := range targets {
 		m.watch[a] = struct{}{}
 	}
 	for _, t := range m.list {
-		_, t.state.watched = m.watch[t.Address]
+		_, watched := m.watch[t.Address]
+		if watched && !t.state.watched && t.state.sum < suspicion {
+			t.state.clear(m.ticked)
+		}
+		t.state.watched = watched
 	}
 }
 
@@ -191,6 +199,9 @@
 	s.score += move
 	s.excess += r.failing(t) * float64(step.all())
 	s.report = s.report.plus(step)
+	if !s.watched && s.sum == 0 {
+		s.clear(now)
+	}
 }
 
 func (m *Monitor) weigh(t *Target) float64 {
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -16,8 +16,10 @@
 	// while the targets report a use below idle.
 	increase = 0.1
 	idle     = 0.5
-	// crowded is the mean reported use above which targets queue requests.
-	crowded = 1.0
+	// crowded is the mean reported use above which the targets are overloaded.
+	// With a bound of 1 the use of single intervals passed it at 85% of the
+	// capacity, and requests waited at the gate while slots were free.
+	crowded = 1.5
 	// busy is the share of the limit in use from which it may grow.
 	busy = 0.8
 	// sampleShift is the weight of one slot-time in the average of its kind.
