--- a/core/gossip/mesh/property_test.go
+++ b/core/gossip/mesh/property_test.go
@@ -176,3 +176,39 @@
 		t.Errorf("seed %d: not known on %d nodes", seed, n)
 	}
 }
+
+// Guards against a renewal that was delayed past the end of its target and
+// reaches an instance that has started since. Without tombstones, on the same
+// seed, it brings the target back.
+func TestLeftNeedsTombstones(t *testing.T) {
+	run := func(opts ...mesh.Option) int {
+		const seed = 1
+		m := mesh.New(seed, opts...)
+		for range 5 {
+			m.Add("salish", "salish-1")
+		}
+		target := m.AddTarget("tables", "salish", "salish-1", interval, ttl)
+		m.Run(20 * time.Second)
+		delayed := target.Renew
+		target.SetState(gossip.StateLeaving)
+		target.Crash()
+		m.Run(30 * time.Second)
+		m.Restart(m.Nodes()[0])
+		m.Run(10 * time.Second)
+		if err := m.Announce(m.Nodes()[0], delayed); err != nil {
+			t.Fatal(err)
+		}
+		m.Run(5 * time.Second)
+		known := 0
+		for _, n := range m.Nodes() {
+			known += len(states(n))
+		}
+		return known
+	}
+	if run(mesh.WithCore(gossip.WithBury(func(*gossip.Record) bool { return false }))) == 0 {
+		t.Error("the naive variant holds, the test shows nothing")
+	}
+	if n := run(); n != 0 {
+		t.Errorf("the target is back on %d nodes", n)
+	}
+}
