Stable target handles, owner links that ping each 20 s

A target that had just appeared could be picked before its handle was known, which refused the request as notarget; the handle now travels with the endpoint. Links to owners ping each 20 s: at the target size the 1 s pings were worked out to 15 KB/s per node, above the limit of 2 KB/s.

--- a/core/link/hello.go
+++ b/core/link/hello.go
@@ -52,5 +52,12 @@
 	if c.peer.Fleet != mine.Fleet {
 		return &HelloError{Reason: fmt.Sprintf("fleet %q, want %q", c.peer.Fleet, mine.Fleet)}
 	}
+	use := mine.Use
+	if !c.dialed {
+		use = c.peer.Use
+	}
+	if every, silence, ok := c.opts.pace(use); ok {
+		c.opts.ping, c.opts.silence = every, silence
+	}
 	return nil
 }
--- a/core/link/options.go
+++ b/core/link/options.go
@@ -29,6 +29,7 @@
 	count   func(direction string, bytes int)
 	ping    time.Duration
 	silence time.Duration
+	pace    func(use wire.Use) (every, silence time.Duration, ok bool)
 	queue   int
 	tls     *tls.Config
 }
@@ -58,6 +59,12 @@
 	return func(o *options) { o.ping, o.silence = every, silence }
 }
 
+// WithPace sets the time between pings and the longest silence by the use of
+// the link, where it differs; false keeps the common ones.
+func WithPace(f func(use wire.Use) (every, silence time.Duration, ok bool)) Option {
+	return func(o *options) { o.pace = f }
+}
+
 // WithQueue sets how many messages wait for the network before the link is
 // closed.
 func WithQueue(messages int) Option { return func(o *options) { o.queue = messages } }
@@ -72,6 +79,7 @@
 		opened:  func(*Conn) {},
 		closed:  func(*Conn) {},
 		count:   func(string, int) {},
+		pace:    func(wire.Use) (every, silence time.Duration, ok bool) { return 0, 0, false },
 		ping:    defaultPing,
 		silence: defaultSilence,
 		queue:   defaultQueue,
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -70,6 +70,7 @@
 		link.WithCount(m.opts.count),
 		link.WithPing(m.opts.ping, 3*m.opts.ping),
 		link.WithTLS(m.opts.tls),
+		link.WithPace(pace),
 	}
 	if m.opts.handler != nil {
 		opts = append(opts, link.WithHandler(m.opts.handler))
--- a/core/mesh/owner.go
+++ b/core/mesh/owner.go
@@ -6,8 +6,19 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/wire"
 )
 
+// ownerPing is the time between pings on links to owners. An instance has links
+// to most others of its data centre; a ping each second on all of them would
+// cost several times the 2 KB/s that control may use per node. A renewal that
+// is lost on a silent link is made good by the other owner.
+const ownerPing = 20 * time.Second
+
+func pace(use wire.Use) (every, silence time.Duration, ok bool) {
+	return ownerPing, 3 * ownerPing, use == wire.UseOwner
+}
+
 // owned is a link opened on demand.
 type owned struct {
 	conn *link.Conn
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -30,6 +30,7 @@
 	start    time.Time
 	region   string
 	crossing bool
+	tag      any
 	epoch    time.Time
 	meter    func(region string, sent, received int64)
 
@@ -46,6 +47,9 @@
 // Start returns the incarnation of the target.
 func (e *Endpoint) Start() time.Time { return e.start }
 
+// Tag returns the reference that the target had when the endpoint was made.
+func (e *Endpoint) Tag() any { return e.tag }
+
 // Region returns the region of the target.
 func (e *Endpoint) Region() string { return e.region }
 
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -101,7 +101,7 @@
 		return e
 	}
 	return &Endpoint{
-		address: t.Address, start: t.Start, region: t.Region,
+		address: t.Address, start: t.Start, region: t.Region, tag: t.Tag,
 		crossing: t.Region != r.here.Region, epoch: r.epoch, meter: r.meter,
 	}
 }
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -19,6 +19,7 @@
 	Probe       bool      // held out, but takes a few repeatable requests
 	Watched     time.Time // since when control watches it as a suspect, zero: not
 	Drained     bool      // draining, leaving, gone or drained by an operator
+	Tag         any       // the caller's own reference, kept for the life of the incarnation
 }
 
 // Here is the place of the instance that chooses.
--- a/entry/agent/lane.go
+++ b/entry/agent/lane.go
@@ -17,28 +17,24 @@
 	"github.com/galenalock/galenalock/core/spec"
 )
 
-// target is a target as the data path uses it.
+// target is an incarnation of a target as the data path uses it.
 type target struct {
 	roster.Target
-	endpoint *route.Endpoint
-	health   *health.Target
-	weight   float64
-	out      bool // held out by a grant
-	probe    bool // in probation
-	drained  bool // by an operator
+	health *health.Target
 }
 
 // lane is what the entry holds for one service.
 type lane struct {
-	service *spec.Service
 	router  *route.Router
 	monitor *health.Monitor
 	budget  *retry.Budget
 	gate    *limit.Gate
-	targets atomic.Pointer[map[netip.AddrPort]*target]
+	lines   atomic.Pointer[[]line] // for the status
 
 	// Owned by the control goroutine.
+	service  *spec.Service
 	dirty    bool
+	targets  map[netip.AddrPort]*target
 	out      map[netip.AddrPort]bool      // held out by a grant at the last update
 	returned map[netip.AddrPort]time.Time // when a target came back, for its slow start
 	weights  map[netip.AddrPort]float64   // as of the last update
@@ -59,11 +55,12 @@
 		})),
 		gate:     limit.New(now),
 		dirty:    true,
+		targets:  map[netip.AddrPort]*target{},
 		out:      map[netip.AddrPort]bool{},
 		returned: map[netip.AddrPort]time.Time{},
 		weights:  map[netip.AddrPort]float64{},
 	}
-	l.targets.Store(&map[netip.AddrPort]*target{})
+	l.lines.Store(&[]line{})
 	return l
 }
 
@@ -124,30 +121,31 @@
 	l.dirty = true
 }
 
-// update gives the router, the monitor and the gate the present targets.
+// updateLane gives the router, the monitor and the gate the present targets.
 func (a *Agent) updateLane(now time.Time, l *lane) {
 	known := a.roster.Snapshot().Targets(l.service.Name)
-	previous := *l.targets.Load()
 	next := make(map[netip.AddrPort]*target, len(known))
 	routed := make([]route.Target, 0, len(known))
+	lines := make([]line, 0, len(known))
 	slots := 0.0
 	out := map[netip.AddrPort]bool{}
 	for _, standing := range a.keeper.Out(l.service.Name) {
 		out[standing.Target] = true
 	}
 	for _, t := range known {
-		h := l.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre)
-		r := a.routed(now, l, t, h, out)
-		next[t.Address] = &target{
-			Target: t, health: h, weight: r.Weight, out: r.Out, probe: r.Probe,
-			drained: a.drains.Has(t.Address.String()),
+		h := l.targets[t.Address]
+		if h == nil || !h.Start.Equal(t.Start) {
+			h = &target{Target: t, health: l.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre)}
 		}
+		next[t.Address] = h
+		r := a.routed(now, l, t, h, out)
 		routed = append(routed, r)
+		lines = append(lines, line{Target: t, weight: r.Weight, out: r.Out, probe: r.Probe, drained: a.drains.Has(t.Address.String())})
 		if !r.Drained && !r.Out {
 			slots += float64(t.Slots)
 		}
 	}
-	for address := range previous {
+	for address := range l.targets {
 		if next[address] == nil {
 			l.monitor.Forget(address)
 			delete(l.weights, address)
@@ -155,16 +153,16 @@
 		}
 	}
 	l.router.Update(now, routed, a.peers())
-	for address, t := range next {
-		t.endpoint = l.router.Endpoint(address)
+	for i := range lines {
+		lines[i].endpoint = l.router.Endpoint(lines[i].Address)
 	}
-	l.targets.Store(&next)
-	l.out, l.dirty, l.updated = out, false, now
+	l.lines.Store(&lines)
+	l.targets, l.out, l.dirty, l.updated = next, out, false, now
 	wake(l.gate.Capacity(now, slots, a.entries()))
 }
 
 // routed describes one target to the router.
-func (a *Agent) routed(now time.Time, l *lane, t roster.Target, h *health.Target, out map[netip.AddrPort]bool) route.Target {
+func (a *Agent) routed(now time.Time, l *lane, t roster.Target, h *target, out map[netip.AddrPort]bool) route.Target {
 	ready := now.Add(-t.Age(now))
 	if l.out[t.Address] && !out[t.Address] {
 		l.returned[t.Address] = now
@@ -172,11 +170,11 @@
 	if back, ok := l.returned[t.Address]; ok && back.After(ready) {
 		ready = back
 	}
-	l.weights[t.Address] = h.Weight()
+	l.weights[t.Address] = h.health.Weight()
 	drained := t.State == gossip.StateDraining || t.State == gossip.StateLeaving
 	return route.Target{
 		Address: t.Address, Start: t.Start, Region: t.Region, DataCentre: t.DataCentre,
-		Slots: t.Slots, Connections: t.Connections, Ready: ready, Weight: h.Weight(),
+		Slots: t.Slots, Connections: t.Connections, Ready: ready, Weight: h.health.Weight(), Tag: h,
 		Out:     out[t.Address],
 		Probe:   out[t.Address] && slices.ContainsFunc(a.keeper.Out(l.service.Name), func(s eject.Standing) bool { return s.Target == t.Address && s.Probe }),
 		Drained: drained || a.drains.Has(t.Address.String()),
@@ -199,33 +197,27 @@
 func (a *Agent) entries() int { return max(1, len(a.peers())) }
 
 // pick selects a target outside exclude.
-func (l *lane) pick(now time.Time, repeat bool, exclude []netip.AddrPort) *target {
+func (l *lane) pick(now time.Time, repeat bool, exclude []netip.AddrPort) *route.Endpoint {
 	const (
 		probeShare = 16 // one repeatable request in so many tries a target in probation
 		draws      = 4
 	)
 	draw := rand.Uint64()
-	targets := *l.targets.Load()
 	if repeat && len(exclude) == 0 && draw%probeShare == 0 {
 		if e := l.router.Probe(draw); e != nil {
-			return targets[e.Address()]
+			return e
 		}
 	}
 	var avoid *route.Endpoint
-	if len(exclude) > 0 {
-		if t := targets[exclude[len(exclude)-1]]; t != nil {
-			avoid = t.endpoint
-		}
-	}
 	for range draws {
 		e := l.router.Pick(now, draw, avoid)
 		if e == nil {
 			return nil
 		}
 		if !slices.Contains(exclude, e.Address()) {
-			return targets[e.Address()]
+			return e
 		}
-		draw = rand.Uint64()
+		avoid, draw = e, rand.Uint64()
 	}
 	return nil
 }
--- a/entry/agent/status.go
+++ b/entry/agent/status.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/gossip"
+	"github.com/galenalock/galenalock/core/roster"
+	"github.com/galenalock/galenalock/core/route"
 )
 
 // Fleet counts what the instance knows of the fleet.
@@ -37,11 +39,9 @@
 	lanes := *a.routes.Load()
 	out := []Known{}
 	for _, name := range slices.Sorted(maps.Keys(lanes)) {
-		targets := *lanes[name].targets.Load()
-		for _, address := range slices.SortedFunc(maps.Keys(targets), netip.AddrPort.Compare) {
-			t := targets[address]
+		for _, t := range *lanes[name].lines.Load() {
 			out = append(out, Known{
-				Service: name, Address: address, Region: t.Region, DataCentre: t.DataCentre,
+				Service: name, Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
 				Slots: t.Slots, Start: t.Start, State: t.state(), Inflight: t.endpoint.Inflight(), Reason: t.reason(),
 			})
 		}
@@ -49,7 +49,17 @@
 	return out
 }
 
-func (t *target) state() string {
+// line is a target as it stood at the last update of its lane.
+type line struct {
+	roster.Target
+	endpoint *route.Endpoint
+	weight   float64
+	out      bool // held out by a grant
+	probe    bool // in probation
+	drained  bool // by an operator
+}
+
+func (t *line) state() string {
 	switch {
 	case t.State == gossip.StateDraining || t.State == gossip.StateLeaving || t.drained:
 		return "draining"
@@ -64,7 +74,7 @@
 }
 
 // reason tells in words why the target is in its state.
-func (t *target) reason() string {
+func (t *line) reason() string {
 	switch t.state() {
 	case "draining":
 		if t.drained {
--- a/entry/agent/steer.go
+++ b/entry/agent/steer.go
@@ -88,7 +88,7 @@
 			return true
 		}
 	}
-	for address, t := range *l.targets.Load() {
+	for address, t := range l.targets {
 		if before := l.weights[address]; math.Abs(t.health.Weight()-before) > weightStep*before {
 			return true
 		}
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -10,6 +10,7 @@
 	"github.com/galenalock/galenalock/core/limit"
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/retry"
+	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -19,10 +20,11 @@
 
 // dispatch ties an attempt to the counters of its target.
 type dispatch struct {
-	lane   *lane
-	target *target
-	call   health.Call
-	judged bool
+	lane     *lane
+	target   *target
+	endpoint *route.Endpoint
+	call     health.Call
+	judged   bool
 }
 
 func (a *Agent) lane(service string) *lane { return (*a.routes.Load())[service] }
@@ -33,14 +35,18 @@
 	if l == nil {
 		return proxy.Target{}, false
 	}
-	t := l.pick(now, r.Kind.Repeat && !r.Kind.Upload, exclude)
-	if t == nil {
+	e := l.pick(now, r.Kind.Repeat && !r.Kind.Upload, exclude)
+	if e == nil {
+		return proxy.Target{}, false
+	}
+	t, ok := e.Tag().(*target)
+	if !ok {
 		return proxy.Target{}, false
 	}
 	return proxy.Target{
 		Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
 		Slots: t.Slots, Connections: t.Connections, Incarnation: t.Start,
-		Handle: &dispatch{lane: l, target: t},
+		Handle: &dispatch{lane: l, target: t, endpoint: e},
 	}, true
 }
 
@@ -53,7 +59,7 @@
 	if at.Number == 0 {
 		d.lane.budget.Request()
 	}
-	d.target.endpoint.Begin()
+	d.endpoint.Begin()
 	// The time that an upload takes depends on the caller.
 	if !at.Request.Kind.Upload {
 		d.call, d.judged = d.target.health.Start(at.Start), true
@@ -71,17 +77,17 @@
 		latency = o.Head
 		d.lane.budget.Observe(o.Head)
 	}
-	d.target.endpoint.End(latency)
-	d.target.endpoint.Bytes(o.Sent, o.Bytes)
+	d.endpoint.End(latency)
+	d.endpoint.Bytes(o.Sent, o.Bytes)
 	if d.judged {
-		d.call.Finish(at.Start.Add(judgedTime(at, o)), outcomes[o.Class])
+		d.call.Finish(at.Start.Add(judgedTime(at, o)), judge(o))
 	}
 	if o.Class == proxy.Refused {
 		d.lane.gate.Shed()
 	}
 	var inflight, slots int
 	if n, _ := fmt.Sscanf(o.Load, "inflight=%d limit=%d", &inflight, &slots); n == 2 {
-		d.target.endpoint.Load(o.End, inflight, slots)
+		d.endpoint.Load(o.End, inflight, slots)
 		if ticket, ok := at.Request.Admission.Handle.(*limit.Ticket); ok {
 			d.lane.gate.Report(ticket, inflight, slots)
 		}
@@ -97,6 +103,15 @@
 	return o.End.Sub(at.Start)
 }
 
+// judge returns what an attempt says about the target. A reused connection
+// that fails before any response may have been closed while it was idle.
+func judge(o proxy.Outcome) health.Outcome {
+	if o.Class == proxy.Failed && o.Reused && o.Head == 0 {
+		return health.Cancelled
+	}
+	return outcomes[o.Class]
+}
+
 // outcomes is what each class of outcome says about the target. A deadline
 // that passes is counted while the attempt is pending; the caller may have set
 // it too short.
--- a/entry/daemon/admin.go
+++ b/entry/daemon/admin.go
@@ -18,7 +18,7 @@
 	Ready      bool      `json:"ready"`
 	Draining   bool      `json:"draining"`
 	Revision   uint64    `json:"revision"`
-	Inflight   int64     `json:"inflight"`
+	Inflight   int       `json:"inflight"`
 	Neighbours int       `json:"neighbours"`
 	Instances  int       `json:"instances"`
 	Targets    int       `json:"targets"`
@@ -45,7 +45,7 @@
 	return Status{
 		Instance: d.settings.Instance, Region: d.settings.Region, DataCentre: d.settings.DataCentre, Start: d.start,
 		Ready: d.Ready(), Draining: view.Draining, Revision: view.Revision,
-		Inflight: d.counts.inflight.Load(), Neighbours: len(d.agent.Mesh().Neighbours()),
+		Inflight: d.inflight(), Neighbours: len(d.agent.Mesh().Neighbours()),
 		Instances: fleet.Instances, Targets: fleet.Targets,
 	}
 }
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -9,7 +9,6 @@
 	"go.uber.org/dig"
 
 	"github.com/galenalock/galenalock/core/certs"
-	"github.com/galenalock/galenalock/core/drain"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/mesh"
@@ -102,24 +101,20 @@
 		},
 		Retried:  c.verdict,
 		Crossing: c.crossed,
-		Inflight: func() int { return int(c.inflight.Load()) },
+		Inflight: d.inflight,
 	}, log)
 }
 
-func (d *Daemon) newProxy(a *agent.Agent, c *counts) *proxy.Proxy {
-	return proxy.New(proxy.Hooks{
+func (d *Daemon) newProxy(a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
+	hooks, err := proxy.Hooks{
 		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Admit: a.Admit,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, Hedge: a.Hedge,
-		Answered: c.answered, Refused: c.refused, Retried: c.retried, Claimed: c.claimed,
-		Enter: func(r proxy.Request) (func(), bool) {
-			number, ok := d.flights.Enter(drain.Request{ID: r.ID, Service: r.Service.Name, Kind: r.Kind.Name, Start: r.Start})
-			if !ok {
-				return nil, false
-			}
-			c.inflight.Add(1)
-			return func() { c.inflight.Add(-1); d.flights.Leave(number) }, true
-		},
-	}, proxy.WithOwner(d.settings.Instance, d.start))
+		Enter: proxy.Tracked(d.flights),
+	}.Counted(m)
+	if err != nil {
+		return nil, err
+	}
+	return proxy.New(hooks, proxy.WithOwner(d.settings.Instance, d.start)), nil
 }
 
 // assembled is what the listeners need.
@@ -168,7 +163,19 @@
 	return nil
 }
 
+// inflight counts the requests in flight.
+func (d *Daemon) inflight() int {
+	n := 0
+	for _, count := range d.flights.Inflight() {
+		n += count
+	}
+	return n
+}
+
 func (d *Daemon) gauges() error {
+	if err := d.meter.Gauge(meter.Inflight, func() float64 { return float64(d.inflight()) }); err != nil {
+		return err
+	}
 	err := d.meter.Gauge(meter.RevisionNow, func() float64 { return float64(d.agent.View().Revision) })
 	if err != nil {
 		return err
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -1,27 +1,15 @@
 package daemon
 
 import (
-	"sync/atomic"
-	"time"
-
 	"github.com/galenalock/galenalock/core/meter"
-	"github.com/galenalock/galenalock/core/refuse"
-	"github.com/galenalock/galenalock/core/wire"
-	"github.com/galenalock/galenalock/entry/proxy"
 )
 
-// counts are the metrics of the data path.
+// counts are the metrics of an entry beside those of the data path.
 type counts struct {
-	requests  *meter.Counter
-	refusals  *meter.Counter
-	retries   *meter.Counter
-	verdicts  *meter.Counter
-	claims    *meter.Counter
-	crossing  *meter.Counter
-	bytes     *meter.Counter
-	cut       *meter.Counter
-	durations *meter.Histogram
-	inflight  atomic.Int64
+	verdicts *meter.Counter
+	crossing *meter.Counter
+	bytes    *meter.Counter
+	cut      *meter.Counter
 }
 
 func newCounts(m *meter.Meter) (*counts, error) {
@@ -30,8 +18,7 @@
 		name meter.Name
 		into **meter.Counter
 	}{
-		{meter.Requests, &c.requests}, {meter.Refusals, &c.refusals}, {meter.Retries, &c.retries},
-		{meter.Verdicts, &c.verdicts}, {meter.Claims, &c.claims}, {meter.Crossing, &c.crossing},
+		{meter.Verdicts, &c.verdicts}, {meter.Crossing, &c.crossing},
 		{meter.LinkBytes, &c.bytes}, {meter.Cuts, &c.cut},
 	} {
 		counter, err := m.Counter(one.name)
@@ -40,22 +27,7 @@
 		}
 		*one.into = counter
 	}
-	var err error
-	if c.durations, err = m.Histogram(meter.Durations); err != nil {
-		return nil, err
-	}
-	return c, m.Gauge(meter.Inflight, func() float64 { return float64(c.inflight.Load()) })
-}
-
-func (c *counts) answered(r proxy.Request, _ int, took time.Duration) {
-	c.requests.Add(1, r.Service.Name)
-	c.durations.Record(took.Seconds(), r.Service.Name)
-}
-
-func (c *counts) refused(reason refuse.Reason) { c.refusals.Add(1, string(reason)) }
-func (c *counts) retried(reason proxy.Reason)  { c.retries.Add(1, string(reason)) }
-func (c *counts) claimed(state wire.ClaimState) {
-	c.claims.Add(1, string(state))
+	return c, nil
 }
 
 // verdict counts what the budget said to a further attempt. Allowed attempts
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -118,7 +118,7 @@
 // so that the balancer sends new callers elsewhere before the listener closes.
 func (d *Daemon) drain() {
 	d.stopping.Store(true)
-	d.log.WithField("inflight", d.counts.inflight.Load()).Info("draining")
+	d.log.WithField("inflight", d.inflight()).Info("draining")
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	// The data path now asks callers to reconnect elsewhere with each response.
