limit: Ask returns the verdict, Leave reports whether the request still waited

A caller that read Ticket.Verdict after Ask raced with the goroutine that admitted it, and one that left could not know of a verdict on its way, which would have leaked a slot.

--- a/bench/trial/real.go
+++ b/bench/trial/real.go
@@ -77,8 +77,8 @@
 	r.budget.Request()
 	q.ticket = &limit.Ticket{Kind: kind.Name, Weight: kind.Weight, Deadline: epoch.Add(q.born + kind.Timeout)}
 	r.tickets[q.ticket] = id
-	decided := r.gate.Ask(w.wall(), q.ticket)
-	if q.ticket.Verdict != limit.Waiting {
+	verdict, decided := r.gate.Ask(w.wall(), q.ticket)
+	if verdict != limit.Waiting {
 		decided = append(decided, q.ticket)
 	}
 	r.decide(decided)
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -100,8 +100,9 @@
 }
 
 // Ask decides about a request or queues it. The other tickets returned have
-// been decided meanwhile.
-func (g *Gate) Ask(now time.Time, t *Ticket) []*Ticket {
+// been decided meanwhile. For a waiting ticket, Ticket.Verdict may change as
+// soon as Ask returns.
+func (g *Gate) Ask(now time.Time, t *Ticket) (Verdict, []*Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.expected = g.expected(t.Kind)
@@ -112,15 +113,15 @@
 	if len(g.queue) == 0 && float64(g.inflight) < g.limit {
 		if now.Add(t.expected / 2).After(t.Deadline) {
 			g.refuse(t, refuse.Deadline)
-			return nil
+		} else {
+			g.start(now, t)
 		}
-		g.start(now, t)
-		return nil
+		return t.Verdict, nil
 	}
 	at, _ := slices.BinarySearchFunc(g.queue, t, func(a, b *Ticket) int { return a.finish.Compare(b.finish) })
 	g.queue = slices.Insert(g.queue, at, t)
 	decided := g.admit(now, g.shed(now, nil))
-	return slices.DeleteFunc(decided, func(o *Ticket) bool { return o == t })
+	return t.Verdict, slices.DeleteFunc(decided, func(o *Ticket) bool { return o == t })
 }
 
 // Done ends an admitted request. Answered tells whether its slot-time counts.
@@ -144,11 +145,14 @@
 	return g.admit(now, nil)
 }
 
-// Leave takes a waiting request out of the queue.
-func (g *Gate) Leave(t *Ticket) {
+// Leave takes a waiting request out of the queue. It reports false when the
+// request has been decided already; an admitted one then still needs Done.
+func (g *Gate) Leave(t *Ticket) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := len(g.queue)
 	g.queue = slices.DeleteFunc(g.queue, func(o *Ticket) bool { return o == t })
+	return len(g.queue) < before
 }
 
 // Report takes in the load that a target reported in its response to a request:
--- a/core/limit/gate_test.go
+++ b/core/limit/gate_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -46,19 +47,52 @@
 		is.Equal(cheap[i].Verdict, limit.Waiting) // 10 ms each, one at a time
 	}
 	order := ticket("order", 10, 36*time.Millisecond)
-	decided := g.Ask(start, order)
+	_, decided := g.Ask(start, order)
 	is.Equal(order.Verdict, limit.Waiting)
 	is.Equal(len(decided), 1)
 	is.Equal(decided[0].Reason, refuse.Overload)
 	is.Equal(decided[0].Kind, "lookup")
 
-	g.Leave(order)
+	is.True(g.Leave(order))
+	is.True(!g.Leave(decided[0]))
 	decided = g.Tick(start.Add(40 * time.Millisecond))
 	is.Equal(len(decided), 2) // the deadlines have passed
 	_, _, waiting := g.Limit()
 	is.Equal(waiting, 0)
 }
 
+// Guards against races and lost wake-ups between goroutines at the gate.
+func TestConcurrentRequests(t *testing.T) {
+	g := limit.New(start)
+	g.Capacity(start, 4, 1)
+	wake := func(decided []*limit.Ticket) {
+		for _, o := range decided {
+			o.Wake <- o.Verdict
+		}
+	}
+	var traffic sync.WaitGroup
+	for range 32 {
+		traffic.Go(func() {
+			for range 200 {
+				own := ticket("lookup", 1, time.Hour)
+				own.Wake = make(chan limit.Verdict, 1)
+				verdict, decided := g.Ask(start, own)
+				wake(decided)
+				if verdict == limit.Waiting {
+					verdict = <-own.Wake
+				}
+				if verdict == limit.Admitted {
+					wake(g.Done(start, own, true))
+				}
+			}
+		})
+	}
+	traffic.Wait()
+	if _, inflight, waiting := g.Limit(); inflight != 0 || waiting != 0 {
+		t.Fatalf("%d in flight, %d waiting", inflight, waiting)
+	}
+}
+
 // Guards against a limit that ignores what the targets report, and one that
 // never recovers.
 func TestLimitFollowsLoad(t *testing.T) {
@@ -139,7 +173,8 @@
 			if naive {
 				waiting = append(waiting, t)
 			} else {
-				for _, o := range append(g.Ask(now, t), t) {
+				_, decided := g.Ask(now, t)
+				for _, o := range append(decided, t) {
 					if o.Verdict == limit.Admitted {
 						begin(now, o)
 					}
