--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -193,6 +194,38 @@
 	is.True(later > 200)
 }
 
+// Guards against races between traffic and the control goroutine, and against
+// attempts that are lost from the count when a snapshot is replaced.
+func TestConcurrentUpdates(t *testing.T) {
+	now := start.Add(time.Minute)
+	targets := fleet(12)
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, targets, nil)
+	var traffic sync.WaitGroup
+	for seed := range uint64(4) {
+		traffic.Go(func() {
+			draws := rand.New(rand.NewPCG(seed, 1))
+			for range 5000 {
+				if e := r.Pick(now, draws.Uint64(), nil); e != nil {
+					e.Begin()
+					e.Load(now, draws.IntN(8), 6)
+					e.End(time.Millisecond)
+				}
+			}
+		})
+	}
+	for i := range 200 {
+		targets[i%12].Out = !targets[i%12].Out
+		r.Update(now, targets, nil)
+	}
+	traffic.Wait()
+	for _, target := range targets {
+		if n := r.Endpoint(target.Address).Inflight(); n != 0 {
+			t.Fatalf("%v: %d in flight", target.Address, n)
+		}
+	}
+}
+
 // Guards against an allocation or a slow path in the choice.
 func TestPickAllocatesNothing(t *testing.T) {
 	now := start.Add(time.Minute)
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -93,7 +93,8 @@
 	r.current.Store(next)
 }
 
-// Endpoint returns the endpoint of a target of the last Update, or nil.
+// Endpoint returns the endpoint of a target of the last Update, or nil. Only
+// the control goroutine calls it.
 func (r *Router) Endpoint(address netip.AddrPort) *Endpoint { return r.known[address] }
 
 func (r *Router) endpoint(t *Target) *Endpoint {
