--- a/core/eject/decide.go
+++ b/core/eject/decide.go
@@ -2,12 +2,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/galenalock/galenalock/core/health"
-	"github.com/galenalock/galenalock/core/wire"
 )
 
 const (
@@ -218,43 +216,3 @@
 		}
 	}
 }
-
-// propose returns the set when it has changed or its leases need a renewal.
-func (s *service) propose(now time.Time) (Set, bool) {
-	if s.pending && now.Sub(s.proposed) < stuck {
-		return Set{}, false
-	}
-	var sent []*record
-	for _, r := range s.order {
-		if r.granted {
-			sent = append(sent, r)
-		}
-	}
-	if !s.dirty && !s.pending && (len(sent) == 0 || now.Sub(s.proposed) < Renewal) {
-		return Set{}, false
-	}
-	set := Set{Service: s.name}
-	for _, r := range sent {
-		r.until = now.Add(Lease + Delay)
-		set.Grants = append(set.Grants, wire.Grant{Service: s.name, Target: r.Address, Start: r.Start, Left: Lease, Score: r.score})
-	}
-	s.sent, s.proposed, s.pending, s.dirty = sent, now, true, false
-	return set, true
-}
-
-// apply marks the set of the last proposal as applied.
-func (s *service) apply() {
-	s.pending = false
-	for _, r := range s.sent {
-		if r.granted {
-			r.applied, r.leased = true, s.proposed
-		}
-	}
-}
-
-// fade lets unconfirmed evidence fade.
-func (p *pool) fade(elapsed time.Duration) {
-	f := math.Exp(-float64(elapsed) / float64(forgive))
-	p.slow.value *= f
-	p.failing.value *= f
-}
--- a/core/eject/keeper.go
+++ b/core/eject/keeper.go
@@ -9,15 +9,6 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// Standing is a target that an entry holds out of service.
-type Standing struct {
-	Target netip.AddrPort
-	Start  time.Time
-	Until  time.Time // expiry of the lease on the entry's clock
-	Probe  bool      // in probation: a few repeatable requests
-	Score  float64
-}
-
 // Keeper holds the leases of one entry. It is not safe for concurrent use.
 type Keeper struct {
 	index    uint64
--- a/core/eject/leader.go
+++ b/core/eject/leader.go
@@ -24,12 +24,6 @@
 	Delay = 3 * time.Second
 )
 
-// Set is the set of grants to propose for a service.
-type Set struct {
-	Service string
-	Grants  []wire.Grant
-}
-
 // Leader decides ejections. It is not safe for concurrent use.
 type Leader struct {
 	life     *chart.Chart
@@ -42,18 +36,6 @@
 	note     func(event string, target Target, score float64)
 }
 
-type service struct {
-	name     string
-	floor    Floor
-	policy   health.Policy
-	records  map[netip.AddrPort]*record
-	order    []*record
-	proposed time.Time
-	pending  bool      // a proposal has not been applied yet
-	dirty    bool      // the set differs from the last proposal
-	sent     []*record // the set of the last proposal
-}
-
 // Option changes a setting of a Leader.
 type Option func(*Leader)
 
--- a/core/eject/pool.go
+++ b/core/eject/pool.go
@@ -137,3 +137,10 @@
 	}
 	return false
 }
+
+// fade lets unconfirmed evidence fade.
+func (p *pool) fade(elapsed time.Duration) {
+	f := math.Exp(-float64(elapsed) / float64(forgive))
+	p.slow.value *= f
+	p.failing.value *= f
+}
--- /dev/null
+++ b/core/eject/set.go
@@ -0,0 +1,9 @@
+package eject
+
+import "github.com/galenalock/galenalock/core/wire"
+
+// Set is the set of grants to propose for a service.
+type Set struct {
+	Service string
+	Grants  []wire.Grant
+}
--- /dev/null
+++ b/core/health/outcome.go
@@ -0,0 +1,12 @@
+package health
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes.
+const (
+	OK        Outcome = iota // answered
+	Failed                   // error or broken response
+	Cancelled                // given up or shed: no evidence beyond what was counted while pending
+	Void                     // the connection was silent: what was counted is taken back
+)
