--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -100,8 +100,8 @@
 }
 
 // Ask decides about a request or queues it. The other tickets returned have
-// been decided meanwhile. The verdict is returned, because a queued ticket may
-// be decided by another goroutine as soon as Ask has returned.
+// been decided meanwhile. For a waiting ticket, Ticket.Verdict may change as
+// soon as Ask returns.
 func (g *Gate) Ask(now time.Time, t *Ticket) (Verdict, []*Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -113,9 +113,9 @@
 	if len(g.queue) == 0 && float64(g.inflight) < g.limit {
 		if now.Add(t.expected / 2).After(t.Deadline) {
 			g.refuse(t, refuse.Deadline)
-			return t.Verdict, nil
+		} else {
+			g.start(now, t)
 		}
-		g.start(now, t)
 		return t.Verdict, nil
 	}
 	at, _ := slices.BinarySearchFunc(g.queue, t, func(a, b *Ticket) int { return a.finish.Compare(b.finish) })
@@ -145,11 +145,14 @@
 	return g.admit(now, nil)
 }
 
-// Leave takes a waiting request out of the queue.
-func (g *Gate) Leave(t *Ticket) {
+// Leave takes a waiting request out of the queue. It reports false when the
+// request has been decided already; an admitted one then still needs Done.
+func (g *Gate) Leave(t *Ticket) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := len(g.queue)
 	g.queue = slices.DeleteFunc(g.queue, func(o *Ticket) bool { return o == t })
+	return len(g.queue) < before
 }
 
 // Report takes in the load that a target reported in its response to a request:
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -160,13 +160,12 @@
 		return verdict
 	case <-ctx.Done():
 	}
-	l.gate.Leave(ticket)
-	select {
-	case verdict := <-ticket.Wake: // decided before the ticket left
-		return verdict
-	default:
+	if l.gate.Leave(ticket) {
 		return limit.Waiting
 	}
+	// Decided before it left. An admitted one has to be given back, so its
+	// verdict is not missed.
+	return <-ticket.Wake
 }
 
 // Retry takes a further attempt out of the service's budget.
