--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -40,7 +40,6 @@
 	syncs    *meter.Counter
 	bytes    *meter.Counter
 	stopping atomic.Bool
-	opened   atomic.Bool // group is in place
 }
 
 // counters are the counters of a replica.
@@ -133,7 +132,7 @@
 	p.relay = relay.New(p.relayGroup(), p.links, s.Clock)
 	p.fleet = fleet.New(fleet.Seams{
 		View:    p.machine.view.Load,
-		Leads:   p.leads,
+		Leads:   func() bool { status := p.group.Status(); return status.Leader == status.ID },
 		Propose: p.relay.Propose,
 		PassOn:  func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
 		Advise:  func(o wire.Orders) { p.links.Broadcast(wire.KindOrders, o) },
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -79,19 +79,15 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	p := d.parts
 	defer d.close()
+	if err := p.open(&d.settings); err != nil {
+		return err
+	}
 	// The parts go on after ctx ends, until leadership has been handed over.
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	tasks := newTasks(stop)
+	tasks.start("group", func() error { return p.group.Run(inner) })
 	tasks.start("fleet", func() error { p.fleet.Run(inner); return nil })
 	tasks.start("peer", p.peer.Serve)
-	if err := p.open(&d.settings, d.mayFound(ctx)); err != nil {
-		stop()
-		d.close()
-		return errors.Join(err, tasks.wait())
-	}
-	p.opened.Store(true)
-	tasks.start("group", func() error { return p.group.Run(inner) })
 	tasks.start("admin", p.admin.Serve)
 	tasks.start("dial", func() error { d.dialAll(inner); return nil })
 	tasks.start("watch", func() error { d.watch(inner); return nil })
@@ -135,7 +131,7 @@
 	d.parts.admin.Close()
 }
 
-// snapshotNow returns the state as an operator may save it.
+// Snapshot returns the state as an operator may save it.
 func (p *parts) snapshotNow() ([]byte, error) {
 	data, err := p.machine.snapshot()
 	return data, eris.Wrap(err, "snapshot")
--- a/control/daemon/group.go
+++ b/control/daemon/group.go
@@ -12,9 +12,9 @@
 const snapshotBytes = 32 << 20
 
 // open opens the data folder.
-func (p *parts) open(s *Settings, found bool) error {
+func (p *parts) open(s *Settings) error {
 	g, err := group.New(
-		group.WithID(uint64(s.Replica)), group.WithDir(s.Data), group.WithFound(found),
+		group.WithID(uint64(s.Replica)), group.WithDir(s.Data), group.WithFound(s.Found),
 		group.WithPeers(s.Replicas), group.WithMachine(p.machine.seams()), group.WithSend(p.links.Send),
 		group.WithLogger(p.log), group.WithClock(s.Clock),
 		group.WithSnapshots(uint64(s.Snapshot), snapshotBytes),
@@ -23,15 +23,6 @@
 	return err
 }
 
-// leads reports whether this replica leads.
-func (p *parts) leads() bool {
-	if !p.opened.Load() {
-		return false
-	}
-	status := p.group.Status()
-	return status.Leader == status.ID
-}
-
 // relayGroup reaches the group that open puts in place.
 func (p *parts) relayGroup() relay.Group {
 	return relay.Group{
--- a/control/daemon/handle.go
+++ b/control/daemon/handle.go
@@ -23,12 +23,6 @@
 // handle receives the messages of all links.
 func (d *Daemon) handle(c *link.Conn, m wire.Message) (any, error) {
 	p := d.parts
-	if !p.opened.Load() {
-		if m.Call == 0 {
-			return nil, nil // repeated by its sender
-		}
-		return nil, &wire.FaultError{Code: "starting"}
-	}
 	replica := c.Peer().Role == wire.RoleControl && c.Peer().Replica != 0
 	switch m.Kind {
 	case wire.KindRaft:
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -54,6 +54,12 @@
 	have  wire.Pull // revision that the other side is known to have
 }
 
+// passed is the report of a linked instance that was passed on last.
+type passed struct {
+	report wire.Report
+	at     time.Time
+}
+
 // Fleet owns the state of the links to instances. One goroutine, Run, touches
 // it; the methods hand events to it.
 type Fleet struct {
@@ -68,7 +74,7 @@
 	keeper    delta.Keeper
 	sessions  map[*link.Conn]*session
 	instances map[string]*Instance
-	passed    map[string]time.Time
+	passed    map[string]passed
 	orders    []byte // encoding of the orders sent last, without their index
 	leases    map[leaseKey]leaseSeen
 	watch     []wire.Watched // from the leader
@@ -85,7 +91,7 @@
 		events: make(chan func(), queueLength), stats: make(chan func(), queueLength), changed: make(chan struct{}, 1), over: make(chan struct{}),
 		sessions:  map[*link.Conn]*session{},
 		instances: map[string]*Instance{},
-		passed:    map[string]time.Time{},
+		passed:    map[string]passed{},
 		leases:    map[leaseKey]leaseSeen{},
 	}
 	f.public.Store(&[]Instance{})
@@ -173,6 +179,10 @@
 		}
 		f.publish()
 		if p.Role != wire.RoleEntry {
+			// What was passed on before did not reach this replica.
+			for _, known := range f.passed {
+				f.send(c, wire.KindReport, known.report)
+			}
 			return
 		}
 		f.install()
@@ -200,8 +210,8 @@
 			return
 		}
 		same := before.Number == i.Number && before.State == i.State && before.Start.Equal(i.Start)
-		if direct && (!same || now.Sub(f.passed[r.Instance]) >= passOnEvery) {
-			f.passed[r.Instance] = now
+		if direct && (!same || now.Sub(f.passed[r.Instance].at) >= passOnEvery) {
+			f.passed[r.Instance] = passed{report: r, at: now}
 			f.PassOn(r)
 		}
 		f.publish()
