--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -45,7 +45,7 @@
 	Durations:   {"histogram", "s", "service", "Time from the first byte of a request to the last byte of its answer"},
 	Cuts:        {"counter", "{request}", "service", "Requests cut off by a stop at its time limit or by a second signal"},
 	Inflight:    {"gauge", "{request}", "", "Requests in flight"},
-	RevisionNow: {"gauge", "1", "", "Revision of the configuration in force"},
+	RevisionNow: {"gauge", "{revision}", "", "Revision of the configuration in force"},
 	Links:       {"gauge", "{link}", "", "Open links to other processes"},
 	LinkBytes:   {"counter", "By", "direction", "Bytes on links between processes"},
 	Ejections:   {"counter", "{event}", "event", "Events in the ejection of targets"},
--- /dev/null
+++ b/entry/daemon/settings_test.go
@@ -0,0 +1,57 @@
+package daemon_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/conf"
+	"github.com/galenalock/galenalock/entry/daemon"
+)
+
+const settingsPage = "../../docs/SETTINGS.md"
+
+// Guards against a page that differs from the settings of the program. With
+// the environment variable UPDATE=1 the test writes the page instead.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile(settingsPage)
+	is.NoErr(err)
+	var s daemon.Settings
+	want := conf.Section(string(data), "entry", s.Table())
+	if os.Getenv("UPDATE") == "1" {
+		is.NoErr(os.WriteFile(settingsPage, []byte(want), 0o644))
+		return
+	}
+	is.Equal(string(data), want)
+}
+
+// Guards against settings that start an entry which its peers cannot reach.
+func TestSettingsThatDoNotFit(t *testing.T) {
+	const base = `instance = "e"
+fleet = "f"
+region = "r"
+datacentre = "d"
+traffic = "0.0.0.0:80"
+control = ["10.0.0.1:7001"]
+`
+	for want, more := range map[string]string{
+		"peer: must be the address that other instances dial, not 0.0.0.0": `peer = "0.0.0.0:1"`,
+		"peer: is missing":                                                   ``,
+		"limit: 0s lies outside 1s to 1h0m0s":                                "peer = \"10.0.0.1:1\"\nlimit = \"0s\"",
+		"tls.key: tls.cert and tls.key belong together":                      "peer = \"10.0.0.1:1\"\ntls.cert = \"c.pem\"",
+		"tls.traffickey: tls.trafficcert and tls.traffickey belong together": "peer = \"10.0.0.1:1\"\ntls.trafficcert = \"c.pem\"",
+		"": `peer = "10.0.0.1:1"`,
+	} {
+		file := filepath.Join(t.TempDir(), "entry.toml")
+		if err := os.WriteFile(file, []byte(base+more), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := daemon.Load(file)
+		if want == "" && err != nil || want != "" && (err == nil || err.Error() != file+": "+want) {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+}
