--- a/bench/procs/fleet.go
+++ b/bench/procs/fleet.go
@@ -83,9 +83,14 @@
 
 // Entry starts an entry that links to all control replicas started so far.
 func (f *Fleet) Entry(name string, at Place, peers ...netip.AddrPort) (*Process, error) {
+	return f.EntryAt(name, at, f.control, peers...)
+}
+
+// EntryAt starts an entry that links to the given control addresses.
+func (f *Fleet) EntryAt(name string, at Place, control []netip.AddrPort, peers ...netip.AddrPort) (*Process, error) {
 	lines := append(f.common(name, at),
 		`traffic = "127.0.0.1:0"`, `peer = "127.0.0.1:0"`, `admin = "127.0.0.1:0"`,
-		"control = "+list(f.control), "peers = "+list(peers),
+		"control = "+list(control), "peers = "+list(peers),
 		`grace = "500ms"`, `ramp = "1s"`,
 		fmt.Sprintf("data = %q", filepath.Join(f.Folder, name)),
 	)
