--- a/bench/goals.go
+++ b/bench/goals.go
@@ -12,6 +12,9 @@
 	"Detection is the time from the fault to the last ordinary request that any entry sends to the target before a gap of 3 s; requests of a probation are counted apart (probes). A fault that is not detected counts with its whole length. In `half` the floor lets two of six unhealthy targets go, and in `allerrors` none should be, so both stay undetected by design. For flapping targets the detection counts from the first bad phase. False ejections of the naive variant count once however many entries hold the target. Floor violations count entries times ticks of 50 ms. The naive variant ignores places, so its latency includes the way between regions.\n\n" +
 	"The noise case has pauses of 50 ms to 250 ms per target every 30 s on top of the log-normal noise; the goal names heavy-tailed noise only, and `none` has only that. User B, with the `fast` preset, gets a sixth of the time.\n\n"
 
+// remarks state the causes of what the table of goals shows.
+const remarks = "\nAt 1.5x overload with `fast` (user B) healthy targets are ejected: up to 4 in a run, none with `careful` (user A), which loses nothing else. Each ejection takes a twelfth of a capacity that is already too small for at least the hold-down of 5 s. The likely cause is that queues at overloaded targets make slow requests come in bursts, which the test takes for independent; it was not confirmed by a change. The same holds for `load1` and for the pauses of `noise` with `fast`.\n"
+
 // goal is one goal of the design with the figure measured.
 type goal struct {
 	text   string
--- a/bench/report.go
+++ b/bench/report.go
@@ -118,6 +118,7 @@
 	for _, g := range goals(all) {
 		fmt.Fprintf(&b, "| %s | %s | %s |\n", g.text, g.figure, map[bool]string{true: "yes", false: "**no**"}[g.met])
 	}
+	b.WriteString(remarks)
 	for _, o := range all {
 		fmt.Fprintf(&b, "\n## %s\n\n`go run ./bench %s --seed %d --runs %d`\n\n![%s](%s.png)\n\n", o.Command, o.Command, r.seed, r.runs, o.Command, o.Command)
 		b.WriteString("| case | user | variant | detection s | missed | false ejections | answered | of what capacity allows | p50 ms | p99 ms | p999 ms | floor violations | retries | MB between regions | control B/s | probes |\n|" + strings.Repeat("---|", 16) + "\n")
