--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -60,6 +60,16 @@
 // Done is closed when the link ends.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
+// Ended reports whether the link has ended.
+func (c *Conn) Ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Reason tells why the link ended.
 func (c *Conn) Reason() string {
 	if r := c.reason.Load(); r != nil {
@@ -137,10 +147,8 @@
 }
 
 func (c *Conn) queue(data []byte) error {
-	select {
-	case <-c.done:
+	if c.Ended() {
 		return &ClosedError{Reason: c.Reason()}
-	default:
 	}
 	select {
 	case c.out <- data:
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -136,7 +136,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for c := range m.peers[name] {
-		if alive(c) {
+		if !c.Ended() {
 			return c
 		}
 	}
@@ -150,7 +150,7 @@
 	out := make([]*link.Conn, 0, len(m.peers))
 	for _, conns := range m.peers {
 		for c := range conns {
-			if alive(c) {
+			if !c.Ended() {
 				out = append(out, c)
 				break
 			}
--- a/core/mesh/owner.go
+++ b/core/mesh/owner.go
@@ -41,7 +41,7 @@
 		c.Close("shutdown")
 		return nil, &link.ClosedError{Reason: "shutdown"}
 	}
-	if prior := m.owners[to]; prior != nil && alive(prior.conn) {
+	if prior := m.owners[to]; prior != nil && !prior.conn.Ended() {
 		c.Close("another link was opened meanwhile")
 		return prior.conn, nil
 	}
@@ -53,7 +53,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o := m.owners[to]
-	if o == nil || !alive(o.conn) {
+	if o == nil || o.conn.Ended() {
 		return nil
 	}
 	o.idle.Reset(idleTime)
@@ -68,12 +68,3 @@
 	m.mu.Unlock()
 	c.Close("idle")
 }
-
-func alive(c *link.Conn) bool {
-	select {
-	case <-c.Done():
-		return false
-	default:
-		return true
-	}
-}
--- a/core/wire/evidence.go
+++ b/core/wire/evidence.go
@@ -15,7 +15,9 @@
 }
 
 // Sighted is the evidence about one target.
+// A row is an array on the wire, since names of fields would be most of it.
 type Sighted struct {
+	_       struct{}       `cbor:",toarray"`
 	Service string         `cbor:"service"`
 	Target  netip.AddrPort `cbor:"target"`
 	Start   time.Time      `cbor:"start"` // incarnation of the target
@@ -35,6 +37,7 @@
 
 // Watched is a target that every entry reports about.
 type Watched struct {
+	_       struct{}       `cbor:",toarray"`
 	Service string         `cbor:"service"`
 	Target  netip.AddrPort `cbor:"target"`
 }
@@ -43,6 +46,7 @@
 // that clocks of different instances need not agree; a receiver counts it from
 // the moment of arrival.
 type Grant struct {
+	_       struct{}       `cbor:",toarray"`
 	Service string         `cbor:"service"`
 	Target  netip.AddrPort `cbor:"target"`
 	Start   time.Time      `cbor:"start"`
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -51,6 +51,7 @@
 	confirmed  time.Time
 	confirming bool
 	refreshed  time.Time
+	ticked     time.Time
 	peersDirty bool
 	peers      []route.Peer
 
@@ -164,6 +165,8 @@
 }
 
 func (a *Agent) tick(now time.Time) {
+	a.thaw(now)
+	a.ticked = now
 	a.perform(now, a.gossip.Tick(now))
 	a.carry(now, a.roster.Tick(now))
 	a.confirm(now)
--- a/entry/agent/lane.go
+++ b/entry/agent/lane.go
@@ -32,6 +32,7 @@
 	lines   atomic.Pointer[[]line] // for the status
 	open    atomic.Int64           // attempts in flight
 	active  atomic.Bool            // an attempt began or ended since the last tick
+	probed  atomic.Int64           // Unix nanoseconds of the last probe
 
 	// Owned by the control goroutine.
 	service  *spec.Service
@@ -40,6 +41,7 @@
 	out      map[netip.AddrPort]bool      // held out by a grant at the last update
 	returned map[netip.AddrPort]time.Time // when a target came back, for its slow start
 	weights  map[netip.AddrPort]float64   // as of the last update
+	watched  map[netip.AddrPort]time.Time // since when control watches a target
 	updated  time.Time
 	moved    time.Time // last move of the gate
 	ticked   time.Time // last tick of the monitor
@@ -62,6 +64,7 @@
 		out:      map[netip.AddrPort]bool{},
 		returned: map[netip.AddrPort]time.Time{},
 		weights:  map[netip.AddrPort]float64{},
+		watched:  map[netip.AddrPort]time.Time{},
 	}
 	l.lines.Store(&[]line{})
 	return l
@@ -179,6 +182,7 @@
 		Address: t.Address, Start: t.Start, Region: t.Region, DataCentre: t.DataCentre,
 		Slots: t.Slots, Connections: t.Connections, Ready: ready, Weight: h.health.Weight(), Tag: h,
 		Out:     out[t.Address],
+		Watched: l.watched[t.Address],
 		Probe:   out[t.Address] && slices.ContainsFunc(a.keeper.Out(l.service.Name), func(s eject.Standing) bool { return s.Target == t.Address && s.Probe }),
 		Drained: drained || a.drains.Has(t.Address.String()),
 	}
@@ -202,13 +206,10 @@
 
 // pick selects a target outside exclude.
 func (l *lane) pick(now time.Time, repeat bool, exclude []netip.AddrPort) *route.Endpoint {
-	const (
-		probeShare = 16 // one repeatable request in so many tries a target in probation
-		draws      = 4
-	)
+	const draws = 4
 	draw := rand.Uint64()
-	if repeat && len(exclude) == 0 && draw%probeShare == 0 {
-		if e := l.router.Probe(draw); e != nil {
+	if repeat && len(exclude) == 0 {
+		if e := l.probe(now, draw); e != nil {
 			return e
 		}
 	}
@@ -225,3 +226,19 @@
 	}
 	return nil
 }
+
+// probeEvery is the time between two requests of this entry to a target in
+// probation; each may be slow or fail.
+const probeEvery = 500 * time.Millisecond
+
+// probe returns a target that needs evidence and may take a repeatable request:
+// one in probation, or a suspect that control has begun to watch.
+func (l *lane) probe(now time.Time, draw uint64) *route.Endpoint {
+	last := l.probed.Load()
+	if now.UnixNano()-last >= int64(probeEvery) {
+		if e := l.router.Probe(draw); e != nil && l.probed.CompareAndSwap(last, now.UnixNano()) {
+			return e
+		}
+	}
+	return l.router.Sample(now, draw)
+}
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -37,7 +37,7 @@
 		})
 	case wire.KindOrders:
 		return deliver(m, func(o wire.Orders) {
-			a.post(func(now time.Time) { a.orders(now, o) })
+			a.post(func(now time.Time) { a.orders(now, c, o) })
 		})
 	}
 	if m.Call == 0 {
--- a/entry/agent/steer.go
+++ b/entry/agent/steer.go
@@ -2,14 +2,21 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
+	"github.com/galenalock/galenalock/core/eject"
 	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/value"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
 const (
+	// frozenAfter is the pause of the control goroutine from which orders that
+	// wait in buffers may be older than their leases allow; it is the delay of
+	// messages that the leader reckons with.
+	frozenAfter = eject.Delay
 	// updateEvery bounds the age of slow starts and reported load in a router.
 	updateEvery = time.Second
 	// weightStep is the relative change of a weight that is worth an update;
@@ -19,14 +26,14 @@
 )
 
 // orders takes what control wants of the entry.
-func (a *Agent) orders(now time.Time, o wire.Orders) {
-	if o.Index < a.orderIndex {
+func (a *Agent) orders(now time.Time, c *link.Conn, o wire.Orders) {
+	if a.thaw(now) || c.Ended() || o.Index < a.orderIndex {
 		return
 	}
 	a.orderIndex = o.Index
 	a.keeper.Orders(now, o)
 	for _, l := range a.lanes {
-		l.monitor.Watch(a.keeper.Watched(l.service.Name))
+		l.follow(now, a.keeper.Watched(l.service.Name))
 	}
 	next := value.NewSet(o.Drains...)
 	for name := range next {
@@ -47,6 +54,35 @@
 	}
 }
 
+// thaw ends the links to control after a pause of this process. A lease counts
+// from its arrival, so orders that were sent before the pause must not be taken
+// for new ones; control sends the present ones on the next links.
+func (a *Agent) thaw(now time.Time) bool {
+	frozen := !a.ticked.IsZero() && now.Sub(a.ticked) > frozenAfter
+	if frozen {
+		a.log.WithField("pause", now.Sub(a.ticked).String()).Warn("instance was paused")
+		for _, c := range *a.kept.Load() {
+			c.Close("instance was paused")
+		}
+	}
+	return frozen
+}
+
+// follow takes the watch list of a service.
+func (l *lane) follow(now time.Time, watched []netip.AddrPort) {
+	l.monitor.Watch(watched)
+	next := make(map[netip.AddrPort]time.Time, len(watched))
+	for _, address := range watched {
+		since, ok := l.watched[address]
+		if !ok {
+			since, l.dirty = now, true
+		}
+		next[address] = since
+	}
+	l.dirty = l.dirty || len(next) != len(l.watched)
+	l.watched = next
+}
+
 func (a *Agent) dirtyAll() {
 	for _, l := range a.lanes {
 		l.dirty = true
