--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -68,14 +69,8 @@
 // Load reads and checks a settings file. Its error is of type *conf.Error.
 func Load(file string) (Settings, error) {
 	var s Settings
-	if err := conf.Load(file, s.Table()); err != nil {
-		return s, err
-	}
-	if fault := s.check(); fault != nil {
-		fault.File = file
-		return s, fault
-	}
-	return s, nil
+	err := conf.LoadChecked(file, s.Table(), s.check)
+	return s, err
 }
 
 // check returns what a single row of the table cannot tell, or nil.
@@ -88,12 +83,11 @@
 		return &conf.Error{Key: "replicas", Reason: fmt.Sprintf("does not list replica %d, which is to found the group", s.Replica)}
 	case s.Tokens == "" && !s.Admin.Addr().IsLoopback():
 		return &conf.Error{Key: "tokens", Reason: "is required, because the admin address is no loopback address"}
-	case (s.Cert == "") != (s.Key == ""):
-		return &conf.Error{Key: "tls.key", Reason: "tls.cert and tls.key belong together"}
-	case (s.Cert == "") != (s.Authority == ""):
-		return &conf.Error{Key: "tls.authority", Reason: "tls.cert and tls.authority belong together"}
 	}
-	return nil
+	return cmp.Or(
+		conf.Together("tls.cert", s.Cert, "tls.key", s.Key),
+		conf.Together("tls.cert", s.Cert, "tls.authority", s.Authority),
+	)
 }
 
 func (s *Settings) defaults() {
--- a/control/main.go
+++ b/control/main.go
@@ -2,50 +2,30 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/integrii/flaggy"
 
 	"github.com/galenalock/galenalock/control/daemon"
-)
-
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitSettings = 2
+	"github.com/galenalock/galenalock/core/prog"
 )
 
 func main() {
-	file := "control.toml"
-	flaggy.SetName("control")
-	flaggy.SetDescription("control replica of a galenalock fleet")
-	flaggy.DefaultParser.ShowVersionWithVersionFlag = false
-	flaggy.String(&file, "", "settings", "settings file")
-	flaggy.Parse()
-	os.Exit(run(file))
+	os.Exit(prog.Program{
+		Name:        "control",
+		Description: "control replica of a galenalock fleet",
+		Open:        open,
+	}.Main(os.Args[1:]))
 }
 
-func run(file string) int {
+func open(file string) (prog.Daemon, error) {
 	settings, err := daemon.Load(file)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
+		return prog.Daemon{}, err
 	}
 	d, err := daemon.New(settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	// A second signal ends the process at once.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	context.AfterFunc(ctx, stop)
-	if err := d.Run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
+		return prog.Daemon{}, err
 	}
-	return 0
+	// A second signal ends the process at once, which loses nothing that was
+	// acknowledged.
+	return prog.Daemon{Run: d.Run}, nil
 }
--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -25,6 +25,27 @@
 	return Read(file, data, t)
 }
 
+// LoadChecked is Load with a check of what no single row of the table can tell.
+func LoadChecked(file string, t *Table, check func() *Error) error {
+	if err := Load(file, t); err != nil {
+		return err
+	}
+	if fault := check(); fault != nil {
+		fault.File = file
+		return fault
+	}
+	return nil
+}
+
+// Together returns a fault when only one of two settings that belong together
+// is set.
+func Together(key, value, other, otherValue string) *Error {
+	if (value == "") == (otherValue == "") {
+		return nil
+	}
+	return &Error{Key: other, Reason: key + " and " + other + " belong together"}
+}
+
 // Read is Load for data that is already in memory; file is used in errors only.
 func Read(file string, data []byte, t *Table) error {
 	var values map[string]any
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"io"
 	"net/netip"
 	"os"
@@ -79,29 +80,20 @@
 // Load reads and checks a settings file. Its error is of type *conf.Error.
 func Load(file string) (Settings, error) {
 	var s Settings
-	if err := conf.Load(file, s.Table()); err != nil {
-		return s, err
-	}
-	if fault := s.check(); fault != nil {
-		fault.File = file
-		return s, fault
-	}
-	return s, nil
+	err := conf.LoadChecked(file, s.Table(), s.check)
+	return s, err
 }
 
 // check returns what a single row of the table cannot tell, or nil.
 func (s *Settings) check() *conf.Error {
-	switch {
-	case s.Peer.Addr().IsUnspecified():
+	if s.Peer.Addr().IsUnspecified() {
 		return &conf.Error{Key: "peer", Reason: "must be the address that other instances dial, not " + s.Peer.Addr().String()}
-	case (s.Cert == "") != (s.Key == ""):
-		return &conf.Error{Key: "tls.key", Reason: "tls.cert and tls.key belong together"}
-	case (s.Cert == "") != (s.Authority == ""):
-		return &conf.Error{Key: "tls.authority", Reason: "tls.cert and tls.authority belong together"}
-	case (s.TrafficCert == "") != (s.TrafficKey == ""):
-		return &conf.Error{Key: "tls.traffickey", Reason: "tls.trafficcert and tls.traffickey belong together"}
 	}
-	return nil
+	return cmp.Or(
+		conf.Together("tls.cert", s.Cert, "tls.key", s.Key),
+		conf.Together("tls.cert", s.Cert, "tls.authority", s.Authority),
+		conf.Together("tls.trafficcert", s.TrafficCert, "tls.traffickey", s.TrafficKey),
+	)
 }
 
 // defaults fills what code that embeds an entry may leave out.
