Announcements without a certificate of the fleet; TLS as processes

With TLS the peer address asks for a certificate of the fleet, which targets do not have, so no target could announce itself (seen when the process test over TLS was written). An entry now has an optional address of its own for announcements.

--- a/bench/procs/fleet.go
+++ b/bench/procs/fleet.go
@@ -22,6 +22,7 @@
 	Name     string
 	Folder   string
 	Programs Programs
+	Keys     Keys // of links and of the traffic address; without a file there is no TLS
 
 	control []netip.AddrPort
 }
@@ -55,6 +56,17 @@
 	}
 }
 
+// keys returns the table of the key files, which ends a settings file.
+func (f *Fleet) keys() []string {
+	if f.Keys.Cert == "" {
+		return nil
+	}
+	return []string{
+		"[tls]", fmt.Sprintf("cert = %q", f.Keys.Cert), fmt.Sprintf("key = %q", f.Keys.Key),
+		fmt.Sprintf("authority = %q", f.Keys.Authority),
+	}
+}
+
 // Control starts the replicas of a group at the given peer addresses, or one
 // of them again. The first start founds the group.
 func (f *Fleet) Control(id int, at Place, peers map[int]netip.AddrPort, admin netip.AddrPort) (*Process, error) {
@@ -70,7 +82,7 @@
 		fmt.Sprintf("data = %q", filepath.Join(f.Folder, name)),
 		"found = true", `grace = "2s"`,
 	)
-	file, err := f.write(name, lines...)
+	file, err := f.write(name, append(lines, f.keys()...)...)
 	if err != nil {
 		return nil, err
 	}
@@ -89,11 +101,15 @@
 // EntryAt starts an entry that links to the given control addresses.
 func (f *Fleet) EntryAt(name string, at Place, control []netip.AddrPort, peers ...netip.AddrPort) (*Process, error) {
 	lines := append(f.common(name, at),
-		`traffic = "127.0.0.1:0"`, `peer = "127.0.0.1:0"`, `admin = "127.0.0.1:0"`,
+		`traffic = "127.0.0.1:0"`, `peer = "127.0.0.1:0"`, `admin = "127.0.0.1:0"`, `announce = "127.0.0.1:0"`,
 		"control = "+list(control), "peers = "+list(peers),
 		`grace = "500ms"`, `ramp = "1s"`,
 		fmt.Sprintf("data = %q", filepath.Join(f.Folder, name)),
 	)
+	lines = append(lines, f.keys()...)
+	if f.Keys.Cert != "" {
+		lines = append(lines, fmt.Sprintf("trafficcert = %q", f.Keys.Cert), fmt.Sprintf("traffickey = %q", f.Keys.Key))
+	}
 	file, err := f.write(name, lines...)
 	if err != nil {
 		return nil, err
--- a/core/conf/table.go
+++ b/core/conf/table.go
@@ -155,8 +155,25 @@
 // Address adds a setting that is an IP address and a port. Without a default
 // it is required.
 func (t *Table) Address(key string, dst *netip.AddrPort, def, help string) {
-	r := Row{
-		Key: key, Type: "address", Bounds: "IP address and port, such as 10.0.0.1:7000", Help: help, Required: def == "",
+	r := addressRow(key, dst, help)
+	r.Required = def == ""
+	if def != "" {
+		*dst = netip.MustParseAddrPort(def)
+		r.Default = strconv.Quote(def)
+	}
+	t.add(r)
+}
+
+// AddressOption adds a setting that is an IP address and a port, or absent.
+func (t *Table) AddressOption(key string, dst *netip.AddrPort, help string) {
+	r := addressRow(key, dst, help)
+	r.Default = "none"
+	t.add(r)
+}
+
+func addressRow(key string, dst *netip.AddrPort, help string) Row {
+	return Row{
+		Key: key, Type: "address", Bounds: "IP address and port, such as 10.0.0.1:7000", Help: help,
 		set: func(value any) string {
 			s, ok := value.(string)
 			if !ok {
@@ -170,11 +187,6 @@
 			return ""
 		},
 	}
-	if def != "" {
-		*dst = netip.MustParseAddrPort(def)
-		r.Default = strconv.Quote(def)
-	}
-	t.add(r)
 }
 
 // Addresses adds a setting that is a list of addresses.
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -148,19 +148,42 @@
 	}
 	d.traffic = serve.New(traffic...)
 	d.admin = serve.New(serve.WithHandler(d.adminRouter()))
+	if s.Announce.IsValid() {
+		d.announce = d.newAnnounce(in)
+	}
 	if err := d.gauges(); err != nil {
 		return err
 	}
-	if err := d.traffic.Listen(s.Traffic); err != nil {
-		d.peer.Close()
-		return err
+	return d.bind()
+}
+
+// newAnnounce returns the server of announcements for targets that have no
+// certificate of the fleet. It presents the certificate for callers.
+func (d *Daemon) newAnnounce(in assembled) *serve.Server {
+	r := serve.NewRouter(in.Log)
+	r.Post(agent.AnnouncePath, in.Agent.Announce)
+	opts := []serve.Option{serve.WithHandler(r)}
+	if in.Keys.public != nil {
+		opts = append(opts, serve.WithTLS(in.Keys.public.Public()))
 	}
-	if err := d.admin.Listen(s.Admin); err != nil {
-		d.peer.Close()
-		d.traffic.Close()
-		return err
+	return serve.New(opts...)
+}
+
+// bind binds the addresses beside the peer address. A failure frees those that
+// are bound.
+func (d *Daemon) bind() error {
+	s := &d.settings
+	err := d.traffic.Listen(s.Traffic)
+	if err == nil {
+		err = d.admin.Listen(s.Admin)
+	}
+	if err == nil && d.announce != nil {
+		err = d.announce.Listen(s.Announce)
+	}
+	if err != nil {
+		d.close()
 	}
-	return nil
+	return err
 }
 
 // inflight counts the requests in flight.
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -43,6 +43,7 @@
 	traffic  *serve.Server
 	peer     *serve.Server
 	admin    *serve.Server
+	announce *serve.Server // nil without an address of its own
 	flights  *drain.Core
 	stopping atomic.Bool
 	drained  atomic.Bool // by an operator
@@ -95,10 +96,15 @@
 	group.Go(d.traffic.Serve)
 	group.Go(d.peer.Serve)
 	group.Go(d.admin.Serve)
+	if d.announce != nil {
+		group.Go(d.announce.Serve)
+	}
 	d.reload(inner)
-	d.log.WithFields(logrus.Fields{
-		"traffic": d.Traffic().String(), "peer": d.Peer().String(), "admin": d.Admin().String(),
-	}).Info("ready")
+	addresses := logrus.Fields{"traffic": d.Traffic().String(), "peer": d.Peer().String(), "admin": d.Admin().String()}
+	if d.announce != nil {
+		addresses["announce"] = d.announce.Addr().String()
+	}
+	d.log.WithFields(addresses).Info("ready")
 	select {
 	case <-ctx.Done():
 		d.drain()
@@ -169,6 +175,9 @@
 	d.traffic.Close()
 	d.peer.Close()
 	d.admin.Close()
+	if d.announce != nil {
+		d.announce.Close()
+	}
 }
 
 // reload reads key files again while the entry runs.
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -19,6 +19,7 @@
 	Traffic     netip.AddrPort
 	Peer        netip.AddrPort
 	Admin       netip.AddrPort
+	Announce    netip.AddrPort // not valid: none
 	Control     []netip.AddrPort
 	Peers       []netip.AddrPort
 	Data        string
@@ -59,6 +60,7 @@
 	t.Name("datacentre", &s.DataCentre, "data centre of the instance")
 	t.Address("traffic", &s.Traffic, "", "address for callers, HTTP/1.1 and HTTP/2")
 	t.Address("peer", &s.Peer, "", "address for links from other instances and for announcements of targets, as they dial it")
+	t.AddressOption("announce", &s.Announce, "further address for announcements of targets, which needs no certificate of the fleet; let only targets reach it")
 	t.Address("admin", &s.Admin, "127.0.0.1:7012", "address of health, metrics and status")
 	t.Addresses("control", &s.Control, true, "peer addresses of control replicas that this entry links to; two or three are enough")
 	t.Addresses("peers", &s.Peers, false, "peer addresses of a few other entries, in other data centres as well")
