--- a/bench/suite/table.go
+++ b/bench/suite/table.go
@@ -21,7 +21,11 @@
 
 // Error names the command and the registered ones.
 func (e *UnknownError) Error() string {
-	return "bench: unknown command " + e.Name + "; commands: " + strings.Join(e.Known, ", ")
+	known := "; commands: " + strings.Join(e.Known, ", ")
+	if e.Name == "" {
+		return "bench: no command" + known
+	}
+	return "bench: unknown command " + e.Name + known
 }
 
 // Register adds a command. It panics when the name is taken, which the first
--- a/control/admin/documents.go
+++ b/control/admin/documents.go
@@ -112,6 +112,7 @@
 	Region     string         `json:"region"`
 	DataCentre string         `json:"datacentre"`
 	State      string         `json:"state"`
+	Reason     string         `json:"reason"` // of the state, in words
 	Slots      int            `json:"slots"`
 	Start      time.Time      `json:"start"`
 	Left       float64        `json:"left"`  // seconds left of the lease that keeps it out of service
--- a/control/admin/status.go
+++ b/control/admin/status.go
@@ -84,10 +84,10 @@
 	for _, l := range v.Leases {
 		line := Target{
 			Service: l.Service, Address: l.Target.Address, Start: l.Target.Start,
-			State: "ejected", Left: seconds(max(0, l.Expires.Sub(now))), Score: l.Target.Score,
+			State: "ejected", Reason: "slower or failing more often than its peers; the lease takes it out of service", Left: seconds(max(0, l.Expires.Sub(now))), Score: l.Target.Score,
 		}
 		if !l.Current {
-			line.State = "withdrawn"
+			line.State, line.Reason = "withdrawn", "back in service; its last lease counts until it has expired everywhere"
 		}
 		out = append(out, line)
 	}
--- a/control/daemon/observe.go
+++ b/control/daemon/observe.go
@@ -68,13 +68,13 @@
 		for _, t := range snapshot.Targets(service) {
 			line := admin.Target{
 				Service: service, Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
-				State: string(t.State), Slots: t.Slots, Start: t.Start,
+				State: string(t.State), Reason: "announced by the target", Slots: t.Slots, Start: t.Start,
 			}
 			if l, ok := leased[key{service, t.Address}]; ok && l.Start.Equal(t.Start) {
-				line.State, line.Left, line.Score = l.State, l.Left, l.Score
+				line.State, line.Reason, line.Left, line.Score = l.State, l.Reason, l.Left, l.Score
 			}
 			if drained[t.Address.String()] && t.State != gossip.StateLeaving {
-				line.State = "drained"
+				line.State, line.Reason = "drained", "drained by an operator"
 			}
 			out = append(out, line)
 		}
--- a/galenactl/command/targets.go
+++ b/galenactl/command/targets.go
@@ -14,7 +14,7 @@
 func init() {
 	Register(Command{
 		Name:    "targets",
-		Summary: "list targets and their state",
+		Summary: "list targets with their state and its reason",
 		Example: "galenactl targets --service ledger",
 		Setup: func(sub *flaggy.Subcommand) func(context.Context, *Env) error {
 			var service string
@@ -41,9 +41,9 @@
 	}
 	doc.Targets = kept
 	return env.print(doc, func(w io.Writer) {
-		row(w, "SERVICE", "ADDRESS", "REGION", "DATACENTRE", "STATE", "SLOTS", "LEASE", "SCORE")
+		row(w, "SERVICE", "ADDRESS", "REGION", "DATACENTRE", "STATE", "SLOTS", "LEASE", "SCORE", "REASON")
 		for _, t := range doc.Targets {
-			row(w, t.Service, t.Address, t.Region, t.DataCentre, t.State, t.Slots, ago(t.Left), fmt.Sprintf("%.1f", t.Score))
+			row(w, t.Service, t.Address, t.Region, t.DataCentre, t.State, t.Slots, ago(t.Left), fmt.Sprintf("%.1f", t.Score), t.Reason)
 		}
 	})
 }
