--- a/bench/procs/gray_test.go
+++ b/bench/procs/gray_test.go
@@ -105,3 +105,52 @@
 		t.Errorf("new request %s after the announcement of leaving", last)
 	}
 }
+
+// drain puts a drain of an operator, or ends it.
+func (f *fleet) drain(method, name string) {
+	f.Helper()
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s/v1/drains/%s", f.admins[1], name), nil)
+	f.check(err)
+	resp, err := http.DefaultClient.Do(r)
+	f.check(err)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		f.Fatalf("%s drain %s: status %d", method, name, resp.StatusCode)
+	}
+}
+
+// Guards against drains of operators that reach only some entries, and against
+// an instance that stays ready while it is drained.
+func TestOperatorDrains(t *testing.T) {
+	f := start(t, layout{replicas: 1, entries: 2, targets: 2})
+	stop := f.load(4)
+	defer stop()
+	drained, other := f.targets[0], f.targets[1]
+	ran := func(p *procs.Process) int { return f.counts(p).Ran[stub.Lookup] }
+	f.until("the target has traffic", func() bool { return ran(drained) > 20 })
+	f.drain(http.MethodPut, drained.Address("address").String())
+	f.until("no new requests while the other target runs 200", func() bool {
+		before, mark := ran(drained), ran(other)
+		f.until("other target runs 200", func() bool { return ran(other) >= mark+200 })
+		return ran(drained) == before
+	})
+	f.drain(http.MethodDelete, drained.Address("address").String())
+	before := ran(drained)
+	f.until("the target has traffic again", func() bool { return ran(drained) > before+20 })
+
+	ready := func() bool {
+		resp, err := http.Get(fmt.Sprintf("http://%s/readyz", f.entries[0].Address("admin")))
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}
+	f.drain(http.MethodPut, "entry-1")
+	f.until("drained entry is unready", func() bool { return !ready() })
+	if status := f.status(0); status != http.StatusOK {
+		t.Errorf("request to a drained entry: status %d", status)
+	}
+	f.drain(http.MethodDelete, "entry-1")
+	f.until("entry is ready again", ready)
+}
--- a/bench/procs/partition_test.go
+++ b/bench/procs/partition_test.go
@@ -36,12 +36,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t, layout{replicas: 1, entries: 2, targets: 1})
-			cable, err := procs.NewCable(f.replicas[1])
+			relay, err := procs.NewRelay(f.replicas[1])
 			f.check(err)
-			t.Cleanup(cable.Close)
-			behind := f.addEntry("entry-behind", cable.Address(), f.entries[0].Address("peer"))
+			t.Cleanup(relay.Close)
+			behind := f.addEntry("entry-behind", relay.Address(), f.entries[0].Address("peer"))
 			f.until("entry serves", func() bool { return f.status(behind) == http.StatusOK })
-			cable.Cut(cut[0], cut[1])
+			relay.Cut(cut[0], cut[1])
 			for n := uint64(2); n <= 4; n++ {
 				f.submit(n-1, fmt.Sprint("change-", n), fmt.Sprint(serviceText, "# ", n, "\n"), float64(n))
 				f.until("change in force", func() bool { return f.revision(behind) == n })
--- a/bench/procs/cable.go
+++ b/bench/procs/relay.go
@@ -9,10 +9,10 @@
 	"github.com/rotisserie/eris"
 )
 
-// Cable is a TCP path to an address that can lose one direction. Bytes of a
+// Relay is a TCP relay to an address that can drop one direction. Bytes of a
 // cut direction are read and dropped, so that no side sees an error, as when
 // something between the two ends has lost track of a connection.
-type Cable struct {
+type Relay struct {
 	listener net.Listener
 	to       netip.AddrPort
 	forth    atomic.Bool // towards the address is cut
@@ -22,29 +22,29 @@
 	conns []net.Conn
 }
 
-// NewCable opens a path to an address.
-func NewCable(to netip.AddrPort) (*Cable, error) {
+// NewRelay opens a path to an address.
+func NewRelay(to netip.AddrPort) (*Relay, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, eris.Wrap(err, "cable")
+		return nil, eris.Wrap(err, "relay")
 	}
-	c := &Cable{listener: listener, to: to}
+	c := &Relay{listener: listener, to: to}
 	go c.accept()
 	return c, nil
 }
 
 // Address returns where the path begins.
-func (c *Cable) Address() netip.AddrPort { return c.listener.Addr().(*net.TCPAddr).AddrPort() }
+func (c *Relay) Address() netip.AddrPort { return c.listener.Addr().(*net.TCPAddr).AddrPort() }
 
 // Cut decides which directions lose their bytes, on open connections and on
 // new ones.
-func (c *Cable) Cut(forth, back bool) {
+func (c *Relay) Cut(forth, back bool) {
 	c.forth.Store(forth)
 	c.back.Store(back)
 }
 
 // Close ends the path and its connections.
-func (c *Cable) Close() {
+func (c *Relay) Close() {
 	_ = c.listener.Close() // never fails for an open listener
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -53,7 +53,7 @@
 	}
 }
 
-func (c *Cable) accept() {
+func (c *Relay) accept() {
 	for {
 		near, err := c.listener.Accept()
 		if err != nil {
--- a/entry/agent/lane.go
+++ b/entry/agent/lane.go
@@ -92,15 +92,22 @@
 	}
 	a.lanes = next
 	a.routes.Store(&next)
-	for _, s := range text.Services {
-		for _, t := range a.roster.Snapshot().Targets(s.Name) {
-			a.keeper.Target(now, ejectTarget(t))
+	a.tellKeeper(now)
+	a.rates.set(text, a.entries())
+}
+
+// tellKeeper tells the keeper of leases what is known of every target.
+func (a *Agent) tellKeeper(now time.Time) {
+	for name := range a.lanes {
+		for _, t := range a.roster.Snapshot().Targets(name) {
+			a.keeper.Target(now, a.ejectTarget(t))
 		}
 	}
-	a.rates.set(text, a.entries())
 }
 
-func ejectTarget(t roster.Target) eject.Target {
+// ejectTarget describes a target to the keeper. One that an operator drains
+// gives no capacity, so it counts towards the floor as a draining one.
+func (a *Agent) ejectTarget(t roster.Target) eject.Target {
 	state := eject.Ready
 	switch t.State {
 	case gossip.StateCold:
@@ -110,6 +117,9 @@
 	case gossip.StateGone, gossip.StateLeft:
 		state = eject.Gone
 	}
+	if state == eject.Ready && a.drains.Has(t.Address.String()) {
+		state = eject.Draining
+	}
 	return eject.Target{Service: t.Service, Address: t.Address, Start: t.Start, Slots: t.Slots, State: state}
 }
 
@@ -123,7 +133,7 @@
 	if l == nil {
 		return
 	}
-	a.keeper.Target(now, ejectTarget(t))
+	a.keeper.Target(now, a.ejectTarget(t))
 	l.dirty = true
 }
 
--- a/entry/agent/steer.go
+++ b/entry/agent/steer.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"math"
 	"net/netip"
 	"time"
@@ -35,19 +36,12 @@
 	for _, l := range a.lanes {
 		l.follow(now, a.keeper.Watched(l.service.Name))
 	}
-	next := value.NewSet(o.Drains...)
-	for name := range next {
-		if !a.drains.Has(name) {
-			a.dirtyAll()
-		}
-	}
-	for name := range a.drains {
-		if !next.Has(name) {
-			a.dirtyAll()
-		}
+	if next := value.NewSet(o.Drains...); !maps.Equal(next, a.drains) {
+		a.drains = next
+		a.tellKeeper(now)
+		a.dirtyAll()
 	}
-	a.drains = next
-	if on := next.Has(a.settings.Instance); on != a.draining {
+	if on := a.drains.Has(a.settings.Instance); on != a.draining {
 		a.draining = on
 		a.hooks.Drain(on)
 		a.publish(now)
