bench silent: entry process against the naive proxy on silent connections

Open connections of two of four targets go silent under the same load on both variants at once; detection, answered share, latencies, retries and ejections are reported with median and worst over the runs.

Ruled out: 10 ms targets at 200/s, where each target has one or two open connections and the fault hits two requests a run; 30 ms give about eight.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -97,6 +97,10 @@
 		return
 	}
 	r.result.change(kind, func(c *Count) { c.Sent++ })
+	answered := false
+	if r.plan.Ended != nil {
+		defer func() { r.plan.Ended(intended, time.Since(intended), answered) }()
+	}
 	response, err := r.client.Do(request)
 	if err != nil {
 		r.result.change(kind, func(c *Count) { c.Broken++ })
@@ -112,6 +116,7 @@
 	case !r.matches(kind, answer):
 		r.result.change(kind, func(c *Count) { c.Corrupted++ })
 	default:
+		answered = true
 		r.result.record(time.Since(intended))
 		r.result.change(kind, func(c *Count) { c.Answered++ })
 	}
--- a/bench/load/plan.go
+++ b/bench/load/plan.go
@@ -31,6 +31,11 @@
 	Bound    int           // most requests outstanding, 0: 10,000
 	Seed     uint64
 	Label    string // distinguishes the keys of runs in one experiment
+
+	// Ended is told of each request that was sent, from its goroutine: when it
+	// was to start, how long it took since then, and whether it was answered.
+	// It may be nil.
+	Ended func(intended time.Time, took time.Duration, answered bool)
 }
 
 // PlanError is a plan that cannot run.
--- /dev/null
+++ b/bench/quiet/quiet_test.go
@@ -0,0 +1,28 @@
+package quiet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/bench/quiet"
+)
+
+// Guards against a comparison in which the fault hits no request, or hits one
+// variant only.
+func TestFaultHitsBothVariants(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes, which the race detector does not see")
+	}
+	is := is.New(t)
+	naive, real, err := quiet.Run(t.Context(), quiet.Scene{Seed: 1, Rate: 200, Warm: 2 * time.Second, After: 3 * time.Second})
+	is.NoErr(err)
+	for _, r := range []quiet.Result{naive, real} {
+		t.Logf("%+v", r)
+		is.True(r.Late > 0)
+		is.True(r.Retries > 0)
+		is.True(r.Answered > 0.5)
+		is.True(r.P99 >= r.P50 && r.P50 >= 30) // the targets take 30 ms
+	}
+}
