Doubt old connections by the latency of the service

Cause: the entry waited a fixed second for a response on an old connection, as the naive proxy's timeout does, so silent connections cost it as much. Ruled out: a shorter fixed wait, which a slow service would exceed with every request.

--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -199,3 +199,23 @@
 	}
 	return l.budget.Hedge()
 }
+
+const (
+	// patienceFactor is how many times the 95th percentile of the service a
+	// response may be missing on an old connection before a new one is tried.
+	// Few responses of a healthy target take as long, and the attempts on new
+	// connections come out of the retry budget.
+	patienceFactor = 3
+	leastPatience  = 100 * time.Millisecond
+	mostPatience   = time.Second
+)
+
+// Patience returns how long a response may be missing on an old connection
+// before a new one to the same target is tried.
+func (a *Agent) Patience(s *spec.Service, k *spec.Kind) (time.Duration, bool) {
+	usual, ok := a.Hedge(s, k)
+	if !ok {
+		return mostPatience, true
+	}
+	return min(max(patienceFactor*usual, leastPatience), mostPatience), true
+}
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -108,7 +108,7 @@
 func (d *Daemon) newProxy(a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
 		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Admit: a.Admit,
-		Claim: a.Claim, Close: a.Close, Retry: a.Retry, Hedge: a.Hedge,
+		Claim: a.Claim, Close: a.Close, Retry: a.Retry, Hedge: a.Hedge, Patience: a.Patience,
 		Enter: proxy.Tracked(d.flights),
 	}.Counted(m)
 	if err != nil {
