The gate admits what the entry's connections carry

The capacity of the gate is now the smaller of the two for each target. The new test fails without the change.

--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -276,3 +276,33 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// Guards against requests that are admitted beyond the connections of the
+// entry and then refused for want of a target, although they could wait.
+func TestGateAdmitsWhatConnectionsCarry(t *testing.T) {
+	is := is.New(t)
+	r := startReplica(t, &replica{text: text(1), number: 1})
+	a := startAgent(t, r.addr)
+	until(t, "ready", func() bool { return a.View().Ready })
+	large := target("s0", 1)
+	large.Slots = 4096
+	is.Equal(announce(t, a, large), http.StatusOK)
+	until(t, "the target is picked", func() bool { return len(picked(a, "s0")) == 1 })
+	admitted := 0
+	until(t, "requests wait instead of being admitted without limit", func() bool {
+		q := request(a, "s0")
+		q.Kind = &spec.Kind{Name: "lookup", Repeat: true, Weight: 1}
+		q.Deadline = time.Now().Add(50 * time.Millisecond)
+		ctx, cancel := context.WithDeadline(t.Context(), q.Deadline)
+		defer cancel()
+		if _, err := a.Admit(ctx, q); err != nil {
+			return true
+		}
+		admitted++
+		picked, ok := a.Pick(q, nil, time.Now())
+		is.True(ok) // every admitted request finds a target
+		a.Begin(proxy.Attempt{Request: q, Target: picked, Start: time.Now()})
+		return false
+	})
+	is.True(admitted > 0)
+}
--- a/entry/agent/lane.go
+++ b/entry/agent/lane.go
@@ -144,7 +144,6 @@
 	next := make(map[netip.AddrPort]*target, len(known))
 	routed := make([]route.Target, 0, len(known))
 	lines := make([]line, 0, len(known))
-	slots := 0.0
 	out := map[netip.AddrPort]bool{}
 	for _, standing := range a.keeper.Out(l.service.Name) {
 		out[standing.Target] = standing.Probe
@@ -160,9 +159,6 @@
 		routed = append(routed, r)
 		l.ramping = l.ramping || now.Sub(r.Ready) < a.settings.Ramp
 		lines = append(lines, line{Target: t, weight: r.Weight, out: r.Out, probe: r.Probe, drained: a.drains.Has(t.Address.String())})
-		if !r.Drained && !r.Out {
-			slots += float64(t.Slots)
-		}
 	}
 	for address := range l.targets {
 		if next[address] == nil {
@@ -172,12 +168,19 @@
 		}
 	}
 	l.router.Update(now, routed, a.peers)
+	// The gate admits what this entry can send at once: beyond its connections a
+	// request would be refused for want of a target instead of waiting.
+	slots := 0
 	for i := range lines {
-		lines[i].endpoint = l.router.Endpoint(lines[i].Address)
+		e := l.router.Endpoint(lines[i].Address)
+		lines[i].endpoint = e
+		if !routed[i].Drained && !routed[i].Out {
+			slots += min(lines[i].Slots, e.Limit())
+		}
 	}
 	l.lines.Store(&lines)
 	l.targets, l.out, l.dirty, l.updated = next, out, false, now
-	wake(l.gate.Capacity(now, slots, a.entries()))
+	wake(l.gate.Capacity(now, float64(slots), a.entries()))
 }
 
 // routed describes one target to the router.
