--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -41,7 +41,7 @@
 	gossip     *gossip.Core
 	roster     *roster.Roster
 	keeper     *eject.Keeper
-	lanes      map[string]*lane
+	upstreams  map[string]*upstream
 	drains     value.Set[string]
 	orderIndex uint64
 	draining   bool // drained by an operator
@@ -56,11 +56,11 @@
 	peers      []route.Peer
 
 	// Read by traffic goroutines.
-	view   atomic.Pointer[proxy.View]
-	routes atomic.Pointer[map[string]*lane]
-	kept   atomic.Pointer[conns]
-	fleet  atomic.Pointer[Fleet]
-	rates  *rates
+	view    atomic.Pointer[proxy.View]
+	routes  atomic.Pointer[map[string]*upstream]
+	control atomic.Pointer[conns]
+	fleet   atomic.Pointer[Fleet]
+	rates   *rates
 }
 
 // New returns an agent. Run starts its work.
@@ -77,15 +77,15 @@
 			gossip.WithSeeds(s.Seeds...),
 			gossip.WithRand(rand.New(rand.NewPCG(rand.Uint64(), uint64(s.Start.UnixNano())))),
 		),
-		roster: roster.New(roster.WithSelf(s.Instance)),
-		keeper: eject.NewKeeper(),
-		lanes:  map[string]*lane{},
-		drains: value.NewSet[string](),
-		rates:  newRates(),
+		roster:    roster.New(roster.WithSelf(s.Instance)),
+		keeper:    eject.NewKeeper(),
+		upstreams: map[string]*upstream{},
+		drains:    value.NewSet[string](),
+		rates:     newRates(),
 	}
 	a.view.Store(&proxy.View{})
-	a.routes.Store(&map[string]*lane{})
-	a.kept.Store(&conns{})
+	a.routes.Store(&map[string]*upstream{})
+	a.control.Store(&conns{})
 	a.fleet.Store(&Fleet{})
 	a.mesh = hooks.Mesh(
 		mesh.WithHello(a.settings.hello),
@@ -165,12 +165,12 @@
 }
 
 func (a *Agent) tick(now time.Time) {
-	a.thaw(now)
+	a.checkPause(now)
 	a.ticked = now
 	a.perform(now, a.gossip.Tick(now))
-	a.carry(now, a.roster.Tick(now))
+	a.performRoster(now, a.roster.Tick(now))
 	a.confirm(now)
-	a.steer(now)
+	a.tickUpstreams(now)
 	a.report(now)
 	a.publish(now)
 	if now.Sub(a.refreshed) >= time.Second {
--- a/entry/agent/announce.go
+++ b/entry/agent/announce.go
@@ -34,7 +34,7 @@
 	applied := a.await(r.Context(), func(now time.Time) {
 		actions, err := a.roster.Announce(now, renew)
 		refused = err
-		a.carry(now, actions)
+		a.performRoster(now, actions)
 	})
 	switch {
 	case !applied:
--- a/entry/agent/claims.go
+++ b/entry/agent/claims.go
@@ -41,7 +41,7 @@
 
 func (a *Agent) ask(ctx context.Context, kind wire.Kind, body any) (wire.Claimed, error) {
 	var last error
-	for _, c := range *a.kept.Load() {
+	for _, c := range *a.control.Load() {
 		answer, err := askOne(ctx, c, kind, body)
 		if err == nil {
 			return answer, nil
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -77,7 +77,7 @@
 	number := a.update.Number()
 	a.log.WithField("revision", number).Info("revision in force")
 	a.gossip.Revise(number, a.update.Digest().Sum)
-	a.relane(now)
+	a.updateServices(now)
 	a.reportDue = true
 	a.publish(now)
 	if a.settings.Data != "" {
@@ -97,7 +97,7 @@
 	if !a.update.Ready(now) {
 		every = confirmFirst
 	}
-	links := *a.kept.Load()
+	links := *a.control.Load()
 	if a.confirming || len(links) == 0 || now.Sub(a.confirmed) < every {
 		return
 	}
@@ -154,7 +154,7 @@
 		Instance: a.settings.Instance, Start: a.settings.Start, Number: a.update.Number(),
 		State: state, Inflight: a.hooks.Inflight(), Confirmed: a.update.Confirmed(now),
 	}
-	for _, c := range *a.kept.Load() {
+	for _, c := range *a.control.Load() {
 		_ = c.Send(wire.KindReport, r) // a failed send ends the link
 	}
 }
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -33,7 +33,7 @@
 			return a.answerAsk(m)
 		}
 		return deliver(m, func(r wire.Renew) {
-			a.post(func(now time.Time) { a.carry(now, a.roster.Renew(now, r)) })
+			a.post(func(now time.Time) { a.performRoster(now, a.roster.Renew(now, r)) })
 		})
 	case wire.KindOrders:
 		return deliver(m, func(o wire.Orders) {
@@ -90,7 +90,7 @@
 // first, since claims take the first one.
 func (a *Agent) keptLink(c *link.Conn, open bool) {
 	a.post(func(now time.Time) {
-		next := slices.DeleteFunc(slices.Clone(*a.kept.Load()), func(o *link.Conn) bool { return o == c })
+		next := slices.DeleteFunc(slices.Clone(*a.control.Load()), func(o *link.Conn) bool { return o == c })
 		switch {
 		case open && c.Peer().Region == a.settings.Region:
 			next = slices.Insert(next, 0, c)
@@ -99,7 +99,7 @@
 		default:
 			a.update.Lost(c.Peer().Instance)
 		}
-		a.kept.Store(&next)
+		a.control.Store(&next)
 		if open {
 			a.reportDue = true
 			a.pull(c, a.update.Pull(now, c.Peer().Instance))
@@ -131,8 +131,8 @@
 	}
 }
 
-// carry does what the roster asks for.
-func (a *Agent) carry(now time.Time, actions []roster.Action) {
+// performRoster does what the roster asks for.
+func (a *Agent) performRoster(now time.Time, actions []roster.Action) {
 	for _, action := range actions {
 		switch action.Do {
 		case roster.Publish:
@@ -163,7 +163,7 @@
 
 // learn takes in a changed record of an instance or target.
 func (a *Agent) learn(now time.Time, record *gossip.Record) {
-	a.carry(now, a.roster.Learn(now, record))
+	a.performRoster(now, a.roster.Learn(now, record))
 	if record.Kind == gossip.KindInstance {
 		a.peersDirty = true
 		return
--- a/entry/agent/owner.go
+++ b/entry/agent/owner.go
@@ -24,7 +24,7 @@
 			a.log.WithField("to", action.To).WithField(logs.FieldError, err.Error()).Debug("owner not asked")
 			return
 		}
-		a.post(func(now time.Time) { a.carry(now, a.roster.Answered(now, answer)) })
+		a.post(func(now time.Time) { a.performRoster(now, a.roster.Answered(now, answer)) })
 	}()
 }
 
--- a/entry/agent/status.go
+++ b/entry/agent/status.go
@@ -36,10 +36,10 @@
 // Targets lists the targets of all services in force with their state and the
 // reason for it, by service and address.
 func (a *Agent) Targets() []Known {
-	lanes := *a.routes.Load()
+	upstreams := *a.routes.Load()
 	out := []Known{}
-	for _, name := range slices.Sorted(maps.Keys(lanes)) {
-		for _, t := range *lanes[name].lines.Load() {
+	for _, name := range slices.Sorted(maps.Keys(upstreams)) {
+		for _, t := range *upstreams[name].lines.Load() {
 			out = append(out, Known{
 				Service: name, Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
 				Slots: t.Slots, Start: t.Start, State: t.state(), Inflight: t.endpoint.Inflight(), Reason: t.reason(),
@@ -49,7 +49,7 @@
 	return out
 }
 
-// line is a target as it stood at the last update of its lane.
+// line is a target as it stood at the last update of its upstream.
 type line struct {
 	roster.Target
 	endpoint *route.Endpoint
--- a/entry/agent/lane.go
+++ b/entry/agent/upstream.go
@@ -1,9 +1,7 @@
 package agent
 
 import (
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +21,8 @@
 	health *health.Target
 }
 
-// lane is what the entry holds for one service.
-type lane struct {
+// upstream is what the entry holds for one service.
+type upstream struct {
 	router  *route.Router
 	monitor *health.Monitor
 	budget  *retry.Budget
@@ -48,9 +46,9 @@
 	ticked   time.Time // last tick of the monitor
 }
 
-func (a *Agent) newLane(now time.Time, s *spec.Service) *lane {
+func (a *Agent) newUpstream(now time.Time, s *spec.Service) *upstream {
 	here := route.Here{Instance: a.settings.Instance, Region: a.settings.Region, DataCentre: a.settings.DataCentre}
-	l := &lane{
+	u := &upstream{
 		service: s,
 		router: route.New(now, here, route.WithRamp(a.settings.Ramp), route.WithMeter(func(_ string, sent, received int64) {
 			a.hooks.Crossing(sent, received)
@@ -67,31 +65,31 @@
 		weights:  map[netip.AddrPort]float64{},
 		watched:  map[netip.AddrPort]time.Time{},
 	}
-	l.lines.Store(&[]line{})
-	return l
+	u.lines.Store(&[]line{})
+	return u
 }
 
-// relane brings the lanes in line with a new text. A lane of a service that
-// stays keeps its evidence and budgets.
-func (a *Agent) relane(now time.Time) {
+// updateServices brings the upstreams in line with a new text. The upstream of
+// a service that stays keeps its evidence and budgets.
+func (a *Agent) updateServices(now time.Time) {
 	text := a.update.Text()
-	next := make(map[string]*lane, len(text.Services))
+	next := make(map[string]*upstream, len(text.Services))
 	for _, s := range text.Services {
-		l := a.lanes[s.Name]
-		if l == nil {
-			l = a.newLane(now, s)
+		u := a.upstreams[s.Name]
+		if u == nil {
+			u = a.newUpstream(now, s)
 		}
-		// Traffic goroutines read the service from the view, not from the lane.
-		l.service, l.dirty = s, true
-		next[s.Name] = l
+		// Traffic goroutines read the service from the view, not from the upstream.
+		u.service, u.dirty = s, true
+		next[s.Name] = u
 		a.keeper.Service(s.Name, eject.Floor{Share: s.Floor.Share, Slots: s.Floor.Slots})
 	}
-	for name := range a.lanes {
+	for name := range a.upstreams {
 		if next[name] == nil {
 			a.keeper.Drop(name)
 		}
 	}
-	a.lanes = next
+	a.upstreams = next
 	a.routes.Store(&next)
 	a.tellKeeper(now)
 	a.rates.set(text, a.entries())
@@ -99,7 +97,7 @@
 
 // tellKeeper tells the keeper of leases what is known of every target.
 func (a *Agent) tellKeeper(now time.Time) {
-	for name := range a.lanes {
+	for name := range a.upstreams {
 		for _, t := range a.roster.Snapshot().Targets(name) {
 			a.keeper.Target(now, a.ejectTarget(t))
 		}
@@ -130,76 +128,76 @@
 	if err != nil {
 		return
 	}
-	l := a.lanes[t.Service]
-	if l == nil {
+	u := a.upstreams[t.Service]
+	if u == nil {
 		return
 	}
 	a.keeper.Target(now, a.ejectTarget(t))
-	l.dirty = true
+	u.dirty = true
 }
 
-// updateLane gives the router, the monitor and the gate the present targets.
-func (a *Agent) updateLane(now time.Time, l *lane) {
-	known := a.roster.Snapshot().Targets(l.service.Name)
+// updateUpstream gives the router, the monitor and the gate the present targets.
+func (a *Agent) updateUpstream(now time.Time, u *upstream) {
+	known := a.roster.Snapshot().Targets(u.service.Name)
 	next := make(map[netip.AddrPort]*target, len(known))
 	routed := make([]route.Target, 0, len(known))
 	lines := make([]line, 0, len(known))
 	out := map[netip.AddrPort]bool{}
-	for _, standing := range a.keeper.Out(l.service.Name) {
+	for _, standing := range a.keeper.Out(u.service.Name) {
 		out[standing.Target] = standing.Probe
 	}
-	l.ramping = len(l.watched) > 0
+	u.ramping = len(u.watched) > 0
 	for _, t := range known {
-		h := l.targets[t.Address]
+		h := u.targets[t.Address]
 		if h == nil || !h.Start.Equal(t.Start) {
-			h = &target{Target: t, health: l.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre)}
+			h = &target{Target: t, health: u.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre)}
 		}
 		next[t.Address] = h
-		r := a.routed(now, l, t, h, out)
+		r := a.routed(now, u, t, h, out)
 		routed = append(routed, r)
-		l.ramping = l.ramping || now.Sub(r.Ready) < a.settings.Ramp
+		u.ramping = u.ramping || now.Sub(r.Ready) < a.settings.Ramp
 		lines = append(lines, line{Target: t, weight: r.Weight, out: r.Out, probe: r.Probe, drained: a.drains.Has(t.Address.String())})
 	}
-	for address := range l.targets {
+	for address := range u.targets {
 		if next[address] == nil {
-			l.monitor.Forget(address)
-			delete(l.weights, address)
-			delete(l.returned, address)
+			u.monitor.Forget(address)
+			delete(u.weights, address)
+			delete(u.returned, address)
 		}
 	}
-	l.router.Update(now, routed, a.peers)
+	u.router.Update(now, routed, a.peers)
 	// The gate admits what this entry can send at once: beyond its connections a
 	// request would be refused for want of a target instead of waiting.
 	slots := 0
 	for i := range lines {
-		e := l.router.Endpoint(lines[i].Address)
+		e := u.router.Endpoint(lines[i].Address)
 		lines[i].endpoint = e
 		if !routed[i].Drained && !routed[i].Out {
 			slots += min(lines[i].Slots, e.Limit())
 		}
 	}
-	l.lines.Store(&lines)
-	l.targets, l.out, l.dirty, l.updated = next, out, false, now
-	wake(l.gate.Capacity(now, float64(slots), a.entries()))
+	u.lines.Store(&lines)
+	u.targets, u.out, u.dirty, u.updated = next, out, false, now
+	wake(u.gate.Capacity(now, float64(slots), a.entries()))
 }
 
 // routed describes one target to the router.
-func (a *Agent) routed(now time.Time, l *lane, t roster.Target, h *target, out map[netip.AddrPort]bool) route.Target {
+func (a *Agent) routed(now time.Time, u *upstream, t roster.Target, h *target, out map[netip.AddrPort]bool) route.Target {
 	ready := now.Add(-t.Age(now))
 	probe, held := out[t.Address]
-	if _, before := l.out[t.Address]; before && !held {
-		l.returned[t.Address] = now
+	if _, before := u.out[t.Address]; before && !held {
+		u.returned[t.Address] = now
 	}
-	if back, ok := l.returned[t.Address]; ok && back.After(ready) {
+	if back, ok := u.returned[t.Address]; ok && back.After(ready) {
 		ready = back
 	}
-	l.weights[t.Address] = h.health.Weight()
+	u.weights[t.Address] = h.health.Weight()
 	drained := t.State == gossip.StateDraining || t.State == gossip.StateLeaving
 	return route.Target{
 		Address: t.Address, Start: t.Start, Region: t.Region, DataCentre: t.DataCentre,
 		Slots: t.Slots, Connections: t.Connections, Ready: ready, Weight: h.health.Weight(), Tag: h,
 		Out:     held,
-		Watched: l.watched[t.Address],
+		Watched: u.watched[t.Address],
 		Probe:   held && probe,
 		Drained: drained || a.drains.Has(t.Address.String()),
 	}
@@ -220,42 +218,3 @@
 }
 
 func (a *Agent) entries() int { return max(1, len(a.peers)) }
-
-// pick selects a target outside exclude.
-func (l *lane) pick(now time.Time, repeat bool, exclude []netip.AddrPort) *route.Endpoint {
-	const draws = 4
-	draw := rand.Uint64()
-	if repeat && len(exclude) == 0 {
-		if e := l.probe(now, draw); e != nil {
-			return e
-		}
-	}
-	var avoid *route.Endpoint
-	for range draws {
-		e := l.router.Pick(now, draw, avoid)
-		if e == nil {
-			return nil
-		}
-		if !slices.Contains(exclude, e.Address()) {
-			return e
-		}
-		avoid, draw = e, rand.Uint64()
-	}
-	return nil
-}
-
-// probeEvery is the time between two requests of this entry to a target in
-// probation; each may be slow or fail.
-const probeEvery = 500 * time.Millisecond
-
-// probe returns a target that needs evidence and may take a repeatable request:
-// one in probation, or a suspect that control has begun to watch.
-func (l *lane) probe(now time.Time, draw uint64) *route.Endpoint {
-	last := l.probed.Load()
-	if now.UnixNano()-last >= int64(probeEvery) {
-		if e := l.router.Probe(draw); e != nil && l.probed.CompareAndSwap(last, now.UnixNano()) {
-			return e
-		}
-	}
-	return l.router.Sample(now, draw)
-}
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -109,7 +109,7 @@
 	hooks, err := proxy.Hooks{
 		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Admit: a.Admit,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, Hedge: a.Hedge, Patience: a.Patience,
-		Enter: proxy.Tracked(d.flights),
+		Enter: proxy.Tracked(d.inflightCore),
 	}.Counted(m)
 	if err != nil {
 		return nil, err
@@ -189,7 +189,7 @@
 // inflight counts the requests in flight.
 func (d *Daemon) inflight() int {
 	n := 0
-	for _, count := range d.flights.Inflight() {
+	for _, count := range d.inflightCore.Inflight() {
 		n += count
 	}
 	return n
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -31,23 +31,23 @@
 
 // Daemon is one entry.
 type Daemon struct {
-	settings Settings
-	start    time.Time
-	log      *logrus.Entry
-	meter    *meter.Meter
-	counts   *counts
-	certs    *certs.Certs // nil without TLS between instances
-	public   *certs.Certs // nil without TLS towards callers
-	agent    *agent.Agent
-	proxy    *proxy.Proxy
-	traffic  *serve.Server
-	peer     *serve.Server
-	admin    *serve.Server
-	announce *serve.Server // nil without an address of its own
-	flights  *drain.Core
-	stopping atomic.Bool
-	drained  atomic.Bool // by an operator
-	hurry    chan struct{}
+	settings     Settings
+	start        time.Time
+	log          *logrus.Entry
+	meter        *meter.Meter
+	counts       *counts
+	certs        *certs.Certs // nil without TLS between instances
+	public       *certs.Certs // nil without TLS towards callers
+	agent        *agent.Agent
+	proxy        *proxy.Proxy
+	traffic      *serve.Server
+	peer         *serve.Server
+	admin        *serve.Server
+	announce     *serve.Server // nil without an address of its own
+	inflightCore *drain.Core
+	stopping     atomic.Bool
+	drained      atomic.Bool // by an operator
+	hurry        chan struct{}
 }
 
 // New binds the addresses. Run serves.
@@ -58,7 +58,7 @@
 		return nil, fault
 	}
 	d := &Daemon{settings: s, start: time.Now(), hurry: make(chan struct{}, 1)}
-	d.flights = drain.New(drain.WithTimes(s.Grace, s.Limit))
+	d.inflightCore = drain.New(drain.WithTimes(s.Grace, s.Limit))
 	if err := d.assemble(); err != nil {
 		return nil, err
 	}
@@ -131,9 +131,9 @@
 	// Idle connections stay open until the end of the grace time: closing them
 	// here would cut off a request that is on its way on one of them.
 	d.agent.Leave(ctx)
-	d.flights.Stop(time.Now())
-	d.awaitFlights()
-	for _, r := range d.flights.Cut() {
+	d.inflightCore.Stop(time.Now())
+	d.awaitInflight()
+	for _, r := range d.inflightCore.Cut() {
 		d.log.WithFields(logrus.Fields{
 			logs.FieldRequest: r.ID, "service": r.Service, "kind": r.Kind, "age": time.Since(r.Start).String(),
 		}).Warn("request cut off")
@@ -141,7 +141,7 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	if len(d.flights.Cut()) == 0 {
+	if len(d.inflightCore.Cut()) == 0 {
 		if err := d.traffic.Shutdown(ctx); err != nil {
 			d.log.WithField(logs.FieldError, err.Error()).Warn("connections closed")
 		}
@@ -151,20 +151,20 @@
 	}
 }
 
-// awaitFlights waits until no request is in flight, the time limit has passed
+// awaitInflight waits until no request is in flight, the time limit has passed
 // or a second signal ends the wait.
-func (d *Daemon) awaitFlights() {
+func (d *Daemon) awaitInflight() {
 	for {
-		phase, next := d.flights.Step(time.Now())
+		phase, next := d.inflightCore.Step(time.Now())
 		if phase == drain.Ended {
 			return
 		}
 		timer := time.NewTimer(time.Until(next))
 		select {
 		case <-timer.C:
-		case <-d.flights.Done():
+		case <-d.inflightCore.Done():
 		case <-d.hurry:
-			d.flights.Stop(time.Now())
+			d.inflightCore.Stop(time.Now())
 		}
 		timer.Stop()
 	}
