health: less evidence from slow requests while the peers are saturated

All requests that wait in one queue are slow together; the test counts them as independent observations.

Entries average the share of their slots that the peers of a target report in use. From 0.9 on the test allows a healthy target a rate of exceedance of 0.4 instead of 0.1. Only the peers' load counts, so a target's own queue or a wrong report of its own is no excuse.

No conviction at all under saturation was not tried, since a slow target would then stay in service exactly when capacity is short.

--- a/bench/trial/real.go
+++ b/bench/trial/real.go
@@ -155,6 +155,7 @@
 		return
 	}
 	a.endpoint.Load(now, a.load, w.scene.Slots)
+	r.handles[a.target].Load(now, a.load, w.scene.Slots)
 	if q := &w.requests[a.request]; q.ticket != nil {
 		r.gate.Report(q.ticket, a.load, w.scene.Slots)
 	}
--- a/core/health/doc.go
+++ b/core/health/doc.go
@@ -8,9 +8,10 @@
 // Target.Weight and passes it to core/route.
 //
 // A traffic goroutine calls Target.Start when it sends a request and
-// Call.Finish once when the attempt has ended. Both use atomics only. For
-// connections it calls Target.Open, Conn.Send, Conn.Hear and Conn.Close; the
-// control goroutine asks Target.Silent which of them to close.
+// Call.Finish once when the attempt has ended, and Target.Load with the load
+// that a response reports. All use atomics only. For connections it calls
+// Target.Open, Conn.Send, Conn.Hear and Conn.Close; the control goroutine asks
+// Target.Silent which of them to close.
 //
 // The test. Each attempt gives one observation: it failed or took longer than
 // the 90th percentile of the peers, or it did neither. The peers are the other
@@ -19,6 +20,13 @@
 // compares exceedance probability 0.6 with 0.1, or with the peers' recent rate
 // when that is higher, so that a change common to all is evidence against none.
 //
+// Overload. While the peers' reported slots are in use, a queue of two to five
+// times the slots forms at one healthy target or another for 0.2 s to 0.5 s.
+// The requests in it are slow together, not independently, and sums of them
+// pass the fast threshold. In that state the test therefore allows a healthy
+// target a rate of 0.4. Only the load of the peers counts, so that a slow
+// target's own queue, or a wrong report of its own, is no excuse.
+//
 // False alarms. A cumulative sum with threshold h has at most exp(-h) false
 // alarms per observation of a healthy target with independent observations.
 // Policy.Threshold is h, applied by the leader to the pooled evidence: fast
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -27,6 +27,7 @@
 	targets []*health.Target
 	draws   *rand.Rand
 	now     time.Time
+	load    int // reported in each response, of 6 slots
 	factor  func(target int) float64
 	failing func(target int) float64
 	rows    map[netip.AddrPort]wire.Sighted
@@ -63,6 +64,7 @@
 			}
 			latency := time.Duration(4e6 * v.factor(i) * math.Exp(v.draws.NormFloat64()))
 			t.Start(v.now).Finish(v.now.Add(latency), outcome)
+			t.Load(v.now, v.load, 6)
 		}
 		if v.now.Sub(start)%(50*time.Millisecond) != 0 {
 			continue
@@ -97,6 +99,34 @@
 	// Output: 1 0
 }
 
+// Guards against evidence from the queue that forms at a healthy target for a
+// moment while all slots of the service are in use, and against a slow target
+// that is not found in that state.
+func TestSaturatedPeers(t *testing.T) {
+	burst := func(seed uint64, factor float64, length time.Duration, opts ...health.Option) float64 {
+		v := newView(seed, 12, opts...)
+		v.load = 8
+		v.run(10*time.Second, 20)
+		v.factor = func(i int) float64 { return []float64{1, factor}[b2i(i == 4)] }
+		clear(v.rows)
+		v.run(length, 20)
+		return v.rows[address(4)].Score
+	}
+	never := health.WithSaturation(func(float64) bool { return false })
+	threshold := health.Fast.Threshold()
+	naive, real := 0.0, 0.0 // pooled from ten entries that see the same queue
+	for seed := range uint64(10) {
+		is := is.New(t)
+		naive += burst(seed, 3, time.Second, never)
+		real += burst(seed, 3, time.Second)
+		is.True(burst(seed, 10, 5*time.Second) > threshold)
+	}
+	t.Logf("evidence of ten entries: %.1f, without regard to the load: %.1f", real, naive)
+	is := is.New(t)
+	is.True(naive > threshold)
+	is.True(real < threshold)
+}
+
 // Guards against a weight that stays or becomes zero, and against a late report
 // of a slow target. Of the goal of one second, 400 ms are set aside for the
 // pause before the second report (250 ms) and for the way to the leader, the
--- a/core/health/monitor.go
+++ b/core/health/monitor.go
@@ -42,6 +42,14 @@
 	// prior is the number of observations at the healthy rate that the peers'
 	// rate starts from.
 	prior = 10
+	// saturation is the share of the peers' reported slots in use from which
+	// requests wait in queues at healthy targets.
+	saturation = 0.9
+	// loadMemory is the time over which that share is averaged.
+	loadMemory = time.Second
+	// queueRate is the rate of exceedance that a healthy target may show for
+	// as long as a queue lasts while its peers are saturated.
+	queueRate = 0.4
 	// enoughSeen is the number of recent observations that make a target count
 	// in the self-check.
 	enoughSeen = 2
@@ -64,6 +72,7 @@
 	credited  time.Time
 	blind     bool
 	selfcheck func(bad, seen int) bool
+	saturated func(share float64) bool
 	rows      []wire.Sighted
 }
 
@@ -75,6 +84,12 @@
 	return func(m *Monitor) { m.selfcheck = blind }
 }
 
+// WithSaturation replaces the rule that takes the peers for saturated, from
+// the share of their slots in use.
+func WithSaturation(saturated func(share float64) bool) Option {
+	return func(m *Monitor) { m.saturated = saturated }
+}
+
 // New returns a monitor of a service, seen from a region.
 func New(now time.Time, service, here string, opts ...Option) *Monitor {
 	m := &Monitor{
@@ -82,6 +97,7 @@
 		targets: map[netip.AddrPort]*Target{}, regions: map[string]*region{},
 		ticked: now, refreshed: now, credit: Burst, credited: now,
 		selfcheck: func(bad, seen int) bool { return seen >= 3 && 2*bad > seen },
+		saturated: func(share float64) bool { return share >= saturation },
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -160,6 +176,7 @@
 	fade := math.Exp(-float64(elapsed) / float64(recent))
 	relax := math.Exp(-float64(elapsed) / float64(forgive))
 	bad, seen := 0, 0
+	m.observeLoad(now, elapsed)
 	for _, r := range m.order {
 		r.collect(now, fade)
 		for _, t := range r.targets {
@@ -193,7 +210,7 @@
 	if step.all() == 0 && step.severe == 0 {
 		return
 	}
-	bad, good := Ratio(r.rate(t))
+	bad, good := Ratio(m.healthy(r, t))
 	move := float64(step.bad())*bad + float64(step.good)*good
 	s.sum = min(ceiling, max(0, s.sum+move))
 	s.score += move
@@ -204,6 +221,36 @@
 	}
 }
 
+// observeLoad averages the share of their slots that the peers of each target
+// use. A single report is no measure: at half load the few peers that an entry
+// uses are all busy now and then, and 5% of errors then took 1 s longer to find.
+func (m *Monitor) observeLoad(now time.Time, elapsed time.Duration) {
+	part := 1 - math.Exp(-float64(elapsed)/float64(loadMemory))
+	allUsed, allSlots := 0.0, 0.0
+	for _, t := range m.list {
+		used, slots := t.reported(now)
+		allUsed, allSlots = allUsed+used, allSlots+slots
+	}
+	for _, t := range m.list {
+		used, slots := t.reported(now)
+		share := 0.0
+		if allSlots > slots {
+			share = (allUsed - used) / (allSlots - slots)
+		}
+		t.state.peers += (share - t.state.peers) * part
+	}
+}
+
+// healthy is the rate at which a healthy target in the place of this one
+// exceeds the percentile of its peers.
+func (m *Monitor) healthy(r *region, t *Target) float64 {
+	rate := r.rate(t)
+	if m.saturated(t.state.peers) {
+		return max(rate, queueRate)
+	}
+	return rate
+}
+
 func (m *Monitor) weigh(t *Target) float64 {
 	factor := m.regions[t.Region].factor
 	if m.blind {
--- a/core/health/state.go
+++ b/core/health/state.go
@@ -22,6 +22,7 @@
 	seen   tally   // counters at the last tick
 	sum    float64 // local cumulative sum
 	weight float64
+	peers  float64 // share of the peers' slots in use, averaged
 
 	recentAll, recentBad, recentFailed float64 // decayed counts
 	history                            histogram
--- a/core/health/target.go
+++ b/core/health/target.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,7 @@
 	slow      atomic.Int64
 	failed    atomic.Int64
 	severe    atomic.Int64
+	load      atomic.Uint64 // last report: requests, slots, time in ms; 0: none
 	counts    counts
 
 	mu    sync.Mutex // guards conns; held for list operations only
@@ -84,6 +86,28 @@
 	}
 }
 
+// Load records the load that the target reported in a response: requests in
+// flight there and its slots. A report without slots is ignored.
+func (t *Target) Load(now time.Time, inflight, slots int) {
+	if slots <= 0 {
+		return
+	}
+	ms := uint64(uint32(now.Sub(t.epoch).Milliseconds()))
+	t.load.Store(uint64(max(0, min(inflight, math.MaxUint16)))<<48 | uint64(min(slots, math.MaxUint16))<<32 | ms)
+}
+
+// reported returns the slots in use and all slots by the last report, zeros
+// when it is older than recent.
+func (t *Target) reported(now time.Time) (used, slots float64) {
+	report := t.load.Load()
+	age := uint32(now.Sub(t.epoch).Milliseconds()) - uint32(report)
+	if report == 0 || int32(age) > int32(recent.Milliseconds()) {
+		return 0, 0
+	}
+	slots = float64(report >> 32 & math.MaxUint16)
+	return min(float64(report>>48), slots), slots
+}
+
 // Pending returns the number of attempts in flight.
 func (t *Target) Pending() int { return int(t.open.Load()) }
 
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -92,6 +92,7 @@
 	var inflight, slots int
 	if n, _ := fmt.Sscanf(o.Load, "inflight=%d limit=%d", &inflight, &slots); n == 2 {
 		d.endpoint.Load(o.End, inflight, slots)
+		d.target.health.Load(o.End, inflight, slots)
 		if ticket, ok := at.Request.Admission.Handle.(*limit.Ticket); ok {
 			d.lane.gate.Report(ticket, inflight, slots)
 		}
