--- a/core/health/doc.go
+++ b/core/health/doc.go
@@ -20,12 +20,12 @@
 // compares exceedance probability 0.6 with 0.1, or with the peers' recent rate
 // when that is higher, so that a change common to all is evidence against none.
 //
-// Overload. While the peers' reported slots are in use, a queue of two to
-// five times the slots forms at one healthy target or another for 0.3 s to
-// 0.6 s, and all requests that wait in it are slow: they are not independent,
-// and sums of them pass the fast threshold. In that state the test therefore
-// allows a healthy target a rate of 0.4. Only the load of the peers counts, so
-// that a slow target's own queue, or a wrong report of its own, is no excuse.
+// Overload. While the peers' reported slots are in use, a queue of two to five
+// times the slots forms at one healthy target or another for 0.2 s to 0.5 s.
+// The requests in it are slow together, not independently, and sums of them
+// pass the fast threshold. In that state the test therefore allows a healthy
+// target a rate of 0.4. Only the load of the peers counts, so that a slow
+// target's own queue, or a wrong report of its own, is no excuse.
 //
 // False alarms. A cumulative sum with threshold h has at most exp(-h) false
 // alarms per observation of a healthy target with independent observations.
