--- a/bench/procs/process.go
+++ b/bench/procs/process.go
@@ -22,6 +22,8 @@
 	Name string
 
 	command *exec.Cmd
+	started time.Time
+	ended   time.Time
 	done    chan struct{}
 	err     error
 
@@ -32,7 +34,7 @@
 
 // Start runs a program and waits for its line with the event "ready".
 func Start(name, program string, args ...string) (*Process, error) {
-	p := &Process{Name: name, command: exec.Command(program, args...), done: make(chan struct{})}
+	p := &Process{Name: name, command: exec.Command(program, args...), started: time.Now(), done: make(chan struct{})}
 	reader, writer := io.Pipe()
 	p.command.Stdout, p.command.Stderr = writer, writer
 	if err := p.command.Start(); err != nil {
@@ -42,6 +44,7 @@
 	go p.read(reader, ready)
 	go func() {
 		p.err = p.command.Wait()
+		p.ended = time.Now()
 		_ = writer.Close() // never fails
 		close(p.done)
 	}()
@@ -139,6 +142,13 @@
 	return eris.Wrapf(p.err, "%s: %s", p.Name, p.last())
 }
 
+// Lifetime returns the time from the start to the end of a process that has
+// ended.
+func (p *Process) Lifetime() time.Duration {
+	<-p.done
+	return p.ended.Sub(p.started)
+}
+
 // Processor returns the processor time and the largest resident memory in
 // bytes of a process that has ended.
 func (p *Process) Processor() (time.Duration, int64) {
--- a/control/watch/judge.go
+++ b/control/watch/ejector.go
@@ -17,8 +17,8 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// judge decides ejections while the replica leads.
-type judge struct {
+// ejector decides ejections while the replica leads.
+type ejector struct {
 	log  *logrus.Entry
 	note func(event string)
 
@@ -37,32 +37,32 @@
 
 // Evidence takes evidence of an entry.
 func (w *Watch) Evidence(now time.Time, e wire.Evidence) {
-	if w.judge.leader != nil {
-		w.judge.leader.Evidence(now, e)
+	if w.ejector.leader != nil {
+		w.ejector.leader.Evidence(now, e)
 	}
 }
 
 // Watched returns the watch list.
 func (w *Watch) Watched(now time.Time) []wire.Watched {
-	if w.judge.leader == nil {
+	if w.ejector.leader == nil {
 		return nil
 	}
-	return w.judge.leader.Orders(now).Watch
+	return w.ejector.leader.Orders(now).Watch
 }
 
 // Decide returns the sets of grants to propose.
 func (w *Watch) Decide(now time.Time, leads bool, v *state.View) []state.Command {
-	j := &w.judge
+	e := &w.ejector
 	if !leads {
-		j.leader = nil
+		e.leader = nil
 		return nil
 	}
-	if j.leader == nil && !j.takeOver(now, v, w.Targets()) {
+	if e.leader == nil && !e.takeOver(now, v, w.Targets()) {
 		return nil
 	}
-	j.follow(now, v, w.Targets())
+	e.follow(now, v, w.Targets())
 	var out []state.Command
-	for _, set := range j.leader.Step(now) {
+	for _, set := range e.leader.Step(now) {
 		out = append(out, state.Command{Grant: grant(set, v)})
 	}
 	return out
@@ -78,7 +78,7 @@
 
 // Decided takes what became of a proposed set.
 func (w *Watch) Decided(_ time.Time, c state.Command, result state.Result, err error) {
-	leader := w.judge.leader
+	leader := w.ejector.leader
 	if leader == nil || c.Grant == nil {
 		return
 	}
@@ -90,23 +90,23 @@
 }
 
 // takeOver begins the decisions of a replica that has become leader.
-func (j *judge) takeOver(now time.Time, v *state.View, targets *roster.Snapshot) bool {
+func (e *ejector) takeOver(now time.Time, v *state.View, targets *roster.Snapshot) bool {
 	leader, err := eject.New(now, v.Index, eject.WithNote(func(event string, t eject.Target, score float64) {
-		if j.note != nil {
-			j.note(event)
+		if e.note != nil {
+			e.note(event)
 		}
-		j.log.WithFields(logrus.Fields{
+		e.log.WithFields(logrus.Fields{
 			"service": t.Service, "target": t.Address.String(), "score": score, "change": event,
 		}).Info("target")
 	}))
 	if err != nil {
-		j.log.WithField(logs.FieldError, err.Error()).Error("life cycle of targets")
+		e.log.WithField(logs.FieldError, err.Error()).Error("life cycle of targets")
 		return false
 	}
-	j.leader, j.revision, j.targets = leader, 0, 0
-	j.drains, j.services = value.NewSet[string](), value.NewSet[string]()
-	j.known = map[targetKey]eject.Target{}
-	j.follow(now, v, targets)
+	e.leader, e.revision, e.targets = leader, 0, 0
+	e.drains, e.services = value.NewSet[string](), value.NewSet[string]()
+	e.known = map[targetKey]eject.Target{}
+	e.follow(now, v, targets)
 	sets := map[string]*eject.Set{}
 	for _, l := range v.Leases {
 		if !l.Current {
@@ -128,49 +128,49 @@
 
 // follow tells the leader what has changed in the text, the drains and the
 // targets.
-func (j *judge) follow(now time.Time, v *state.View, targets *roster.Snapshot) {
+func (e *ejector) follow(now time.Time, v *state.View, targets *roster.Snapshot) {
 	newest := v.Newest().Number
-	changed := newest != j.revision
+	changed := newest != e.revision
 	if changed {
-		j.revision = newest
-		j.follows(v)
+		e.revision = newest
+		e.readText(v)
 	}
 	drains := value.NewSet[string]()
 	for _, d := range v.Drains {
 		drains.Add(d.Name)
-		changed = changed || !j.drains.Has(d.Name)
+		changed = changed || !e.drains.Has(d.Name)
 	}
-	changed = changed || len(drains) != len(j.drains) || targets.Version() != j.targets
+	changed = changed || len(drains) != len(e.drains) || targets.Version() != e.targets
 	if !changed {
 		return
 	}
-	j.drains, j.targets = drains, targets.Version()
+	e.drains, e.targets = drains, targets.Version()
 	present := map[targetKey]bool{}
-	for service := range j.services {
+	for service := range e.services {
 		for _, t := range targets.Targets(service) {
 			key := targetKey{service: service, address: t.Address}
 			present[key] = true
-			j.tell(now, key, eject.Target{
+			e.tell(now, key, eject.Target{
 				Service: service, Address: t.Address, Start: t.Start, Slots: t.Slots,
 				State: stateOf(t.State, drains.Has(t.Address.String())),
 			})
 		}
 	}
-	for key, t := range j.known {
+	for key, t := range e.known {
 		if !present[key] {
 			t.State = eject.Gone
-			j.leader.Target(now, t)
-			delete(j.known, key)
+			e.leader.Target(now, t)
+			delete(e.known, key)
 		}
 	}
 }
 
-func (j *judge) tell(now time.Time, key targetKey, t eject.Target) {
-	if j.known[key] == t {
+func (e *ejector) tell(now time.Time, key targetKey, t eject.Target) {
+	if e.known[key] == t {
 		return
 	}
-	j.known[key] = t
-	j.leader.Target(now, t)
+	e.known[key] = t
+	e.leader.Target(now, t)
 }
 
 func stateOf(s gossip.State, drained bool) eject.State {
@@ -183,15 +183,15 @@
 	return eject.Ready
 }
 
-// follows takes the services of the newest text.
-func (j *judge) follows(v *state.View) {
-	source, ok := v.Text(j.revision)
+// readText takes the services of the newest text.
+func (e *ejector) readText(v *state.View) {
+	source, ok := v.Text(e.revision)
 	if !ok {
 		return
 	}
 	text, err := spec.Parse(source)
 	if err != nil {
-		j.log.WithField(logs.FieldError, err.Error()).Error("service text")
+		e.log.WithField(logs.FieldError, err.Error()).Error("service text")
 		return
 	}
 	services := value.NewSet[string]()
@@ -201,12 +201,12 @@
 			policy = health.Fast
 		}
 		services.Add(s.Name)
-		j.leader.Service(s.Name, eject.Floor{Share: s.Floor.Share, Slots: s.Floor.Slots}, policy)
+		e.leader.Service(s.Name, eject.Floor{Share: s.Floor.Share, Slots: s.Floor.Slots}, policy)
 	}
-	for name := range j.services {
+	for name := range e.services {
 		if !services.Has(name) {
-			j.leader.Drop(name)
+			e.leader.Drop(name)
 		}
 	}
-	j.services = services
+	e.services = services
 }
--- a/control/watch/watch.go
+++ b/control/watch/watch.go
@@ -35,7 +35,7 @@
 	roster  *roster.Roster
 	targets atomic.Pointer[roster.Snapshot]
 
-	judge judge // owned by the goroutine of the fleet
+	ejector ejector // owned by the goroutine of the fleet
 }
 
 // Settings describe the replica.
@@ -63,8 +63,8 @@
 		),
 		roster: roster.New(roster.WithSelf(s.Hello.Instance)),
 	}
-	w.judge.note = s.Note
-	w.judge.log = log
+	w.ejector.note = s.Note
+	w.ejector.log = log
 	w.targets.Store(w.roster.Snapshot())
 	opts := append([]mesh.Option{
 		mesh.WithHello(func() wire.Hello { return s.Hello }),
