--- a/control/daemon/settings_test.go
+++ b/control/daemon/settings_test.go
@@ -51,3 +51,19 @@
 		}
 	}
 }
+
+// Guards against an example file that misses a setting of the program. With
+// the environment variable UPDATE=1 the test writes the file instead.
+func TestExampleFile(t *testing.T) {
+	is := is.New(t)
+	const file = "../../docs/examples/control.toml"
+	var s daemon.Settings
+	want := "# Settings of the program control. Lines that are commented out show the default.\n\n" + conf.Sample(s.Table())
+	if os.Getenv("UPDATE") == "1" {
+		is.NoErr(os.WriteFile(file, []byte(want), 0o644))
+		return
+	}
+	data, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(string(data), want)
+}
--- a/entry/daemon/settings_test.go
+++ b/entry/daemon/settings_test.go
@@ -55,3 +55,19 @@
 		}
 	}
 }
+
+// Guards against an example file that misses a setting of the program. With
+// the environment variable UPDATE=1 the test writes the file instead.
+func TestExampleFile(t *testing.T) {
+	is := is.New(t)
+	const file = "../../docs/examples/entry.toml"
+	var s daemon.Settings
+	want := "# Settings of the program entry. Lines that are commented out show the default.\n\n" + conf.Sample(s.Table())
+	if os.Getenv("UPDATE") == "1" {
+		is.NoErr(os.WriteFile(file, []byte(want), 0o644))
+		return
+	}
+	data, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(string(data), want)
+}
