Read the load header without fmt.Sscanf; remove unused code

Each response of a target went through a format scan on the way of a request; two cuts and two conversions do the same. The message kind pong and SetKeepAlives had no caller left. No behaviour changes for the documented form of the header.

--- a/core/serve/server.go
+++ b/core/serve/server.go
@@ -97,10 +97,6 @@
 	return eris.Wrap(err, "serve")
 }
 
-// SetKeepAlives decides whether answers keep their connection. Without, every
-// answer tells its caller to dial again.
-func (s *Server) SetKeepAlives(on bool) { s.http.SetKeepAlivesEnabled(on) }
-
 // Shutdown stops listening and waits until the requests in flight have been
 // answered or ctx ends. Hijacked connections, such as links, are not waited
 // for.
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -9,7 +9,6 @@
 const (
 	KindHello    Kind = "hello"    // Hello, first message in each direction
 	KindPing     Kind = "ping"     // empty
-	KindPong     Kind = "pong"     // empty
 	KindFault    Kind = "fault"    // FaultError, the answer to a call that failed
 	KindRevision Kind = "revision" // Revision, pushed by control and exchanged among peers
 	KindPull     Kind = "pull"     // Pull, answered by Revision
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/galenalock/galenalock/core/health"
@@ -89,8 +90,7 @@
 	if o.Class == proxy.Refused {
 		d.upstream.gate.Shed()
 	}
-	var inflight, slots int
-	if n, _ := fmt.Sscanf(o.Load, "inflight=%d limit=%d", &inflight, &slots); n == 2 {
+	if inflight, slots, ok := parseLoad(o.Load); ok {
 		d.endpoint.Load(o.End, inflight, slots)
 		d.target.health.Load(o.End, inflight, slots)
 		if ticket, ok := at.Request.Admission.Handle.(*limit.Ticket); ok {
@@ -99,6 +99,20 @@
 	}
 }
 
+// parseLoad reads the header Galenalock-Load, such as "inflight=3 limit=6".
+func parseLoad(header string) (inflight, slots int, ok bool) {
+	first, rest, _ := strings.Cut(header, " ")
+	second, _, _ := strings.Cut(rest, " ")
+	used, okUsed := strings.CutPrefix(first, "inflight=")
+	all, okAll := strings.CutPrefix(second, "limit=")
+	if !okUsed || !okAll {
+		return 0, 0, false
+	}
+	inflight, errUsed := strconv.Atoi(used)
+	slots, errAll := strconv.Atoi(all)
+	return inflight, slots, errUsed == nil && errAll == nil
+}
+
 // latencyOf is the time that an attempt is judged by: to the response head,
 // because the body's time depends on its size and on the caller.
 func latencyOf(at proxy.Attempt, o proxy.Outcome) time.Duration {
