--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -129,19 +129,22 @@
 		claims: in.Claims, syncs: in.Syncs, bytes: in.Bytes,
 	}
 	d.parts = p
-	p.relay = relay.New(p.relayGroup(), p.links, s.Clock)
+	p.relay = relay.New(d.relayGroup(), p.links, s.Clock)
 	p.fleet = fleet.New(fleet.Seams{
-		View:    p.machine.view.Load,
-		Leads:   func() bool { status := p.group.Status(); return status.Leader == status.ID },
-		Propose: p.relay.Propose,
-		PassOn:  func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
-		Advise:  func(o wire.Orders) { p.links.Broadcast(wire.KindOrders, o) },
-		Dropped: func() { in.Dropped.Add(1, "reports") },
-		Clock:   s.Clock,
-		Log:     p.log,
-		Hooks:   func() fleet.Hooks { return d.Hooks.Hooks },
+		View:         p.machine.view.Load,
+		Leads:        func() bool { status := p.group.Status(); return status.Leader == status.ID },
+		Propose:      p.relay.Propose,
+		Members:      d.members,
+		PassSuspects: func(w wire.Suspects) { p.links.Region(w.Region, wire.KindSuspects, w) },
+		PassOn:       func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
+		Advise:       func(o wire.Orders) { p.links.Broadcast(wire.KindOrders, o) },
+		Dropped:      func() { in.Dropped.Add(1, "reports") },
+		Clock:        s.Clock,
+		Log:          p.log,
+		Hooks:        func() fleet.Hooks { return d.Hooks.Hooks },
 	})
 	p.machine.changed = p.fleet.Changed
+	d.registry = d.newRegistry()
 	d.connectLinks(in.Bytes)
 	d.connectAdmin()
 	return p.gauges()
@@ -180,6 +183,9 @@
 	p.dialer = link.NewDialer(dialing...)
 	mux := http.NewServeMux()
 	mux.Handle(link.Path, p.server)
+	if outside := d.settings.Outside; outside != nil {
+		mux.Handle("/", outside(d.services()))
+	}
 	p.peer = serve.New(append(peer, serve.WithHandler(mux))...)
 }
 
@@ -191,7 +197,7 @@
 		return
 	}
 	peer := c.Peer()
-	if peer.Replica == uint64(d.settings.Replica) {
+	if peer.Replica == d.settings.replica() && peer.Instance != d.settings.Instance {
 		d.parts.log.WithField("peer", peer.Instance).Error("number of this replica is used twice")
 		c.Close("replica number is used twice")
 	} else if peer.Role == wire.RoleControl && peer.Replica != 0 {
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/galenalock/galenalock/control/admin"
 	"github.com/galenalock/galenalock/control/fleet"
+	"github.com/galenalock/galenalock/control/quorum"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
@@ -32,6 +35,12 @@
 	settings Settings
 	start    time.Time
 	parts    *parts
+	registry *registry
+
+	settleLock sync.Mutex
+	settle     *quorum.Settle
+
+	seeds atomic.Pointer[[]netip.AddrPort]
 }
 
 // New checks the settings, assembles the replica and binds its addresses.
@@ -42,6 +51,8 @@
 		return nil, fault
 	}
 	d := &Daemon{settings: s, start: s.Clock()}
+	d.seeds.Store(&s.Seeds)
+	d.settle = quorum.NewSettle(quorum.Wanted(s.Tolerance))
 	if err := d.assemble(); err != nil {
 		return nil, err
 	}
@@ -52,6 +63,9 @@
 		d.parts.peer.Close()
 		return nil, err
 	}
+	if len(s.Seeds) > 0 {
+		return d, nil
+	}
 	if err := d.observe(); err != nil {
 		d.close()
 		return nil, err
@@ -69,7 +83,7 @@
 	s := &d.settings
 	return wire.Hello{
 		Fleet: s.Fleet, Instance: s.Instance, Role: wire.RoleControl, Region: s.Region, DataCentre: s.DataCentre,
-		Peer: d.Peer(), Start: d.start, Replica: uint64(s.Replica),
+		Peer: d.Peer(), Start: d.start, Replica: s.replica(),
 	}
 }
 
@@ -91,6 +105,10 @@
 	tasks.start("admin", p.admin.Serve)
 	tasks.start("dial", func() error { d.dialAll(inner); return nil })
 	tasks.start("watch", func() error { d.watch(inner); return nil })
+	tasks.start("registry", func() error { d.registry.run(inner); return nil })
+	if len(d.settings.Seeds) > 0 {
+		tasks.start("membership", func() error { d.memberships(inner); return nil })
+	}
 	if d.Hooks.Run != nil {
 		tasks.start("watch targets", func() error { d.Hooks.Run(inner); return nil })
 	}
--- a/control/daemon/dial.go
+++ b/control/daemon/dial.go
@@ -12,7 +12,7 @@
 
 const (
 	// reconcileEvery bounds how late a replica links to one that was added.
-	reconcileEvery = time.Second
+	reconcileEvery = 250 * time.Millisecond
 	reloadEvery    = 10 * time.Second
 )
 
@@ -64,18 +64,23 @@
 // others returns the addresses of the other replicas. What the group has
 // agreed on goes before the settings, which may be older.
 func (d *Daemon) others() map[uint64]netip.AddrPort {
-	members := d.parts.group.Status().Members
+	status := d.parts.group.Status()
 	out := map[uint64]netip.AddrPort{}
-	if len(members) == 0 {
-		out = maps.Clone(d.settings.Replicas)
+	if len(status.Members) == 0 {
+		out = maps.Clone(d.settings.founders())
 	}
-	for _, m := range members {
+	for _, m := range status.Members {
 		out[m.ID] = m.Addr
 		if !m.Addr.IsValid() {
 			out[m.ID] = d.settings.Replicas[m.ID]
 		}
 	}
-	delete(out, uint64(d.settings.Replica))
+	if d.outside(status) {
+		for _, seed := range *d.seeds.Load() {
+			out[replicaOf(seed)] = seed
+		}
+	}
+	delete(out, d.settings.replica())
 	for id, to := range out {
 		if !to.IsValid() {
 			delete(out, id)
--- a/control/daemon/group.go
+++ b/control/daemon/group.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 
-	"github.com/galenalock/galenalock/control/relay"
 	"github.com/galenalock/galenalock/core/group"
 )
 
@@ -14,8 +13,8 @@
 // open opens the data folder.
 func (p *parts) open(s *Settings) error {
 	g, err := group.New(
-		group.WithID(uint64(s.Replica)), group.WithDir(s.Data), group.WithFound(s.Found),
-		group.WithPeers(s.Replicas), group.WithMachine(p.machine.seams()), group.WithSend(p.links.Send),
+		group.WithID(s.replica()), group.WithDir(s.Data), group.WithFound(s.founds()),
+		group.WithPeers(s.founders()), group.WithMachine(p.machine.seams()), group.WithSend(p.links.Send),
 		group.WithLogger(p.log), group.WithClock(s.Clock),
 		group.WithSnapshots(uint64(s.Snapshot), snapshotBytes),
 	)
@@ -23,15 +22,6 @@
 	return err
 }
 
-// relayGroup reaches the group that open puts in place.
-func (p *parts) relayGroup() relay.Group {
-	return relay.Group{
-		Propose: func(ctx context.Context, command []byte) ([]byte, error) { return p.group.Propose(ctx, command) },
-		Read:    func(ctx context.Context) error { return p.group.Read(ctx) },
-		View:    p.machine.view.Load,
-	}
-}
-
 func (p *parts) add(ctx context.Context, id uint64, addr netip.AddrPort) error {
 	return p.group.Add(ctx, id, addr)
 }
--- a/control/daemon/handle.go
+++ b/control/daemon/handle.go
@@ -57,6 +57,8 @@
 			return nil, err
 		}
 		return d.claimed(state.Command{Close: &in})
+	case wire.KindJoin, wire.KindHeard, wire.KindFollow, wire.KindTargets, wire.KindSuspects:
+		return d.handleRegistry(c, m, replica)
 	case wire.KindReport, wire.KindEvidence:
 		return nil, d.collect(c, m, replica)
 	case wire.KindGossip:
--- /dev/null
+++ b/control/daemon/registry.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/galenalock/galenalock/control/census"
+	"github.com/galenalock/galenalock/core/enrol"
+	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/state"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+const (
+	// tellEvery paces the lists of heard targets to the leader.
+	tellEvery = time.Second
+	// silenceTimeout bounds the commit of a list of silent targets.
+	silenceTimeout = 2 * time.Second
+)
+
+// StaleError is an announcement of an earlier incarnation, or one that arrived
+// after a later one.
+type StaleError struct{ Name string }
+
+// Error names the target.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("announcement of %s: a later incarnation or announcement is known", e.Name)
+}
+
+// registry takes the announcements of targets.
+type registry struct {
+	daemon *Daemon
+
+	mu     sync.Mutex
+	census *census.Census
+}
+
+func (d *Daemon) newRegistry() *registry {
+	return &registry{daemon: d, census: census.New(d.settings.Life)}
+}
+
+// announce returns when the announcement binds the fleet. An announcement that
+// changes nothing is answered without the log, also when there is no majority.
+func (r *registry) announce(ctx context.Context, a enrol.Announcement) error {
+	if err := a.Check(); err != nil {
+		return err
+	}
+	p := r.daemon.parts
+	targets := p.machine.view.Load().Targets
+	verdict := targets.Judge(a)
+	if verdict == enrol.Changed {
+		result, err := p.relay.Propose(ctx, state.Command{Announce: &a})
+		if err != nil {
+			return err
+		}
+		verdict = result.Verdict
+		p.log.WithFields(map[string]any{
+			"target": a.Name, "service": a.Service, "address": a.Address.String(), "datacentre": a.DataCentre,
+			"start": a.Start.UnixMilli(), "seq": a.Seq, "state": string(a.State), "verdict": string(verdict),
+		}).Info("announcement")
+	}
+	if verdict == enrol.Stale {
+		p.log.WithField("target", a.Name).WithField("start", a.Start.UnixMilli()).WithField("seq", a.Seq).Info("stale announcement")
+		return &StaleError{Name: a.Name}
+	}
+	if a.State != enrol.Gone {
+		r.mu.Lock()
+		r.census.Hear(r.daemon.settings.Clock(), a.Name, a.Start, a.Seq)
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+// run tells the leader who was heard, and marks silent targets as leader.
+func (r *registry) run(ctx context.Context) {
+	ticker := time.NewTicker(tellEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.tell(ctx)
+		}
+	}
+}
+
+func (r *registry) tell(ctx context.Context) {
+	p := r.daemon.parts
+	status := p.group.Status()
+	leads := status.Leader == status.ID
+	view := p.machine.view.Load()
+	r.mu.Lock()
+	batch := r.census.Batch()
+	r.census.Forget(view.Targets)
+	silent := r.census.Silent(r.daemon.settings.Clock(), leads, view.Targets)
+	r.mu.Unlock()
+	if c := p.links.To(status.Leader); !leads && c != nil && len(batch.Targets) > 0 {
+		_ = c.Send(wire.KindHeard, batch) // a failed send ends the link; the targets announce again
+	}
+	if len(silent) == 0 {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, silenceTimeout)
+	defer cancel()
+	_, err := p.relay.Propose(limited, state.Command{Silence: &state.Silence{Targets: silent}})
+	log := p.log.WithField("targets", len(silent)).WithField("first", silent[0].Name)
+	if err != nil {
+		log.WithField(logs.FieldError, err.Error()).Warn("silent targets not marked")
+		return
+	}
+	log.Info("silent targets")
+}
+
+// handleRegistry takes the messages about targets and about the members of the
+// group.
+func (d *Daemon) handleRegistry(c *link.Conn, m wire.Message, replica bool) (any, error) {
+	p := d.parts
+	switch m.Kind {
+	case wire.KindJoin:
+		var in wire.Join
+		if err := readFrom(replica, m, &in); err != nil {
+			return nil, err
+		}
+		return nil, d.join(in)
+	case wire.KindHeard:
+		var in wire.Heard
+		if err := readFrom(replica, m, &in); err != nil {
+			return nil, err
+		}
+		d.registry.mu.Lock()
+		d.registry.census.Merge(d.settings.Clock(), in)
+		d.registry.mu.Unlock()
+		return nil, nil
+	case wire.KindSuspects:
+		var in wire.Suspects
+		if err := wire.Decode(m.Body, &in); err != nil {
+			return nil, err
+		}
+		p.fleet.Suspects(c, in, !replica)
+		return nil, nil
+	}
+	var in wire.Follow
+	if err := wire.Decode(m.Body, &in); err != nil {
+		return nil, err
+	}
+	if m.Kind == wire.KindTargets {
+		targets := p.machine.view.Load().Targets
+		return targets.Since(in.Have), nil
+	}
+	p.fleet.Follow(c, in)
+	return nil, nil
+}
--- /dev/null
+++ b/control/daemon/services.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenalock/galenalock/control/relay"
+	"github.com/galenalock/galenalock/core/enrol"
+	"github.com/galenalock/galenalock/core/state"
+)
+
+// Services is what a replica offers to interfaces beside its own.
+type Services struct {
+	// Announce returns when an announcement of a target binds the fleet. Its
+	// errors are *enrol.Error and *StaleError, and those of Submit.
+	Announce func(ctx context.Context, a enrol.Announcement) error
+	// Submit returns when a service text of an outside rank, or one of a higher
+	// rank, is committed. Its errors are those of relay.Relay.Propose.
+	Submit func(ctx context.Context, rank uint64, change string, text []byte) (state.Submitted, error)
+	// Newest returns the text of the highest rank that was committed before the
+	// call, or a *relay.NoQuorumError.
+	Newest func(ctx context.Context) (rank uint64, text []byte, err error)
+	// Nearest returns the replica that targets of a data centre should announce
+	// themselves to, or false when it is this one.
+	Nearest func(datacentre string) (netip.AddrPort, bool)
+	// Region returns the region of a data centre.
+	Region func(datacentre string) (string, bool)
+	Log    *logrus.Entry
+}
+
+func (d *Daemon) services() Services {
+	p := d.parts
+	return Services{
+		Announce: func(ctx context.Context, a enrol.Announcement) error { return d.registry.announce(ctx, a) },
+		Submit:   d.submitRanked,
+		Newest:   d.newest,
+		Nearest:  d.nearest,
+		Region: func(datacentre string) (string, bool) {
+			region, ok := d.settings.Regions[datacentre]
+			return region, ok
+		},
+		Log: p.log,
+	}
+}
+
+func (d *Daemon) submitRanked(ctx context.Context, rank uint64, change string, text []byte) (state.Submitted, error) {
+	result, err := d.parts.relay.Propose(ctx, state.Command{Submit: &state.Submit{Rank: rank, Change: change, Text: text}})
+	log := d.parts.log.WithField("rank", rank)
+	if err != nil {
+		log.WithField("error", err.Error()).Warn("text not acknowledged")
+		return state.Submitted{}, err
+	}
+	if result.Submitted == nil {
+		return state.Submitted{}, &relay.UnknownError{Reason: "the answer to a submission is empty"}
+	}
+	log.WithField("outcome", string(result.Submitted.Outcome)).WithField("revision", result.Submitted.Revision).Info("text")
+	return *result.Submitted, nil
+}
+
+func (d *Daemon) newest(ctx context.Context) (uint64, []byte, error) {
+	if err := d.parts.relay.Fresh(ctx); err != nil {
+		return 0, nil, err
+	}
+	v := d.parts.machine.view.Load()
+	newest := v.Newest()
+	if newest.Number == 0 {
+		return 0, nil, nil
+	}
+	text, ok := v.Text(newest.Number)
+	if !ok {
+		return 0, nil, &relay.NoQuorumError{Reason: "the newest text is not kept"}
+	}
+	return newest.Rank, text, nil
+}
+
+// nearest prefers a replica of the data centre, then one of its region. A
+// replica that no link leads to may be down.
+func (d *Daemon) nearest(datacentre string) (netip.AddrPort, bool) {
+	s := &d.settings
+	region := s.Regions[datacentre]
+	if s.DataCentre == datacentre {
+		return netip.AddrPort{}, false
+	}
+	var near netip.AddrPort
+	for _, peer := range d.parts.links.Peers() {
+		if peer.DataCentre == datacentre {
+			return peer.Peer, true
+		}
+		if peer.Region == region && s.Region != region {
+			near = peer.Peer
+		}
+	}
+	return near, near.IsValid()
+}
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -2,13 +2,18 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"math"
+	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/galenalock/galenalock/core/conf"
 )
 
@@ -22,6 +27,10 @@
 	Peer       netip.AddrPort
 	Admin      netip.AddrPort
 	Replicas   map[uint64]netip.AddrPort
+	Seeds      []netip.AddrPort
+	Tolerance  int
+	Regions    map[string]string
+	Life       time.Duration
 	Data       string
 	Found      bool
 	Tokens     string
@@ -34,6 +43,10 @@
 
 	Log   io.Writer        // where log lines go, standard output by default
 	Clock func() time.Time // time.Now by default
+
+	// Outside answers requests to the peer address that are not links; nil
+	// answers none.
+	Outside func(Services) http.Handler
 }
 
 // Defaults and bounds.
@@ -41,6 +54,9 @@
 	defaultGrace    = 10 * time.Second
 	maxGrace        = 5 * time.Minute
 	defaultSnapshot = 16384 // entries; at 1,800 changes and some claims a day the log stays below it for days
+	maxTolerance    = 3     // a group of seven; each voter adds to the time of a commit
+	defaultLife     = 10 * time.Second
+	maxLife         = time.Hour
 )
 
 // Table describes the settings.
@@ -50,10 +66,14 @@
 	t.Name("fleet", &s.Fleet, "name of the fleet; instances of other fleets are refused")
 	t.Name("region", &s.Region, "region of the instance")
 	t.Name("datacentre", &s.DataCentre, "data centre of the instance")
-	t.Int("replica", &s.Replica, 1, 1, math.MaxInt32, "number", "number of this replica in the group")
+	t.Int("replica", &s.Replica, 1, 1, math.MaxInt32, "number", "number of this replica in the group; without meaning with seeds")
 	t.Address("peer", &s.Peer, "", "address for links from entries and replicas, as they dial it")
 	t.Address("admin", &s.Admin, "127.0.0.1:7002", "address of the administration interface, health and metrics")
-	t.Replicas("replicas", &s.Replicas, "peer addresses of all replicas, this one included")
+	t.Replicas("replicas", &s.Replicas, "peer addresses of all replicas, this one included; not used with seeds")
+	t.Addresses("seeds", &s.Seeds, false, "peer addresses of a few replicas, in place of replicas: the seeds found the group, all others join through them; targets then announce themselves to control, and there is no overlay")
+	t.Int("tolerance", &s.Tolerance, 2, 0, maxTolerance, "replicas", "with seeds, lost disks that the group bears at once; it grows to twice as many voters and one")
+	t.Words("regions", &s.Regions, "regions by data centre, for the places of targets")
+	t.Duration("life", &s.Life, defaultLife, time.Second, maxLife, "time without an announcement after which a target counts as silent")
 	t.Text("data", &s.Data, "data", "folder of the log and the snapshots")
 	t.Flag("found", &s.Found, false, "found a new group; set it for the first start only")
 	t.Text("tokens", &s.Tokens, "", "file of the administration tokens; without one the admin address must be a loopback address")
@@ -67,21 +87,41 @@
 }
 
 // Load reads and checks a settings file. Its error is of type *conf.Error.
-func Load(file string) (Settings, error) {
+func Load(file string) (Settings, error) { return LoadMore(file, func(*conf.Table) {}) }
+
+// LoadMore is Load with further rows of the table, for programs that have
+// settings of their own.
+func LoadMore(file string, more func(t *conf.Table)) (Settings, error) {
 	var s Settings
-	err := conf.LoadChecked(file, s.Table(), s.check)
+	t := s.Table()
+	more(t)
+	err := conf.LoadChecked(file, t, s.check)
 	return s, err
 }
 
 // check returns what a single row of the table cannot tell, or nil.
 func (s *Settings) check() *conf.Error {
+	if len(s.Seeds) > 0 {
+		if s.Peer.Addr().IsUnspecified() {
+			return &conf.Error{Key: "peer", Reason: "must be the address that other instances dial, not " + s.Peer.Addr().String()}
+		}
+		return s.checkAccess()
+	}
 	_, listed := s.Replicas[uint64(s.Replica)]
 	switch {
+	case len(s.Replicas) == 0:
+		return &conf.Error{Key: "replicas", Reason: "is missing, and there are no seeds"}
 	case s.Peer.Addr().IsUnspecified():
 		return &conf.Error{Key: "peer", Reason: "must be the address that other instances dial, not " + s.Peer.Addr().String()}
 	case !listed && s.Found:
 		return &conf.Error{Key: "replicas", Reason: fmt.Sprintf("does not list replica %d, which is to found the group", s.Replica)}
-	case s.Tokens == "" && !s.Admin.Addr().IsLoopback():
+	}
+	return s.checkAccess()
+}
+
+// checkAccess checks what protects the addresses.
+func (s *Settings) checkAccess() *conf.Error {
+	if s.Tokens == "" && !s.Admin.Addr().IsLoopback() {
 		return &conf.Error{Key: "tokens", Reason: "is required, because the admin address is no loopback address"}
 	}
 	return cmp.Or(
@@ -106,4 +146,44 @@
 	if s.Data == "" {
 		s.Data = "data"
 	}
+	if s.Life == 0 {
+		s.Life = defaultLife
+	}
+}
+
+// replica returns the number of this replica. With seeds it is made from the
+// peer address, which every other replica knows it by.
+func (s *Settings) replica() uint64 {
+	if len(s.Seeds) == 0 {
+		return uint64(s.Replica)
+	}
+	return replicaOf(s.Peer)
+}
+
+// replicaOf returns the number of the replica at an address. Numbers of IPv4
+// addresses cannot collide; those of IPv6 addresses are hashes of 64 bits.
+func replicaOf(a netip.AddrPort) uint64 {
+	if ip := a.Addr().Unmap(); ip.Is4() {
+		b := ip.As4()
+		return uint64(binary.BigEndian.Uint32(b[:]))<<16 | uint64(a.Port())
+	}
+	return xxhash.Sum64String(a.String()) | 1
+}
+
+// founders returns the founding replicas by number.
+func (s *Settings) founders() map[uint64]netip.AddrPort {
+	if len(s.Seeds) == 0 {
+		return s.Replicas
+	}
+	out := map[uint64]netip.AddrPort{}
+	for _, seed := range s.Seeds {
+		out[replicaOf(seed)] = seed
+	}
+	return out
+}
+
+// founds reports whether this replica may found the group: the first start with
+// seeds is the only time at which every replica has the same ones.
+func (s *Settings) founds() bool {
+	return s.Found && (len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peer))
 }
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -20,8 +21,8 @@
 	queueLength  = 1024 // events
 	spliceRange  = 8    // revisions taken one by one after a burst, as many as a keeper can splice from
 	orderEvery   = time.Second
-	passOnEvery  = 5 * time.Second // unchanged reports are passed on to other replicas this often
-	forgetAfter  = time.Hour       // an instance that is neither linked nor heard of
+	passOnEvery  = 20 * time.Second // unchanged reports are passed on to other replicas this often
+	forgetAfter  = time.Hour        // an instance that is neither linked nor heard of
 	decideEvery  = 100 * time.Millisecond
 	watchLife    = 3 * time.Second // of a watch list of the leader, which repeats it each second
 	pushInterval = orderEvery / decideEvery
@@ -41,17 +42,23 @@
 	View    func() *state.View
 	Leads   func() bool
 	Propose func(ctx context.Context, c state.Command) (state.Result, error)
-	PassOn  func(r wire.Report) // to the other replicas
-	Advise  func(o wire.Orders) // the leader's watch list, to the other replicas
-	Dropped func()              // counts reports and evidence dropped from the full queue
-	Clock   func() time.Time
-	Log     *logrus.Entry
-	Hooks   func() Hooks // read once, when Run starts; may be nil
+	PassOn  func(r wire.Report)     // to the other replicas
+	Advise  func(o wire.Orders)     // the leader's watch list, to the other replicas
+	Members func() []netip.AddrPort // addresses of the control replicas
+	// PassSuspects passes suspects on to the other replicas of a region.
+	PassSuspects func(s wire.Suspects)
+	Dropped      func() // counts reports and evidence dropped from the full queue
+	Clock        func() time.Time
+	Log          *logrus.Entry
+	Hooks        func() Hooks // read once, when Run starts; may be nil
 }
 
 type session struct {
-	entry bool
-	have  wire.Pull // revision that the other side is known to have
+	entry   bool
+	have    wire.Pull // revision that the other side is known to have
+	follows bool      // the entry takes its targets from control
+	primary bool      // and from this replica
+	sent    uint64    // index of the targets that it was sent
 }
 
 // passed is the report of a linked instance that was passed on last.
@@ -82,6 +89,12 @@
 	advising  time.Time      // when this replica sent its watch list
 	ticks     int
 	deciding  bool
+
+	digested     uint64 // index of the targets in the last digest
+	digestedAt   time.Time
+	counted      time.Time
+	lastReplicas wire.Replicas
+	lastEntries  wire.Entries
 }
 
 // New returns a fleet.
--- a/control/fleet/push.go
+++ b/control/fleet/push.go
@@ -28,12 +28,12 @@
 
 // update pushes what has changed in the view.
 func (f *Fleet) update() {
-	if f.install() {
-		for c, s := range f.sessions {
-			if s.entry {
-				f.push(c.Send, s)
-			}
+	installed := f.install()
+	for c, s := range f.sessions {
+		if s.entry && installed {
+			f.push(c.Send, s)
 		}
+		f.pushTargets(c, s)
 	}
 	f.order()
 }
@@ -43,7 +43,7 @@
 func (f *Fleet) push(send func(kind wire.Kind, body any) error, s *session) {
 	digest := f.keeper.Digest()
 	r := digest
-	if s.have.Have != 0 {
+	if s.have.Have != 0 && (s.primary || !s.follows) {
 		answer, err := f.keeper.Answer(s.have)
 		if err != nil {
 			f.Log.WithField(logs.FieldError, err.Error()).Error("splice")
@@ -113,6 +113,8 @@
 	now := f.Clock()
 	f.decide(ctx, now)
 	f.order()
+	f.digest(now)
+	f.recount(now)
 	f.ticks++
 	if f.ticks%int(pushInterval) != 0 {
 		return
--- /dev/null
+++ b/control/quorum/quorum_test.go
@@ -0,0 +1,85 @@
+package quorum_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/control/quorum"
+	"github.com/galenalock/galenalock/core/group"
+	"github.com/galenalock/galenalock/core/raft"
+)
+
+var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// leader returns the status of replica 1, which leads. A kind of member is "v"
+// for a voter, "l" for a learner and "j" for a joining one; ages are those of
+// the last replies of replicas 2 and up.
+func leader(kinds string, ages ...time.Duration) group.Status {
+	s := group.Status{ID: 1, Leader: 1, Commit: 1000}
+	for i, kind := range kinds {
+		id := uint64(i + 1)
+		s.Members = append(s.Members, raft.Member{ID: id, Learner: kind != 'v', Joining: kind == 'j'})
+		if i > 0 {
+			s.Peers = append(s.Peers, raft.Peer{ID: id, Heard: now.Add(-ages[i-1]), Match: 1000 - id})
+		}
+	}
+	return s
+}
+
+func ExampleDecide() {
+	change := quorum.Decide(now, leader("vvvl", 0, 0, 0), quorum.Wanted(2))
+	fmt.Println(change.Step, change.Member.ID)
+	// Output: promote 4
+}
+
+// Guards against a group that stays too small, shrinks before it has a
+// replacement, removes a voter that answers, or gives one away for a pause.
+func TestDecide(t *testing.T) {
+	const s, long = time.Second, 3 * time.Second
+	for _, c := range []struct {
+		name   string
+		status group.Status
+		wanted int
+		step   quorum.Step
+		member uint64
+	}{
+		{"complete", leader("vvvvv", 0, 0, 0, 0), 5, quorum.None, 0},
+		{"one vote on its way", leader("vvvvjl", 0, 0, 0, 0, 0), 5, quorum.None, 0},
+		{"learner that does not answer", leader("vvvl", 0, 0, long), 5, quorum.None, 0},
+		{"pause of a voter", leader("vvvl", 0, 2*s, 0), 3, quorum.None, 0},
+		{"silent voter without replacement", leader("vvv", 0, long), 3, quorum.None, 0},
+		{"silent voter", leader("vvvl", 0, long, 0), 3, quorum.Promote, 4},
+		{"replaced", leader("vvvv", 0, long, 0), 3, quorum.Remove, 3},
+		{"replaced and back", leader("vvvv", 0, 0, 0), 3, quorum.Remove, 4},
+		{"learner that is gone", leader("vvvl", 0, 0, time.Minute), 3, quorum.Remove, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := quorum.Decide(now, c.status, c.wanted)
+			is.Equal(got.Step, c.step)
+			is.Equal(got.Member.ID, c.member)
+		})
+	}
+	is := is.New(t)
+	recovering := leader("vvvl", 0, 0, 0)
+	recovering.Peers[2].Recovering = true
+	is.Equal(quorum.Decide(now, recovering, 5).Step, quorum.None)
+	behind := leader("vvvl", 0, 0, 0)
+	behind.Peers[2].Match = 1
+	is.Equal(quorum.Decide(now, behind, 5).Step, quorum.None)
+}
+
+// Guards against an acknowledgement that the tolerated losses could undo, and
+// against a small fleet that never acknowledges anything.
+func TestSettle(t *testing.T) {
+	is := is.New(t)
+	judge := quorum.NewSettle(quorum.Wanted(2))
+	is.True(!judge.Ready(now, leader("vvvll", 0, 0, 0, 0)))
+	is.True(!judge.Ready(now.Add(2*time.Second), leader("vvvvl", 0, 0, 0, 0)))
+	is.True(!judge.Ready(now.Add(4*time.Second), leader("vvvvl", 0, 0, 0, 0)))
+	is.True(judge.Ready(now.Add(5*time.Second), leader("vvvvl", 0, 0, 0, 0)))
+	is.True(judge.Ready(now.Add(5*time.Second), leader("vvvvv", 0, 0, 0, 0)))
+}
--- a/control/relay/links.go
+++ b/control/relay/links.go
@@ -55,12 +55,44 @@
 	}
 }
 
+// Region sends a message to every linked replica of a region.
+func (l *Links) Region(region string, kind wire.Kind, body any) {
+	l.each(func(c *link.Conn) bool { return c.Peer().Region == region }, kind, body)
+}
+
+// Any returns a link to some replica, or nil.
+func (l *Links) Any() *link.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conns := range l.conns {
+		return conns[len(conns)-1]
+	}
+	return nil
+}
+
+// Peers returns who is linked, each replica once.
+func (l *Links) Peers() []wire.Hello {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]wire.Hello, 0, len(l.conns))
+	for _, conns := range l.conns {
+		out = append(out, conns[len(conns)-1].Peer())
+	}
+	return out
+}
+
 // Broadcast sends a message to every linked replica.
 func (l *Links) Broadcast(kind wire.Kind, body any) {
+	l.each(func(*link.Conn) bool { return true }, kind, body)
+}
+
+func (l *Links) each(wanted func(c *link.Conn) bool, kind wire.Kind, body any) {
 	l.mu.Lock()
 	var to []*link.Conn
 	for _, conns := range l.conns {
-		to = append(to, conns[len(conns)-1])
+		if c := conns[len(conns)-1]; wanted(c) {
+			to = append(to, c)
+		}
 	}
 	l.mu.Unlock()
 	for _, c := range to {
--- a/core/conf/table.go
+++ b/core/conf/table.go
@@ -222,7 +222,7 @@
 // a list such as ["1=10.0.0.1:7000"].
 func (t *Table) Replicas(key string, dst *map[uint64]netip.AddrPort, help string) {
 	t.add(Row{
-		Key: key, Type: "list of replicas", Bounds: `number and address, such as "1=10.0.0.1:7000", each once`, Help: help, Required: true,
+		Key: key, Type: "list of replicas", Bounds: `number and address, such as "1=10.0.0.1:7000", each once`, Default: "[]", Help: help,
 		set: func(value any) string {
 			texts, reason := stringList(value)
 			if reason != "" {
@@ -247,6 +247,33 @@
 	})
 }
 
+// Words adds a setting that maps words to words, written as a list such as
+// ["salish-1=salish"].
+func (t *Table) Words(key string, dst *map[string]string, help string) {
+	t.add(Row{
+		Key: key, Type: "list of pairs", Default: "[]", Bounds: `two words, such as "salish-1=salish", the first ones unique`, Help: help,
+		set: func(value any) string {
+			texts, reason := stringList(value)
+			if reason != "" {
+				return reason
+			}
+			out := make(map[string]string, len(texts))
+			for _, s := range texts {
+				word, other, ok := strings.Cut(s, "=")
+				if !ok || word == "" || other == "" {
+					return fmt.Sprintf(`%q is no pair such as "salish-1=salish"`, s)
+				}
+				if _, twice := out[word]; twice {
+					return fmt.Sprintf("%q is listed twice", word)
+				}
+				out[word] = other
+			}
+			*dst = out
+			return ""
+		},
+	})
+}
+
 func stringList(value any) ([]string, string) {
 	list, ok := value.([]any)
 	if !ok {
--- a/core/group/disk.go
+++ b/core/group/disk.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/galenalock/galenalock/core/raft"
 	"github.com/galenalock/galenalock/core/store"
@@ -28,13 +29,15 @@
 	wake  chan struct{}
 	done  chan done
 	syncs atomic.Uint64
+	since atomic.Int64 // Unix nanoseconds of the start of the present job, 0: none
+	clock func() time.Time
 
 	mu   sync.Mutex
 	jobs []job
 }
 
-func newDisk(s *store.Store) *disk {
-	return &disk{store: s, wake: make(chan struct{}, 1), done: make(chan done)}
+func newDisk(s *store.Store, clock func() time.Time) *disk {
+	return &disk{store: s, clock: clock, wake: make(chan struct{}, 1), done: make(chan done)}
 }
 
 func (d *disk) add(j job) {
@@ -66,7 +69,9 @@
 		jobs := d.take()
 		for len(jobs) > 0 {
 			var result done
+			d.since.Store(d.clock().UnixNano())
 			result, jobs = d.work(jobs)
+			d.since.Store(0)
 			d.syncs.Store(d.store.Syncs())
 			select {
 			case d.done <- result:
@@ -80,6 +85,12 @@
 	}
 }
 
+// stalled reports whether a job has taken longer than limit.
+func (d *disk) stalled(now time.Time, limit time.Duration) bool {
+	since := d.since.Load()
+	return since != 0 && now.UnixNano()-since > int64(limit)
+}
+
 // work does the first job, together with as many of the following ones as one
 // sync can cover.
 func (d *disk) work(jobs []job) (done, []job) {
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -89,7 +89,7 @@
 		return nil, eris.Wrap(err, "group")
 	}
 	g := &Group{
-		settings: s, core: core, disk: newDisk(stored), started: now,
+		settings: s, core: core, disk: newDisk(stored, s.clock), started: now,
 		inbox:     make(chan raft.Message, inboxSize),
 		proposals: make(chan *proposal, proposalsSize),
 		calls:     make(chan func()),
@@ -174,6 +174,11 @@
 	return g.change(ctx, raft.Add{ID: id, Addr: addr})
 }
 
+// AddLearner lets a replica join that receives the log and does not vote.
+func (g *Group) AddLearner(ctx context.Context, id uint64, addr netip.AddrPort) error {
+	return g.change(ctx, raft.Add{ID: id, Addr: addr, Learner: true})
+}
+
 // Remove removes a replica. It returns when the change is committed. A leader
 // that is removed steps down.
 func (g *Group) Remove(ctx context.Context, id uint64) error {
--- a/core/group/loop.go
+++ b/core/group/loop.go
@@ -41,6 +41,7 @@
 			g.propose(p)
 		case <-timer.C:
 			g.step(raft.Tick{})
+			g.yield()
 		}
 		g.snapshot()
 		g.publish()
@@ -49,6 +50,23 @@
 	return g.failed
 }
 
+// stallLimit is how long a leader waits for its disk before it hands over. A
+// sync takes some milliseconds, and 0.15 s on a slow disk; an election after
+// the loss of a leader takes longer than this.
+const stallLimit = 500 * time.Millisecond
+
+// yield hands leadership over while the disk of this leader is stalled, since a
+// leader answers only what it has stored itself.
+func (g *Group) yield() {
+	if g.core.Status().Role != raft.RoleLeader || !g.disk.stalled(g.clock(), stallLimit) {
+		return
+	}
+	if g.core.Status().Transferring == 0 {
+		g.logger.WithField("limit", stallLimit.String()).Warn("disk stalled")
+	}
+	g.step(raft.Transfer{})
+}
+
 // propose takes the proposal and those queued behind it into one step.
 func (g *Group) propose(p *proposal) {
 	g.asked = nil
--- a/core/group/status.go
+++ b/core/group/status.go
@@ -16,6 +16,7 @@
 	Role    raft.Role
 	Age     time.Duration // since the leader, or as leader a quorum, last confirmed the state
 	Members raft.Members  // in force, even if the change is not committed yet
+	Peers   []raft.Peer   // what a leader knows of the other members
 	Syncs   uint64        // syncs of the log since the start
 }
 
@@ -43,7 +44,7 @@
 	g.view.Store(&view{
 		status: Status{
 			ID: s.ID, Leader: s.Leader, Term: s.Term, Commit: s.Commit,
-			Applied: g.applied, Role: s.Role, Members: s.Members,
+			Applied: g.applied, Role: s.Role, Members: s.Members, Peers: s.Peers,
 		},
 		confirmed: s.Confirmed,
 	})
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -35,6 +35,7 @@
 // Gate admits the requests of one service at one entry.
 type Gate struct {
 	patience time.Duration
+	least    float64
 	count    func(reason refuse.Reason)
 
 	mu       sync.Mutex
@@ -62,6 +63,11 @@
 // deadline and each answer take that long.
 func WithPatience(d time.Duration) Option { return func(g *Gate) { g.patience = d } }
 
+// WithLeast sets how many requests the gate always admits. Where many entries
+// share few slots, the fair share of one is less than its arrivals vary by, and
+// the targets' own queues are the better place to wait.
+func WithLeast(requests int) Option { return func(g *Gate) { g.least = float64(requests) } }
+
 // WithCount sets the hook that counts refusals.
 func WithCount(count func(reason refuse.Reason)) Option { return func(g *Gate) { g.count = count } }
 
@@ -83,8 +89,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	first := g.ceiling <= 1
-	g.floor = max(1, slots/float64(max(1, entries))/2)
-	g.ceiling = max(1, slots)
+	g.floor = max(1, g.least, slots/float64(max(1, entries))/2)
+	g.ceiling = max(1, g.least, slots)
 	if first {
 		g.limit = 2 * g.floor
 	}
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -15,10 +15,11 @@
 	net    net.Conn
 	target netip.AddrPort
 	in     *bufio.Reader
-	out    []byte    // reused for request heads
-	left   int64     // bytes that may still be read, negative for no limit
-	opened time.Time // when the connection was opened
-	proved time.Time // when the last response head arrived
+	out    []byte        // reused for request heads
+	left   int64         // bytes that may still be read, negative for no limit
+	opened time.Time     // when the connection was opened
+	proved time.Time     // when the last response head arrived
+	keep   time.Duration // longest idle time that the target allows, 0: not known
 	reused bool
 	sent   atomic.Int64 // bytes of the current request that the operating system accepted
 }
@@ -44,6 +45,15 @@
 	return n, err
 }
 
+// fresh reports whether the connection was idle for less than limit and than
+// the target allows.
+func (c *conn) fresh(now time.Time, limit time.Duration) bool {
+	if c.keep > 0 {
+		limit = min(limit, c.keep)
+	}
+	return now.Sub(c.proved) <= limit
+}
+
 func (c *conn) write(b []byte) error {
 	n, err := c.net.Write(b)
 	sent := c.sent.Add(int64(n))
--- a/core/pool/exchange.go
+++ b/core/pool/exchange.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -39,6 +41,7 @@
 	}
 	now := e.pool.opts.now()
 	e.conn.proved = now
+	e.conn.keep = keepAlive(response.Header)
 	response.Body = &body{exchange: e, source: response.Body, response: response}
 	if response.ContentLength == 0 || !bodied(e.request.Method, response.StatusCode) {
 		response.Body.(*body).finish()
@@ -113,7 +116,7 @@
 			if waiting {
 				close(e.upload.halt)
 			}
-			if unframed(e.request.Method, response) {
+			if !e.pool.opts.unframed && unframed(e.request.Method, response) {
 				return nil, ErrUnframed
 			}
 			return response, nil
@@ -212,6 +215,25 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// keepShare is the part of a target's idle timeout for which a connection is
+// used; the rest covers the way and clocks that run at different speeds.
+const keepShare = 0.8
+
+// keepAlive returns how long a connection may be idle by what the target says,
+// 0 for no word.
+func keepAlive(h http.Header) time.Duration {
+	for word := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(word), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			return time.Duration(float64(seconds) * keepShare * float64(time.Second))
+		}
+	}
+	return 0
+}
+
 func unframed(method string, r *http.Response) bool {
 	return bodied(method, r.StatusCode) && r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
--- a/core/pool/option.go
+++ b/core/pool/option.go
@@ -25,6 +25,8 @@
 	spare  int
 	wait   time.Duration
 	check  func(c net.Conn) bool
+
+	unframed bool
 }
 
 // Option changes a pool.
@@ -35,6 +37,16 @@
 	return func(o *options) { o.dial = f }
 }
 
+// WithDialLimit sets how long a connection may take to open.
+func WithDialLimit(d time.Duration) Option { return WithDial(dialWithin(d)) }
+
+func dialWithin(d time.Duration) func(ctx context.Context, target netip.AddrPort) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: d}
+	return func(ctx context.Context, target netip.AddrPort) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", target.String())
+	}
+}
+
 // WithNow sets the clock.
 func WithNow(f func() time.Time) Option { return func(o *options) { o.now = f } }
 
@@ -50,16 +62,18 @@
 // WithContinue sets how long a body waits for 100 Continue.
 func WithContinue(d time.Duration) Option { return func(o *options) { o.wait = d } }
 
+// WithUnframed accepts response bodies that end with the connection. Only a
+// connection that the target closes in order completes such a body; one that is
+// reset does not.
+func WithUnframed() Option { return func(o *options) { o.unframed = true } }
+
 // WithCheck sets what tells whether an idle connection is still open and
 // silent. A function that returns true turns the check off.
 func WithCheck(f func(c net.Conn) bool) Option { return func(o *options) { o.check = f } }
 
 func newOptions(opts []Option) options {
-	dialer := &net.Dialer{Timeout: defaultDial}
 	o := options{
-		dial: func(ctx context.Context, target netip.AddrPort) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", target.String())
-		},
+		dial:   dialWithin(defaultDial),
 		now:    time.Now,
 		idle:   defaultIdle,
 		proven: defaultProven,
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -81,7 +81,7 @@
 	defer p.mu.Unlock()
 	p.sweep(now)
 	list := p.idle[target]
-	if len(list) == 0 || now.Sub(list[len(list)-1].proved) > limit {
+	if len(list) == 0 || !list[len(list)-1].fresh(now, limit) {
 		return nil
 	}
 	c := list[len(list)-1]
@@ -108,7 +108,7 @@
 	p.swept = now
 	for target, list := range p.idle {
 		old := 0
-		for old < len(list) && now.Sub(list[old].proved) > p.opts.idle {
+		for old < len(list) && !list[old].fresh(now, p.opts.idle) {
 			list[old].net.Close()
 			old++
 		}
--- a/core/prog/prog.go
+++ b/core/prog/prog.go
@@ -30,6 +30,10 @@
 type Daemon struct {
 	Run   func(ctx context.Context) error // until ctx ends, then stops gracefully
 	Hurry func()                          // ends the wait of a graceful stop; nil: a second signal ends the process
+
+	// Reload reads the settings again, on SIGHUP and when the file has changed;
+	// nil: the program ignores both. An error leaves the settings as they were.
+	Reload func(file string) error
 }
 
 // Main reads the command line, runs the program and returns its exit code.
@@ -52,6 +56,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go p.watch(ctx, file, d.Reload)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -40,7 +40,10 @@
 	}
 	member, ok := c.members().Find(e.ID)
 	if !ok {
-		member = Member{ID: e.ID, Learner: true, Joining: !e.Learner}
+		member = Member{ID: e.ID, Learner: true}
+	}
+	if member.Learner {
+		member.Joining = !e.Learner
 	}
 	member.Addr = e.Addr
 	c.change(c.members().with(member))
--- a/core/raft/event.go
+++ b/core/raft/event.go
@@ -27,7 +27,9 @@
 type Transfer struct{ To uint64 }
 
 // Add adds a replica, as a learner that is promoted when it has caught up or,
-// with Learner, as one that stays a learner. It is answered by Accepted or Refused.
+// with Learner, as one that stays a learner. For a member it changes the address
+// and, if it is a learner, whether it is promoted. It is answered by Accepted or
+// Refused.
 type Add struct {
 	ID      uint64
 	Addr    netip.AddrPort
--- a/core/refuse/error.go
+++ b/core/refuse/error.go
@@ -44,28 +44,48 @@
 	Request string `json:"request,omitempty"`
 }
 
+// Style is how a refusal is written.
+type Style struct {
+	Fractions bool // Retry-After has fractions of a second, against RFC 9110
+	Status    int  // in place of the status of the reason, 0: none
+}
+
 // Write answers a request with the refusal in err. An error of another type is
 // answered as a broken request of unknown outcome.
-func Write(w http.ResponseWriter, request string, err error) {
+func Write(w http.ResponseWriter, request string, err error) { WriteAs(w, request, err, Style{}) }
+
+// WriteAs is Write in another style.
+func WriteAs(w http.ResponseWriter, request string, err error, style Style) {
 	var refusal *Error
 	if !errors.As(err, &refusal) {
 		refusal = &Error{Reason: Broken, Run: Unknown, Detail: err.Error()}
 	}
+	status := refusal.Reason.Status()
+	if style.Status != 0 {
+		status = style.Status
+	}
 	if refusal.Retry > 0 {
-		seconds := int((refusal.Retry + time.Second - 1) / time.Second)
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", style.seconds(refusal.Retry))
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Del("Content-Length")
-	w.WriteHeader(refusal.Reason.Status())
+	w.WriteHeader(status)
 	// The caller may be gone; there is nobody left to tell.
 	_ = json.NewEncoder(w).Encode(Document{
 		Type:    "about:blank#" + string(refusal.Reason),
 		Title:   refusal.Reason.Title(),
-		Status:  refusal.Reason.Status(),
+		Status:  status,
 		Detail:  refusal.Detail,
 		Reason:  refusal.Reason,
 		Run:     refusal.Run,
 		Request: request,
 	})
 }
+
+// seconds writes a time for Retry-After, rounded up.
+func (s Style) seconds(d time.Duration) string {
+	if s.Fractions {
+		return strconv.FormatFloat((d + time.Millisecond - 1).Truncate(time.Millisecond).Seconds(), 'f', -1, 64)
+	}
+	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+}
--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -16,6 +16,7 @@
 	Upgrade     Reason = "upgrade"     // the request asks for a switch of protocols
 	BadDigest   Reason = "baddigest"   // the upload does not match its Content-Digest
 	TooLarge    Reason = "toolarge"    // the body exceeds the limit
+	BigHeader   Reason = "bigheader"   // the header exceeds the limit
 	Mismatch    Reason = "mismatch"    // the key was used for another request
 	Rate        Reason = "rate"        // the workspace exceeds its rate
 	Overload    Reason = "overload"    // shed before dispatch
@@ -46,6 +47,7 @@
 	BadRequest:  {http.StatusBadRequest, "The request is malformed"},
 	Upgrade:     {http.StatusNotImplemented, "A switch of protocols is not supported"},
 	BadDigest:   {http.StatusBadRequest, "The body does not match its Content-Digest"},
+	BigHeader:   {http.StatusRequestHeaderFieldsTooLarge, "The header is too large"},
 	TooLarge:    {http.StatusRequestEntityTooLarge, "The body is too large"},
 	Mismatch:    {http.StatusUnprocessableEntity, "The Idempotency-Key was used for another request"},
 	Rate:        {http.StatusTooManyRequests, "The workspace exceeds its rate"},
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -29,6 +29,7 @@
 	reserve int64
 	count   func(reason Reason, verdict Verdict)
 	epoch   time.Time
+	window  *window // in place of the tokens, nil: tokens
 
 	busy     atomic.Bool
 	tokens   atomic.Int64
@@ -45,6 +46,12 @@
 // WithReserve sets the tokens that refill with time.
 func WithReserve(tokens int) Option { return func(b *Budget) { b.reserve = int64(tokens) * unit } }
 
+// WithWindow bounds the further attempts in any span of time, over all entries,
+// to a share of the requests plus a slack. It replaces share and reserve.
+func WithWindow(span time.Duration, share, slack float64) Option {
+	return func(b *Budget) { b.window = newWindow(span, share, slack) }
+}
+
 // WithCount sets the hook that counts wanted attempts.
 func WithCount(count func(reason Reason, verdict Verdict)) Option {
 	return func(b *Budget) { b.count = count }
@@ -64,6 +71,22 @@
 // slots of requests that have not run at all.
 func (b *Budget) Busy(waiting bool) { b.busy.Store(waiting) }
 
+// Divide sets the number of entries that share the slack of a window.
+func (b *Budget) Divide(entries int) {
+	if b.window != nil {
+		b.window.divide(entries)
+	}
+}
+
+// RequestAt is Request for a budget with a window.
+func (b *Budget) RequestAt(now time.Time) {
+	if b.window != nil {
+		b.window.request(now.Sub(b.epoch))
+		return
+	}
+	b.Request()
+}
+
 // Request adds the share of one request.
 func (b *Budget) Request() {
 	if b.tokens.Add(b.share) > saved {
@@ -88,6 +111,12 @@
 	case left <= 0 || left < time.Duration(b.quantile.Load())/4:
 		return Late
 	}
+	if b.window != nil {
+		if !b.window.allow(now.Sub(b.epoch)) {
+			return Exhausted
+		}
+		return Allowed
+	}
 	b.refill(now)
 	for {
 		have := b.tokens.Load()
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"github.com/galenalock/galenalock/core/susp"
 )
 
 const (
@@ -34,6 +36,9 @@
 	epoch    time.Time
 	meter    func(region string, sent, received int64)
 
+	suspicion *susp.Target  // nil: never suspect
+	service   *atomic.Int64 // average latency of all endpoints of the router
+
 	limit    atomic.Int64
 	inflight atomic.Int64
 	latency  atomic.Int64  // average in nanoseconds, 0: none yet
@@ -70,16 +75,25 @@
 	if latency <= 0 {
 		return
 	}
-	// A lost update under contention costs one sample of an average.
-	old := e.latency.Load()
+	average(&e.latency, latency)
+	average(e.service, latency)
+}
+
+// average takes a sample into a running average. A lost update under contention
+// costs one sample.
+func average(into *atomic.Int64, latency time.Duration) {
+	old := into.Load()
 	if old == 0 {
-		e.latency.Store(int64(latency))
+		into.Store(int64(latency))
 		return
 	}
 	sample := min(int64(latency), old*latencyCap)
-	e.latency.Store(max(1, old+(sample-old)>>latencyShift))
+	into.Store(max(1, old+(sample-old)>>latencyShift))
 }
 
+// suspect reports whether other endpoints should be preferred.
+func (e *Endpoint) suspect(now time.Time) bool { return e.suspicion != nil && e.suspicion.Suspect(now) }
+
 // Load records the load that the target reported in a response to this
 // instance: requests in flight there and its current limit.
 func (e *Endpoint) Load(now time.Time, inflight, limit int) {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
 
 const (
 	half = 32
@@ -23,35 +27,67 @@
 	cost     float64
 	use      float64
 	weight   float64
+	suspect  bool
+}
+
+// question is one search for an endpoint.
+type question struct {
+	now     time.Time
+	ms      uint32 // now, since the epoch of the router
+	draw    uint64
+	typical float64 // latency of an endpoint that has none of its own
+	skip    func(e *Endpoint) bool
 }
 
 // Pick chooses an endpoint, or returns nil when no target can take a request.
 // Draw is uniformly random. Avoid may be nil; it is chosen only when it is the
 // last resort.
 func (r *Router) Pick(now time.Time, draw uint64, avoid *Endpoint) *Endpoint {
+	e := r.pick(now, draw, func(e *Endpoint) bool { return e == avoid })
+	if e == nil && avoid != nil && avoid.free() {
+		return avoid
+	}
+	return e
+}
+
+// PickOutside is Pick among the endpoints whose addresses are not excluded.
+func (r *Router) PickOutside(now time.Time, draw uint64, exclude []netip.AddrPort) *Endpoint {
+	return r.pick(now, draw, func(e *Endpoint) bool { return slices.Contains(exclude, e.address) })
+}
+
+func (r *Router) pick(now time.Time, draw uint64, skip func(e *Endpoint) bool) *Endpoint {
 	s := r.current.Load()
-	ms := uint32(now.Sub(r.epoch).Milliseconds())
+	q := question{
+		now: now, ms: uint32(now.Sub(r.epoch).Milliseconds()), draw: draw,
+		typical: float64(r.latency.Load()), skip: skip,
+	}
 	var best choice
 	for i := range s.tiers {
 		t := &s.tiers[i]
 		if len(t.members) == 0 {
 			continue
 		}
-		c := t.better(ms, draw, avoid)
+		c := t.better(&q)
 		if c.endpoint != nil && (best.endpoint == nil || c.cost < best.cost) {
 			best = c
 		}
-		if best.endpoint != nil && best.use < spill && best.weight*2 > 1 {
+		if best.enough(i) {
 			break
 		}
-		draw = mix(draw)
-	}
-	if best.endpoint == nil && avoid != nil && avoid.free() {
-		return avoid
+		q.draw = mix(q.draw)
 	}
 	return best.endpoint
 }
 
+// enough reports whether farther tiers than this one need not be considered.
+func (c *choice) enough(tier int) bool {
+	limit := spill
+	if tier == sameRegion {
+		limit = spillFar
+	}
+	return c.endpoint != nil && !c.suspect && c.use < limit && c.weight*2 > 1
+}
+
 // Probe returns an endpoint in probation for a repeatable request, or nil. The
 // caller decides how many requests become probes.
 func (r *Router) Probe(draw uint64) *Endpoint {
@@ -81,41 +117,45 @@
 }
 
 // better draws two members and returns the cheaper one that has a connection
-// left. When neither will do, it scans the tier once.
-func (t *tier) better(ms uint32, draw uint64, avoid *Endpoint) choice {
-	a := t.draw(float64(uint32(draw)) * unit)
-	if mix(draw)%explore == 0 {
-		if first := t.cheaper(choice{}, a, ms, avoid); first.endpoint != nil {
+// left. When neither will do, or both are suspect, it scans the tier once.
+func (t *tier) better(q *question) choice {
+	a := t.draw(float64(uint32(q.draw)) * unit)
+	if mix(q.draw)%explore == 0 {
+		if first := t.cheaper(choice{}, a, q); first.endpoint != nil && !first.suspect {
 			return first
 		}
 	}
-	b := t.draw(float64(draw>>half) * unit)
+	b := t.draw(float64(q.draw>>half) * unit)
 	if a == b && len(t.members) > 1 {
-		b = t.draw(float64(uint32(mix(draw))) * unit)
+		b = t.draw(float64(uint32(mix(q.draw))) * unit)
 	}
-	best := t.cheaper(choice{}, a, ms, avoid)
+	best := t.cheaper(choice{}, a, q)
 	if a != b {
-		best = t.cheaper(best, b, ms, avoid)
+		best = t.cheaper(best, b, q)
 	}
-	if best.endpoint != nil {
+	if best.endpoint != nil && !best.suspect {
 		return best
 	}
 	for i := range t.members {
-		best = t.cheaper(best, &t.members[i], ms, avoid)
+		best = t.cheaper(best, &t.members[(i+int(q.draw%uint64(len(t.members))))%len(t.members)], q)
 	}
 	return best
 }
 
-func (t *tier) cheaper(best choice, m *member, ms uint32, avoid *Endpoint) choice {
+// suspicion is the factor by which the cost of a suspect is higher: at most
+// times as much as that of an endpoint with a queue of twice its slots.
+const suspicion = 12
+
+func (t *tier) cheaper(best choice, m *member, q *question) choice {
 	e := m.endpoint
-	if e == avoid || !e.free() {
+	if !e.free() || q.skip(e) {
 		return best
 	}
-	load, slots := e.load(ms, m.slots)
+	load, slots := e.load(q.ms, m.slots)
 	use := (load + 1) / slots
 	latency := float64(e.latency.Load())
 	if latency == 0 {
-		latency = float64(t.base)
+		latency = q.typical + float64(t.base)
 	}
 	// Up to its slots a target runs requests side by side; beyond them each
 	// further request waits for a whole service time per slot.
@@ -123,8 +163,12 @@
 	if use > 1 {
 		cost *= use
 	}
+	suspect := e.suspect(q.now)
+	if suspect {
+		cost *= suspicion
+	}
 	if best.endpoint == nil || cost < best.cost {
-		return choice{endpoint: e, cost: cost, use: use, weight: m.weight}
+		return choice{endpoint: e, cost: cost, use: use, weight: m.weight, suspect: suspect}
 	}
 	return best
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// spill is the share of a target's slots above which a farther tier is
-	// considered. Queueing at a target grows steeply beyond it.
+	// spill is the share of a target's slots above which a farther data centre
+	// is considered. Queueing at a target grows steeply beyond it.
 	spill = 0.8
+	// spillFar is the same for another region: its links are slow and billed by
+	// volume, so that a short queue nearby is better.
+	spillFar = 1.2
 	// least keeps a weight above zero: without traffic there is no evidence.
 	least = 0.02
 	// rampStart is the weight at which slow start begins.
@@ -35,6 +38,8 @@
 	meter func(region string, sent, received int64)
 	epoch time.Time
 
+	latency atomic.Int64 // average over all endpoints in nanoseconds, 0: none yet
+
 	known   map[netip.AddrPort]*Endpoint
 	current atomic.Pointer[snapshot]
 }
@@ -104,6 +109,7 @@
 	return &Endpoint{
 		address: t.Address, start: t.Start, region: t.Region, tag: t.Tag,
 		crossing: t.Region != r.here.Region, epoch: r.epoch, meter: r.meter,
+		suspicion: t.Suspicion, service: &r.latency,
 	}
 }
 
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/galenalock/galenalock/core/susp"
 )
 
 // Target is what the control goroutine knows of one target.
@@ -20,6 +22,8 @@
 	Watched     time.Time // since when control watches it as a suspect, zero: not
 	Drained     bool      // draining, leaving, gone or drained by an operator
 	Tag         any       // the caller's own reference, kept for the life of the incarnation
+
+	Suspicion *susp.Target // of this incarnation; nil: never suspect
 }
 
 // Here is the place of the instance that chooses.
--- a/core/spec/check.go
+++ b/core/spec/check.go
@@ -16,6 +16,10 @@
 	defaultTimeout = 30 * time.Second
 	maxTimeout     = time.Hour
 	maxWeight      = 1e6
+	maxPriority    = 1000
+	maxAttempts    = 16
+	maxConnections = 1 << 20
+	maxHeader      = 1 << 20 // bytes
 )
 
 var (
@@ -29,16 +33,20 @@
 )
 
 type checker struct {
-	lines  map[string]int
+	text   []byte
+	lines  map[string]int // made for the first fault
 	errors Errors
 }
 
 // fail records a fault at a key, or at the closest table that contains it when
 // the key is absent.
 func (c *checker) fail(key, format string, args ...any) {
+	if c.lines == nil {
+		c.lines = keyLines(c.text)
+	}
 	place := key
 	for c.lines[place] == 0 {
-		cut := strings.LastIndexByte(place, '.')
+		cut := strings.LastIndexAny(place, ".[") // elements of an inline array have no line of their own
 		if cut < 0 {
 			break
 		}
@@ -68,9 +76,29 @@
 	for i := range raw.Workspace {
 		c.workspace(t, &raw.Workspace[i], fmt.Sprintf("workspace[%d]", i))
 	}
+	if raw.Limits != nil {
+		t.Limits = c.limits(raw.Limits)
+	}
 	return t
 }
 
+func (c *checker) limits(raw *rawLimits) Limits {
+	l := Limits{Header: raw.Header, Body: raw.Body}
+	if l.Header < 0 || l.Header > maxHeader {
+		c.fail("limits.header", "lies outside 0 to %d bytes", maxHeader)
+	}
+	if l.Body < 0 {
+		c.fail("limits.body", "is negative")
+	}
+	if raw.HeaderTime != "" {
+		l.HeaderTime = c.timeout("limits.headertime", raw.HeaderTime)
+	}
+	if raw.Idle != "" {
+		l.Idle = c.timeout("limits.idle", raw.Idle)
+	}
+	return l
+}
+
 func (c *checker) name(key, name string) bool {
 	switch {
 	case name == "":
@@ -103,6 +131,11 @@
 	if s.Policy != Careful && s.Policy != Fast {
 		c.fail(at+".policy", `%q is neither "careful" nor "fast"`, raw.Policy)
 	}
+	s.Health, s.Connections = raw.Health, raw.Connections
+	c.path(at+".health", raw.Health)
+	if raw.Connections < 0 || raw.Connections > maxConnections {
+		c.fail(at+".connections", "lies outside 0 to %d", maxConnections)
+	}
 	for i := range raw.Kind {
 		c.kind(s, &raw.Kind[i], fmt.Sprintf("%s.kind[%d]", at, i))
 	}
@@ -122,10 +155,7 @@
 }
 
 func (c *checker) kind(s *Service, raw *rawKind, at string) {
-	k := &Kind{
-		Name: raw.Name, Path: strings.TrimSuffix(raw.Path, "/"), Weight: 1,
-		Timeout: defaultTimeout, Hedge: raw.Hedge, Upload: raw.Upload,
-	}
+	k := c.newKind(raw, at)
 	if c.name(at+".name", raw.Name) && slices.ContainsFunc(s.Kinds, func(o *Kind) bool { return o.Name == raw.Name }) {
 		c.fail(at+".name", "kind %q is listed twice", raw.Name)
 	}
@@ -136,6 +166,16 @@
 		k.Methods = append(k.Methods, strings.ToUpper(m))
 	}
 	c.path(at+".path", raw.Path)
+	s.Kinds = append(s.Kinds, k)
+}
+
+// newKind reads what the kind of a service and that of a route have in common.
+func (c *checker) newKind(raw *rawKind, at string) *Kind {
+	k := &Kind{
+		Name: raw.Name, Path: strings.TrimSuffix(raw.Path, "/"), Weight: 1,
+		Timeout: defaultTimeout, Hedge: raw.Hedge, Upload: raw.Upload,
+		Priority: raw.Priority, Attempts: raw.Attempts,
+	}
 	if raw.Repeat == nil {
 		c.fail(at+".repeat", "is missing: true if the request is idempotent, false if it must run at most once")
 	} else {
@@ -151,7 +191,32 @@
 	if raw.Timeout != "" {
 		k.Timeout = c.timeout(at+".timeout", raw.Timeout)
 	}
-	s.Kinds = append(s.Kinds, k)
+	if raw.Goal != "" {
+		k.Goal = c.timeout(at+".goal", raw.Goal)
+	}
+	if k.Priority < 0 || k.Priority > maxPriority {
+		c.fail(at+".priority", "lies outside 0 to %d", maxPriority)
+	}
+	if k.Attempts < 0 || k.Attempts > maxAttempts {
+		c.fail(at+".attempts", "lies outside 0 to %d", maxAttempts)
+	}
+	return k
+}
+
+// routeKind reads the kind of a route. It holds for all requests of the route,
+// so it selects none by method or path.
+func (c *checker) routeKind(raw *rawRoute, at string) *Kind {
+	if raw.Kind == nil {
+		return nil
+	}
+	if len(raw.Kind.Methods) > 0 || raw.Kind.Path != "" {
+		c.fail(at+".kind", "may have neither methods nor a path")
+	}
+	k := c.newKind(raw.Kind, at+".kind")
+	if k.Name == "" {
+		k.Name = raw.Name
+	}
+	return k
 }
 
 func (c *checker) key(k *Kind, raw *rawKind, at string) {
@@ -194,17 +259,14 @@
 func (c *checker) route(t *Text, raw *rawRoute, at string) {
 	r := &Route{
 		Host: strings.ToLower(raw.Host), Prefix: strings.TrimSuffix(raw.Prefix, "/"),
-		Service: raw.Service, Strip: raw.Strip,
+		Name: raw.Name, Service: raw.Service, Strip: raw.Strip,
 	}
+	r.Kind = c.routeKind(raw, at)
 	if r.Host != "" && !hostPattern.MatchString(r.Host) {
 		c.fail(at+".host", "%q is no host name (write it without a port)", raw.Host)
 	}
 	c.path(at+".prefix", raw.Prefix)
-	if raw.Service == "" {
-		c.fail(at+".service", "is missing")
-	} else if t.services[raw.Service] == nil {
-		c.fail(at+".service", "service %q is not listed", raw.Service)
-	}
+	c.parts(t, r, raw, at)
 	if t.routes[r.Host] == nil {
 		t.routes[r.Host] = map[string]*Route{}
 	}
@@ -215,6 +277,32 @@
 	t.Routes = append(t.Routes, r)
 }
 
+// parts reads where the requests of a route go.
+func (c *checker) parts(t *Text, r *Route, raw *rawRoute, at string) {
+	switch {
+	case raw.Service != "" && len(raw.Split) > 0:
+		c.fail(at+".split", "stands beside service; a route has one of them")
+	case raw.Service == "" && len(raw.Split) == 0:
+		c.fail(at+".service", "is missing")
+	case raw.Service != "" && t.services[raw.Service] == nil:
+		c.fail(at+".service", "service %q is not listed", raw.Service)
+	}
+	for i, p := range raw.Split {
+		key := fmt.Sprintf("%s.split[%d]", at, i)
+		if t.services[p.Service] == nil {
+			c.fail(key+".service", "service %q is not listed", p.Service)
+		}
+		if p.Weight == nil {
+			c.fail(key+".weight", "is missing")
+			continue
+		}
+		if !(*p.Weight >= 0 && *p.Weight <= maxWeight) {
+			c.fail(key+".weight", "lies outside 0 to %g", maxWeight)
+		}
+		r.Split = append(r.Split, Part{Service: p.Service, Weight: *p.Weight})
+	}
+}
+
 func (c *checker) workspace(t *Text, raw *rawWorkspace, at string) {
 	w := &Workspace{Name: raw.Name, Services: raw.Services, Rate: raw.Rate}
 	if c.name(at+".name", raw.Name) && t.workspaces[raw.Name] != nil {
--- /dev/null
+++ b/core/spec/encode_test.go
@@ -0,0 +1,83 @@
+package spec_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/spec"
+)
+
+const routed = `
+[limits]
+header = 16384
+body = 67108864
+headertime = "3s"
+idle = "15s"
+
+[[service]]
+name = "old"
+floor = "70%"
+health = "/health"
+connections = 390
+
+[[service]]
+name = "new"
+floor = "70%"
+
+[[route]]
+name = "r-1"
+host = "a.example"
+prefix = "/x/"
+split = [{ service = "old", weight = 90 }, { service = "new", weight = 10 }]
+kind = { repeat = true, timeout = "4s", goal = "2s", priority = 2, attempts = 2, hedge = true }
+
+[[route]]
+name = "r-2"
+host = "a.example"
+prefix = "/y/"
+service = "old"
+kind = { repeat = false, timeout = "5s", upload = true, attempts = 1 }
+`
+
+// Guards against a text that changes its meaning when it is written and read
+// again, as a configuration from outside is.
+func TestEncodeKeepsMeaning(t *testing.T) {
+	is := is.New(t)
+	first, err := spec.Parse([]byte(routed))
+	is.NoErr(err)
+	text, err := spec.Encode(first)
+	is.NoErr(err)
+	second, err := spec.Parse(text)
+	is.NoErr(err)
+	is.Equal(second.Limits, first.Limits)
+	is.Equal(second.Services, first.Services)
+	is.Equal(second.Routes, first.Routes)
+
+	kind := second.Match("a.example", "/x/2f").Kind
+	is.Equal(kind.Name, "r-1")
+	is.Equal(kind.Goal, 2*time.Second)
+	is.Equal(kind.Attempts, 2)
+	is.Equal(second.Limits.Body, int64(64<<20))
+}
+
+// Guards against shares of a split that differ from the weights, and against
+// draws at the edges that find no part.
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	text, err := spec.Parse([]byte(routed))
+	is.NoErr(err)
+	route := text.Match("a.example", "/x/1")
+	count := map[string]int{}
+	for i := range 1000 {
+		count[route.Pick((float64(i)+0.5)/1000)]++
+	}
+	is.Equal(count, map[string]int{"old": 900, "new": 100})
+	is.Equal(route.Pick(0), "old")
+	is.Equal(route.Pick(1-1e-17), "old") // rounds to 1
+
+	none := spec.Route{Split: []spec.Part{{Service: "a"}, {Service: "b"}}}
+	is.Equal(none.Pick(0.2), "a")
+	is.Equal(none.Pick(0.7), "b")
+}
--- a/core/spec/parse.go
+++ b/core/spec/parse.go
@@ -14,43 +14,64 @@
 const MaxText = 8 << 20
 
 type rawText struct {
-	Service   []rawService   `toml:"service"`
-	Route     []rawRoute     `toml:"route"`
-	Workspace []rawWorkspace `toml:"workspace"`
+	Limits    *rawLimits     `toml:"limits,omitempty"`
+	Service   []rawService   `toml:"service,omitempty"`
+	Route     []rawRoute     `toml:"route,omitempty"`
+	Workspace []rawWorkspace `toml:"workspace,omitempty"`
+}
+
+type rawLimits struct {
+	Header     int    `toml:"header,omitempty"`
+	Body       int64  `toml:"body,omitempty"`
+	HeaderTime string `toml:"headertime,omitempty"`
+	Idle       string `toml:"idle,omitempty"`
 }
 
 type rawService struct {
-	Name    string    `toml:"name"`
-	Floor   string    `toml:"floor"`
-	Policy  string    `toml:"policy"`
-	Depends []string  `toml:"depends"`
-	Home    string    `toml:"home"`
-	Kind    []rawKind `toml:"kind"`
+	Name        string    `toml:"name"`
+	Floor       string    `toml:"floor"`
+	Policy      string    `toml:"policy,omitempty"`
+	Depends     []string  `toml:"depends,omitempty"`
+	Home        string    `toml:"home,omitempty"`
+	Health      string    `toml:"health,omitempty"`
+	Connections int       `toml:"connections,omitempty"`
+	Kind        []rawKind `toml:"kind,omitempty"`
 }
 
 type rawKind struct {
-	Name    string   `toml:"name"`
-	Methods []string `toml:"methods"`
-	Path    string   `toml:"path"`
-	Repeat  *bool    `toml:"repeat"`
-	Key     string   `toml:"key"`
-	Weight  *float64 `toml:"weight"`
-	Timeout string   `toml:"timeout"`
-	Hedge   bool     `toml:"hedge"`
-	Upload  bool     `toml:"upload"`
+	Name     string   `toml:"name,omitempty"`
+	Methods  []string `toml:"methods,omitempty"`
+	Path     string   `toml:"path,omitempty"`
+	Repeat   *bool    `toml:"repeat"`
+	Key      string   `toml:"key,omitempty"`
+	Weight   *float64 `toml:"weight,omitempty"`
+	Timeout  string   `toml:"timeout,omitempty"`
+	Goal     string   `toml:"goal,omitempty"`
+	Priority int      `toml:"priority,omitempty"`
+	Attempts int      `toml:"attempts,omitempty"`
+	Hedge    bool     `toml:"hedge,omitempty"`
+	Upload   bool     `toml:"upload,omitempty"`
 }
 
 type rawRoute struct {
-	Host    string `toml:"host"`
-	Prefix  string `toml:"prefix"`
-	Service string `toml:"service"`
-	Strip   bool   `toml:"strip"`
+	Name    string    `toml:"name,omitempty"`
+	Host    string    `toml:"host,omitempty"`
+	Prefix  string    `toml:"prefix,omitempty"`
+	Service string    `toml:"service,omitempty"`
+	Split   []rawPart `toml:"split,omitempty,inline"`
+	Strip   bool      `toml:"strip,omitempty"`
+	Kind    *rawKind  `toml:"kind,omitempty,inline"`
+}
+
+type rawPart struct {
+	Service string   `toml:"service"`
+	Weight  *float64 `toml:"weight"`
 }
 
 type rawWorkspace struct {
 	Name     string   `toml:"name"`
-	Services []string `toml:"services"`
-	Rate     float64  `toml:"rate"`
+	Services []string `toml:"services,omitempty"`
+	Rate     float64  `toml:"rate,omitempty"`
 }
 
 // Parse reads and checks a service text. Its error is of type Errors.
@@ -64,7 +85,7 @@
 	if err := decoder.Decode(&raw); err != nil {
 		return nil, decodeErrors(err)
 	}
-	c := &checker{lines: keyLines(text)}
+	c := &checker{text: text}
 	parsed := c.check(&raw)
 	if len(c.errors) > 0 {
 		return nil, c.sorted()
--- a/core/spec/text.go
+++ b/core/spec/text.go
@@ -10,6 +10,7 @@
 	Services   []*Service
 	Routes     []*Route
 	Workspaces []*Workspace
+	Limits     Limits
 
 	services   map[string]*Service
 	routes     map[string]map[string]*Route // host, then prefix
@@ -32,7 +33,11 @@
 	Policy  Policy
 	Depends []string
 	Home    string
-	Kinds   []*Kind
+	Health  string // path of the health check of its targets, empty: none
+	// Connections is how many connections a target accepts from all entries
+	// together, 0: what each target announces.
+	Connections int
+	Kinds       []*Kind
 }
 
 // Kind is a sort of request to a service.
@@ -46,14 +51,35 @@
 	Timeout time.Duration
 	Hedge   bool
 	Upload  bool
+
+	Goal     time.Duration // latency within which an answer has its full value, 0: the timeout
+	Priority int           // rank under overload, 0 is served first
+	Attempts int           // targets that one request may be sent to, 0: the default of the data path
 }
 
-// Route leads requests to a service.
+// Route leads requests to a service, or to a split of services.
 type Route struct {
+	Name    string // empty: none
 	Host    string // empty: any host
 	Prefix  string // without a trailing slash
+	Service string // empty with a split
+	Split   []Part
+	Strip   bool  // cut the prefix off before the request goes to the target
+	Kind    *Kind // of all requests of the route, nil: the kinds of the service decide
+}
+
+// Part is the share of a route's requests that goes to one service.
+type Part struct {
 	Service string
-	Strip   bool // cut the prefix off before the request goes to the target
+	Weight  float64
+}
+
+// Limits bounds what callers may send and how long they may take.
+type Limits struct {
+	Header     int           // bytes of a request header, 0: the limit of the entry
+	Body       int64         // bytes of a request body, 0: the limit of the entry
+	HeaderTime time.Duration // until a request header has arrived, 0: the limit of the entry
+	Idle       time.Duration // of a kept connection, 0: the limit of the entry
 }
 
 // Workspace is the share of a fleet that one team uses.
@@ -69,6 +95,40 @@
 // Workspace returns the workspace of that name, or nil.
 func (t *Text) Workspace(name string) *Workspace { return t.workspaces[name] }
 
+// Pick returns the service of one request. Draw lies in [0, 1) and chooses among
+// the parts of a split in the proportion of their weights.
+func (r *Route) Pick(draw float64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	whole := 0.0
+	for _, p := range r.Split {
+		whole += p.Weight
+	}
+	if whole == 0 {
+		return r.Split[int(draw*float64(len(r.Split)))].Service
+	}
+	at := draw * whole
+	for _, p := range r.Split {
+		if at < p.Weight {
+			return p.Service
+		}
+		at -= p.Weight
+	}
+	return r.heaviest()
+}
+
+// heaviest is where a draw ends that rounding has pushed past the last part.
+func (r *Route) heaviest() string {
+	best := r.Split[0]
+	for _, p := range r.Split {
+		if p.Weight > best.Weight {
+			best = p
+		}
+	}
+	return best.Service
+}
+
 // Match returns the route with the longest prefix for a host and path; a route
 // that names the host goes before one for any host. It returns nil when no
 // route matches.
--- a/core/state/check.go
+++ b/core/state/check.go
@@ -39,6 +39,13 @@
 		return checkName("service", c.Withdraw.Service)
 	case c.Drain != nil:
 		return checkName("name", c.Drain.Name)
+	case c.Announce != nil:
+		if err := c.Announce.Check(); err != nil {
+			return err.Error()
+		}
+		return checkTime("start", &c.Announce.Start)
+	case c.Silence != nil:
+		return c.Silence.check()
 	}
 	return ""
 }
@@ -91,6 +98,18 @@
 	return checkClaim(&wire.Claim{Service: c.Service, Key: c.Key, Owner: c.Owner, Incarnation: c.Incarnation})
 }
 
+func (s *Silence) check() string {
+	if len(s.Targets) > MaxLeases {
+		return fmt.Sprintf("%d silent targets, the limit is %d", len(s.Targets), MaxLeases)
+	}
+	for i := range s.Targets {
+		if reason := checkTime("start", &s.Targets[i].Start); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
 func (g *Grant) check() string {
 	if len(g.Targets) > MaxLeases {
 		return fmt.Sprintf("grant has %d targets, the limit is %d", len(g.Targets), MaxLeases)
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -17,6 +18,9 @@
 	Withdraw *Withdraw   `cbor:"withdraw,omitempty"`
 	Drain    *Drain      `cbor:"drain,omitempty"`
 	Tick     *Tick       `cbor:"tick,omitempty"`
+
+	Announce *enrol.Announcement `cbor:"announce,omitempty"`
+	Silence  *Silence            `cbor:"silence,omitempty"`
 }
 
 // Submit proposes a service text. The same change identifier is the same
@@ -25,6 +29,9 @@
 	Base   uint64 `cbor:"base"`   // revision that the text was made from
 	Change string `cbor:"change"` // identifier of the change
 	Text   []byte `cbor:"text"`
+	// Rank orders texts whose order is given from outside, 0: none. The text of
+	// the highest rank is in force; Base and Change do not matter for it.
+	Rank uint64 `cbor:"rank,omitempty"`
 }
 
 // Target is one incarnation of a target.
@@ -56,6 +63,11 @@
 	On   bool   `cbor:"on"`
 }
 
+// Silence marks targets that no replica hears any more.
+type Silence struct {
+	Targets []enrol.Incarnation `cbor:"targets"`
+}
+
 // Tick lets time pass, so that leases and claims expire.
 type Tick struct{}
 
@@ -76,6 +88,10 @@
 		return "drain"
 	case c.Tick != nil:
 		return "tick"
+	case c.Announce != nil:
+		return "announce"
+	case c.Silence != nil:
+		return "silence"
 	}
 	return "none"
 }
@@ -85,6 +101,7 @@
 	for _, set := range []bool{
 		c.Submit != nil, c.Claim != nil, c.Close != nil, c.Grant != nil,
 		c.Withdraw != nil, c.Drain != nil, c.Tick != nil,
+		c.Announce != nil, c.Silence != nil,
 	} {
 		if set {
 			n++
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -17,6 +18,7 @@
 	claims claims
 	grants grants
 	drains map[string]time.Time
+	enrol  *enrol.Table
 
 	drained []Drained // by name, shared by views
 
@@ -56,6 +58,7 @@
 	m.claims = newClaims()
 	m.grants = newGrants()
 	m.drains = map[string]time.Time{}
+	m.enrol = enrol.New()
 	m.drained = nil
 }
 
@@ -93,6 +96,10 @@
 		return Result{Granted: m.grants.withdraw(c.Withdraw)}
 	case c.Drain != nil:
 		return m.drain(c.Drain)
+	case c.Announce != nil:
+		return Result{Verdict: m.enrol.Announce(m.index, m.now, *c.Announce)}
+	case c.Silence != nil:
+		m.enrol.Silence(m.index, c.Silence.Targets)
 	}
 	return Result{}
 }
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -12,6 +13,7 @@
 	Submitted *Submitted    `cbor:"submitted,omitempty"`
 	Claimed   *wire.Claimed `cbor:"claimed,omitempty"`
 	Granted   *Granted      `cbor:"granted,omitempty"`
+	Verdict   enrol.Verdict `cbor:"verdict,omitempty"` // on an announcement
 }
 
 // Outcome tells what became of a submission.
@@ -22,6 +24,7 @@
 	Accepted Outcome = "accepted" // the text is a revision
 	Conflict Outcome = "conflict" // another change was made from the same base
 	Reused   Outcome = "reused"   // the identifier belongs to a submission with another base or text
+	Held     Outcome = "held"     // a text of the same or a higher rank is in force
 )
 
 // Submitted answers Submit. For Accepted it names the new revision, for
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -11,11 +11,16 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// snapshotVersion is raised when the form of a snapshot changes.
-const snapshotVersion = 1
+// snapshotVersion is raised when the form of a snapshot changes. Version 1 had
+// no targets.
+const (
+	firstVersion    = 1
+	snapshotVersion = 2
+)
 
 type snapshot struct {
 	Version int                  `cbor:"version"`
@@ -31,6 +36,7 @@
 	Leases  []Lease              `cbor:"leases"`
 	Sets    map[string]uint64    `cbor:"sets"`
 	Drains  map[string]time.Time `cbor:"drains"`
+	Targets enrol.Saved          `cbor:"targets"`
 }
 
 type savedChange struct {
@@ -97,6 +103,7 @@
 		Version: snapshotVersion, Index: m.index, Now: m.now,
 		Text: m.texts.text, Kept: m.texts.kept, Winners: m.texts.winners,
 		Owners: m.claims.owners, Leases: m.grants.list(), Sets: m.grants.sets, Drains: m.drains,
+		Targets: m.enrol.Save(),
 	}
 	for _, id := range m.known.order {
 		s.Changes = append(s.Changes, savedChange{ID: id, Change: m.known.table[id]})
@@ -123,8 +130,8 @@
 	if err := large.Unmarshal(data, &s); err != nil {
 		return eris.Wrap(err, "restore snapshot")
 	}
-	if s.Version != snapshotVersion {
-		return eris.Errorf("restore snapshot: version %d, want %d", s.Version, snapshotVersion)
+	if s.Version < firstVersion || s.Version > snapshotVersion {
+		return eris.Errorf("restore snapshot: version %d, want %d to %d", s.Version, firstVersion, snapshotVersion)
 	}
 	m.reset()
 	m.index, m.now = s.Index, s.Now.UTC()
@@ -147,6 +154,7 @@
 		m.drains = s.Drains
 	}
 	m.listDrains()
+	m.enrol = enrol.Restore(s.Targets)
 	return nil
 }
 
--- a/core/state/submit.go
+++ b/core/state/submit.go
@@ -44,6 +44,9 @@
 }
 
 func (m *Machine) submit(s *Submit) *Submitted {
+	if s.Rank > 0 {
+		return m.submitRanked(s)
+	}
 	mark := fingerprint(s)
 	if first, ok := m.known.table[s.Change]; ok && m.remember(s.Change) {
 		if first.Print == mark {
@@ -58,7 +61,7 @@
 	if s.Base == newest {
 		m.texts.add(Revision{
 			Number: newest + 1, Base: s.Base, Change: s.Change,
-			Sum: delta.Sum(s.Text), Size: len(s.Text), Time: m.now,
+			Sum: delta.Sum(s.Text), Size: len(s.Text), Time: m.now, Rank: m.texts.rank(),
 		}, s.Text)
 		answer.Revision, answer.Change = newest+1, s.Change
 	} else {
@@ -73,3 +76,20 @@
 	m.known.add(s.Change, change{Print: mark, Answer: answer})
 	return &answer
 }
+
+// submitRanked takes a text whose order is given from outside. Asking again is
+// harmless without a record of the answer: the rank is then held.
+func (m *Machine) submitRanked(s *Submit) *Submitted {
+	newest := m.texts.newest()
+	answer := Submitted{Outcome: Held, Revision: newest, Newest: newest, Time: m.now}
+	if s.Rank <= m.texts.rank() {
+		answer.Change = m.texts.winner(newest)
+		return &answer
+	}
+	m.texts.add(Revision{
+		Number: newest + 1, Base: newest, Change: s.Change, Rank: s.Rank,
+		Sum: delta.Sum(s.Text), Size: len(s.Text), Time: m.now,
+	}, s.Text)
+	answer.Outcome, answer.Revision, answer.Newest, answer.Change = Accepted, newest+1, newest+1, s.Change
+	return &answer
+}
--- a/core/state/texts.go
+++ b/core/state/texts.go
@@ -13,6 +13,7 @@
 	Sum    uint64    `cbor:"sum"`
 	Size   int       `cbor:"size"`
 	Time   time.Time `cbor:"time"` // when it was accepted
+	Rank   uint64    `cbor:"rank,omitempty"`
 }
 
 // kept is a revision with the splice that makes the text before it from its
@@ -37,6 +38,14 @@
 	return t.kept[len(t.kept)-1].Revision.Number
 }
 
+// rank returns the rank of the newest text.
+func (t *texts) rank() uint64 {
+	if len(t.kept) == 0 {
+		return 0
+	}
+	return t.kept[len(t.kept)-1].Revision.Rank
+}
+
 func (t *texts) add(r Revision, text []byte) {
 	back := cut(text, t.text)
 	back.Middle = bytes.Clone(back.Middle) // a part would keep the whole old text in memory
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/galenalock/galenalock/core/enrol"
 )
 
 // View is an immutable picture of the state for readers in other goroutines.
@@ -17,6 +19,7 @@
 	Running int       // claims that are running
 	Unknown int       // claims of unknown outcome that are kept whole
 	Keys    int       // claims and retired keys
+	Targets enrol.View
 
 	text []byte
 	kept []kept
@@ -37,8 +40,9 @@
 		Index: m.index, Time: m.now, Due: m.Due(),
 		Leases: m.grants.list(), Sets: m.grants.numbers(), Drains: m.drained,
 		Running: m.claims.running, Unknown: m.claims.unknown,
-		Keys: len(m.claims.table) + len(m.claims.retired),
-		text: m.texts.text, kept: m.texts.kept,
+		Keys:    len(m.claims.table) + len(m.claims.retired),
+		Targets: m.enrol.View(),
+		text:    m.texts.text, kept: m.texts.kept,
 	}
 	m.view = v
 	return v
--- a/core/update/core.go
+++ b/core/update/core.go
@@ -28,12 +28,17 @@
 	confirmedAt time.Time
 	pulls       map[string]time.Time // peers that have not answered, by instance
 	ready       bool
+	controlOnly bool
 	lower       func(number, current uint64) bool
 }
 
 // Option changes a core.
 type Option func(*Core)
 
+// WithControlOnly makes the confirmation of a control replica the only way to
+// become ready, for instances that have no peers to ask.
+func WithControlOnly() Option { return func(c *Core) { c.controlOnly = true } }
+
 // WithLower sets what decides whether a revision is refused as not higher than
 // the current one. Only tests replace it, to show what the rule prevents.
 func WithLower(refuse func(number, current uint64) bool) Option {
@@ -163,7 +168,7 @@
 		c.ready = c.Number() >= c.wanted
 		return c.ready
 	}
-	if now.Sub(c.started) < ControlWait {
+	if c.controlOnly || now.Sub(c.started) < ControlWait {
 		return false
 	}
 	for _, asked := range c.pulls {
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -22,6 +22,13 @@
 	KindRenew    Kind = "renew"    // Renew, a renewal passed to a target's owner
 	KindRaft     Kind = "raft"     // message of core/raft
 	KindPropose  Kind = "propose"  // Propose, forwarded to the leader, answered by Proposed
+	KindJoin     Kind = "join"     // Join, passed on to the leader
+	KindHeard    Kind = "heard"    // Heard, from a replica to the leader
+	KindFollow   Kind = "follow"   // Follow
+	KindTargets  Kind = "targets"  // enrol.Update, pushed by control; as a call Follow, answered by it
+	KindReplicas Kind = "replicas" // Replicas
+	KindEntries  Kind = "entries"  // Entries
+	KindSuspects Kind = "suspects" // Suspects, to control and from there to the entries of the region
 )
 
 // Message is one frame on a link. Call is nonzero for a message that expects
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -54,6 +54,7 @@
 	ticked     time.Time
 	peersDirty bool
 	peers      []route.Peer
+	registry   *registry // nil with an overlay
 
 	// Read by traffic goroutines.
 	view    atomic.Pointer[proxy.View]
@@ -61,6 +62,8 @@
 	control atomic.Pointer[conns]
 	fleet   atomic.Pointer[Fleet]
 	rates   *rates
+
+	sightings chan sighting // from traffic goroutines
 }
 
 // New returns an agent. Run starts its work.
@@ -82,6 +85,11 @@
 		upstreams: map[string]*upstream{},
 		drains:    value.NewSet[string](),
 		rates:     newRates(),
+		sightings: make(chan sighting, suspectQueue),
+	}
+	if len(s.Attach) > 0 {
+		a.registry = newRegistry(&s)
+		a.update = update.New(s.Start, update.WithControlOnly())
 	}
 	a.view.Store(&proxy.View{})
 	a.routes.Store(&map[string]*upstream{})
@@ -111,10 +119,14 @@
 	defer close(a.over)
 	now := time.Now()
 	a.restore()
-	for _, to := range a.settings.Control {
-		a.mesh.Keep(to)
+	if a.registry != nil {
+		a.plan(now)
+	} else {
+		for _, to := range a.settings.Control {
+			a.mesh.Keep(to)
+		}
+		a.perform(now, a.gossip.SetState(now, gossip.StateReady))
 	}
-	a.perform(now, a.gossip.SetState(now, gossip.StateReady))
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -157,7 +169,9 @@
 func (a *Agent) Leave(ctx context.Context) {
 	a.await(ctx, func(now time.Time) {
 		a.leaving = true
-		a.perform(now, a.gossip.SetState(now, gossip.StateLeaving))
+		if a.registry == nil {
+			a.perform(now, a.gossip.SetState(now, gossip.StateLeaving))
+		}
 		a.reportDue = true
 		a.report(now)
 		a.publish(now)
@@ -167,14 +181,29 @@
 func (a *Agent) tick(now time.Time) {
 	a.checkPause(now)
 	a.ticked = now
-	a.perform(now, a.gossip.Tick(now))
-	a.performRoster(now, a.roster.Tick(now))
+	if a.registry != nil {
+		a.tickRegistry(now)
+	} else {
+		a.perform(now, a.gossip.Tick(now))
+		a.performRoster(now, a.roster.Tick(now))
+	}
 	a.confirm(now)
 	a.tickUpstreams(now)
 	a.report(now)
 	a.publish(now)
 	if now.Sub(a.refreshed) >= time.Second {
 		a.refreshed = now
-		a.fleet.Store(&Fleet{Instances: len(a.roster.Instances()), Targets: a.roster.Snapshot().Len()})
+		a.fleet.Store(a.countFleet())
+	}
+}
+
+func (a *Agent) countFleet() *Fleet {
+	if r := a.registry; r != nil {
+		f := &Fleet{Targets: r.mirror.Len()}
+		for _, n := range r.regions {
+			f.Instances += n
+		}
+		return f
 	}
+	return &Fleet{Instances: len(a.roster.Instances()), Targets: a.roster.Snapshot().Len()}
 }
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -42,6 +42,12 @@
 
 // revision takes a revision or a digest that arrived on a link.
 func (a *Agent) revision(now time.Time, c *link.Conn, r wire.Revision) {
+	if a.registry != nil && !r.Whole && c != a.registry.primary {
+		if l := a.registry.ahead[c]; l != nil {
+			l.revision = max(l.revision, r.Number)
+		}
+		return
+	}
 	result, err := a.update.Receive(now, c.Peer().Instance, r)
 	if err != nil {
 		a.log.WithField(logs.FieldError, err.Error()).WithField("peer", c.Peer().Instance).Error("revision refused")
@@ -94,6 +100,9 @@
 // confirm asks control which revision its majority holds.
 func (a *Agent) confirm(now time.Time) {
 	every := confirmEvery
+	if a.registry != nil {
+		every = confirmRegistry
+	}
 	if !a.update.Ready(now) {
 		every = confirmFirst
 	}
@@ -126,7 +135,7 @@
 	next := proxy.View{
 		Text:     a.update.Text(),
 		Revision: a.update.Number(),
-		Ready:    a.update.Ready(now),
+		Ready:    a.update.Ready(now) && (a.registry == nil || a.registry.filled),
 		Draining: a.draining || a.leaving,
 	}
 	if *a.view.Load() != next {
@@ -138,7 +147,7 @@
 // report tells control the state of the instance when it has changed, and from
 // time to time.
 func (a *Agent) report(now time.Time) {
-	const every = 5 * time.Second
+	const every = 15 * time.Second // shorter than the time for which control counts the instance as live
 	if !a.reportDue && now.Sub(a.reported) < every {
 		return
 	}
@@ -156,5 +165,8 @@
 	}
 	for _, c := range *a.control.Load() {
 		_ = c.Send(wire.KindReport, r) // a failed send ends the link
+		if a.registry != nil {
+			break // the primary passes it on
+		}
 	}
 }
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/gossip"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
@@ -35,6 +36,14 @@
 		return deliver(m, func(r wire.Renew) {
 			a.post(func(now time.Time) { a.performRoster(now, a.roster.Renew(now, r)) })
 		})
+	case wire.KindTargets:
+		return deliver(m, func(u enrol.Update) { a.registered(func(now time.Time) { a.targets(now, c, u) }) })
+	case wire.KindReplicas:
+		return deliver(m, func(r wire.Replicas) { a.registered(func(now time.Time) { a.replicas(now, r) }) })
+	case wire.KindEntries:
+		return deliver(m, func(e wire.Entries) { a.registered(func(time.Time) { a.countEntries(e) }) })
+	case wire.KindSuspects:
+		return deliver(m, func(s wire.Suspects) { a.registered(func(now time.Time) { a.hearSuspects(now, s) }) })
 	case wire.KindOrders:
 		return deliver(m, func(o wire.Orders) {
 			a.post(func(now time.Time) { a.orders(now, c, o) })
@@ -46,6 +55,13 @@
 	return nil, &wire.FaultError{Code: "unsupported", Detail: string(m.Kind)}
 }
 
+// registered posts an event that has a meaning only with a registry.
+func (a *Agent) registered(e event) {
+	if a.registry != nil {
+		a.post(e)
+	}
+}
+
 func deliver[T any](m wire.Message, take func(T)) (any, error) {
 	var body T
 	if err := wire.Decode(m.Body, &body); err != nil {
@@ -90,6 +106,10 @@
 // first, since claims take the first one.
 func (a *Agent) keptLink(c *link.Conn, open bool) {
 	a.post(func(now time.Time) {
+		if a.registry != nil {
+			a.attached(now, c, open)
+			return
+		}
 		next := slices.DeleteFunc(slices.Clone(*a.control.Load()), func(o *link.Conn) bool { return o == c })
 		switch {
 		case open && c.Peer().Region == a.settings.Region:
--- a/entry/agent/pick.go
+++ b/entry/agent/pick.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/galenalock/galenalock/core/route"
@@ -11,25 +10,13 @@
 
 // pick selects a target outside exclude.
 func (u *upstream) pick(now time.Time, repeat bool, exclude []netip.AddrPort) *route.Endpoint {
-	const draws = 4
 	draw := rand.Uint64()
 	if repeat && len(exclude) == 0 {
 		if e := u.probe(now, draw); e != nil {
 			return e
 		}
 	}
-	var avoid *route.Endpoint
-	for range draws {
-		e := u.router.Pick(now, draw, avoid)
-		if e == nil {
-			return nil
-		}
-		if !slices.Contains(exclude, e.Address()) {
-			return e
-		}
-		avoid, draw = e, rand.Uint64()
-	}
-	return nil
+	return u.router.PickOutside(now, draw, exclude)
 }
 
 // probeEvery is the time between two requests of this entry to a target in
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -20,7 +20,11 @@
 	Seeds      []netip.AddrPort // peer addresses of other instances
 	Data       string           // folder for a copy of the configuration, empty: none
 	Ramp       time.Duration    // slow start of a target
-	Start      time.Time        // incarnation
+	Attach     []netip.AddrPort // seeds of the control group; with them, targets come from control and there is no overlay
+	Links      int              // links to control replicas, with Attach
+	Retry      Retry
+	Inflight   int       // requests of a service that the gate always admits
+	Start      time.Time // incarnation
 }
 
 func (s *Settings) hello() wire.Hello {
@@ -30,6 +34,14 @@
 	}
 }
 
+// Retry bounds the further attempts of a service over the whole fleet. A window
+// of 0 leaves the budget of package retry as it is.
+type Retry struct {
+	Window time.Duration
+	Share  float64 // of the requests
+	Slack  float64 // attempts in a window, of all entries together
+}
+
 // Hooks are what the agent needs of the process around it.
 type Hooks struct {
 	Mesh     func(opts ...mesh.Option) *mesh.Mesh // opens the mesh with the process's TLS and counters
--- /dev/null
+++ b/entry/agent/suspects.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/galenalock/galenalock/core/susp"
+	"github.com/galenalock/galenalock/core/wire"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+const (
+	// suspectQueue bounds the signs that wait to be told to other entries; more
+	// are dropped, since the first of a target say most.
+	suspectQueue = 64
+	// suspectRows bounds the signs in one message.
+	suspectRows = 16
+)
+
+// sighting is a sign of a target that other entries are told of.
+type sighting struct {
+	service string
+	target  netip.AddrPort
+	start   time.Time
+	sign    susp.Sign
+	at      time.Time
+}
+
+// signs is what each class of outcome says about the target. An answer counts
+// as a failure of the target only with the status 500 and above.
+var signs = map[proxy.Class]susp.Sign{
+	proxy.Faulty:      susp.Failed,
+	proxy.Failed:      susp.Broken,
+	proxy.Dial:        susp.Unreachable,
+	proxy.Overdue:     susp.Overdue,
+	proxy.Refused:     susp.Shed,
+	proxy.Misdirected: susp.Misdirected,
+}
+
+// suspect takes a sign of a target, which traffic goroutines have seen.
+func (a *Agent) suspect(t *target, sign susp.Sign, now time.Time) {
+	score := t.suspicion.See(now, sign)
+	a.log.WithField("service", t.Service).WithField("target", t.Name).WithField("sign", sign.String()).
+		WithField("score", score).Info("suspicion")
+	if !sign.Shared() {
+		return
+	}
+	select {
+	case a.sightings <- sighting{service: t.Service, target: t.Address, start: t.Start, sign: sign, at: now}:
+	default: // the queue holds enough signs
+	}
+}
+
+// tellSuspects passes the signs of the last moment on to the primary replica.
+func (a *Agent) tellSuspects(now time.Time) {
+	var out wire.Suspects
+	for len(out.List) < suspectRows {
+		select {
+		case s := <-a.sightings:
+			out.List = append(out.List, wire.Suspect{
+				Service: s.service, Target: s.target, Start: s.start.UnixMilli(), Sign: uint8(s.sign), Age: now.Sub(s.at),
+			})
+			continue
+		default:
+		}
+		break
+	}
+	if primary := a.registry.primary; primary != nil && len(out.List) > 0 {
+		out.Region = a.settings.Region
+		_ = primary.Send(wire.KindSuspects, out) // a failed send ends the link
+	}
+}
+
+// hearSuspects takes the signs that other entries have seen.
+func (a *Agent) hearSuspects(now time.Time, w wire.Suspects) {
+	for _, s := range w.List {
+		u := a.upstreams[s.Service]
+		if u == nil {
+			continue
+		}
+		t := u.targets[s.Target]
+		if t == nil || t.Start.UnixMilli() != s.Start {
+			continue
+		}
+		sign := susp.Sign(s.Sign)
+		score := t.suspicion.Hear(now, sign, s.Age)
+		a.log.WithField("service", s.Service).WithField("target", t.Name).WithField("sign", sign.String()).
+			WithField("score", score).WithField("heard", true).Debug("suspicion")
+	}
+}
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -25,6 +25,9 @@
 	if a.peersDirty {
 		a.peersDirty = false
 		a.peers = a.listPeers()
+		for _, u := range a.upstreams {
+			u.budget.Divide(a.entries())
+		}
 		a.dirtyAll()
 		if text := a.update.Text(); text != nil {
 			a.rates.set(text, a.entries())
@@ -32,7 +35,7 @@
 	}
 	for _, u := range a.upstreams {
 		ticked := u.due(now)
-		if ticked {
+		if ticked && a.registry == nil {
 			u.ticked = now
 			u.monitor.Tick(now)
 			a.sendEvidence(now, u)
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/galenalock/galenalock/core/health"
@@ -13,6 +11,7 @@
 	"github.com/galenalock/galenalock/core/retry"
 	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/susp"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -26,6 +25,7 @@
 	endpoint *route.Endpoint
 	call     health.Call
 	judged   bool
+	overdue  *time.Timer // tells that the answer takes too long, may be nil
 }
 
 func (a *Agent) upstream(service string) *upstream { return (*a.routes.Load())[service] }
@@ -45,7 +45,7 @@
 		return proxy.Target{}, false
 	}
 	return proxy.Target{
-		Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
+		Name: t.Name, Address: t.Address, Region: t.Region, DataCentre: t.DataCentre,
 		Slots: t.Slots, Connections: t.Connections, Incarnation: t.Start,
 		Handle: &dispatch{upstream: u, target: t, endpoint: e},
 	}, true
@@ -58,11 +58,14 @@
 		return
 	}
 	if at.Number == 0 {
-		d.upstream.budget.Request()
+		d.upstream.budget.RequestAt(at.Start)
 	}
 	d.endpoint.Begin()
 	d.upstream.open.Add(1)
 	d.upstream.active.Store(true)
+	if limit := d.upstream.late(at.Request.Kind); a.registry != nil && limit > 0 {
+		d.overdue = time.AfterFunc(limit, func() { a.suspect(d.target, susp.Overdue, time.Now()) })
+	}
 	// The time that an upload takes depends on the caller.
 	if !at.Request.Kind.Upload {
 		d.call, d.judged = d.target.health.Start(at.Start), true
@@ -75,6 +78,9 @@
 	if !ok {
 		return
 	}
+	if d.overdue != nil {
+		d.overdue.Stop()
+	}
 	latency := time.Duration(0)
 	if o.Class == proxy.Answered {
 		latency = o.Head
@@ -84,13 +90,16 @@
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
 	d.endpoint.Bytes(o.Sent, o.Bytes)
+	if sign, bad := signs[o.Class]; bad && a.registry != nil {
+		a.suspect(d.target, sign, o.End)
+	}
 	if d.judged {
 		d.call.Finish(at.Start.Add(latencyOf(at, o)), healthOutcome(o))
 	}
 	if o.Class == proxy.Refused {
 		d.upstream.gate.Shed()
 	}
-	if inflight, slots, ok := parseLoad(o.Load); ok {
+	if inflight, slots := o.Load.Running+o.Load.Waiting, o.Load.Slots; o.Loaded {
 		d.endpoint.Load(o.End, inflight, slots)
 		d.target.health.Load(o.End, inflight, slots)
 		if ticket, ok := at.Request.Admission.Handle.(*limit.Ticket); ok {
@@ -99,18 +108,24 @@
 	}
 }
 
-// parseLoad reads the header Galenalock-Load, such as "inflight=3 limit=6".
-func parseLoad(header string) (inflight, slots int, ok bool) {
-	first, rest, _ := strings.Cut(header, " ")
-	second, _, _ := strings.Cut(rest, " ")
-	used, okUsed := strings.CutPrefix(first, "inflight=")
-	all, okAll := strings.CutPrefix(second, "limit=")
-	if !okUsed || !okAll {
-		return 0, 0, false
-	}
-	inflight, errUsed := strconv.Atoi(used)
-	slots, errAll := strconv.Atoi(all)
-	return inflight, slots, errUsed == nil && errAll == nil
+const (
+	// lateShare is the part of a request's goal after which a pending attempt
+	// is a bad sign of its target; another target could still meet the goal.
+	lateShare = 0.75
+	// lateFactor is the same without a goal, in multiples of the 95th percentile.
+	lateFactor = 3
+)
+
+// late returns after which time a pending attempt is a bad sign, 0 for none.
+func (u *upstream) late(k *spec.Kind) time.Duration {
+	if k.Goal > 0 {
+		return time.Duration(lateShare * float64(k.Goal))
+	}
+	usual, ok := u.budget.Hedge()
+	if !ok {
+		return 0
+	}
+	return lateFactor * usual
 }
 
 // latencyOf is the time that an attempt is judged by: to the response head,
@@ -135,14 +150,16 @@
 // that passes is counted while the attempt is pending; the caller may have set
 // it too short.
 var outcomes = map[proxy.Class]health.Outcome{
-	proxy.Answered:  health.OK,
-	proxy.Faulty:    health.Failed,
-	proxy.Refused:   health.Cancelled,
-	proxy.Dial:      health.Failed,
-	proxy.Failed:    health.Failed,
-	proxy.Overdue:   health.Cancelled,
-	proxy.Silenced:  health.Void,
-	proxy.Cancelled: health.Cancelled,
+	proxy.Answered: health.OK,
+	proxy.Faulty:   health.Failed,
+	proxy.Refused:  health.Cancelled,
+
+	proxy.Misdirected: health.Cancelled,
+	proxy.Dial:        health.Failed,
+	proxy.Failed:      health.Failed,
+	proxy.Overdue:     health.Cancelled,
+	proxy.Silenced:    health.Void,
+	proxy.Cancelled:   health.Cancelled,
 }
 
 // Admit waits for the right to run a request.
@@ -194,6 +211,9 @@
 		return false
 	}
 	now := time.Now()
+	if reason == proxy.RetryConnect && a.registry != nil {
+		return true // nothing arrived at a target
+	}
 	// The data path bounds the attempts of one request.
 	return u.budget.Allow(now, reasons[reason], 1, r.Deadline.Sub(now))
 }
@@ -204,15 +224,22 @@
 	proxy.RetryShed:    retry.Shed,
 	proxy.RetryHedge:   retry.Hedging,
 	proxy.RetrySilent:  retry.Silent,
+	proxy.RetryFaulty:  retry.Broken,
 }
 
 // Hedge returns after which time a pending request is sent a second time.
-func (a *Agent) Hedge(s *spec.Service, _ *spec.Kind) (time.Duration, bool) {
+func (a *Agent) Hedge(s *spec.Service, k *spec.Kind) (time.Duration, bool) {
 	u := a.upstream(s.Name)
 	if u == nil {
 		return 0, false
 	}
-	return u.budget.Hedge()
+	after, ok := u.budget.Hedge()
+	if k != nil && k.Goal > 0 {
+		// An answer after the goal is worth little, and the estimate is rough
+		// while there are few answers.
+		after, ok = max(min(after, k.Goal/2), k.Goal/3), true
+	}
+	return after, ok
 }
 
 const (
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -13,12 +13,14 @@
 	"github.com/galenalock/galenalock/core/roster"
 	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/susp"
 )
 
 // target is an incarnation of a target as the data path uses it.
 type target struct {
 	roster.Target
-	health *health.Target
+	health    *health.Target
+	suspicion *susp.Target
 }
 
 // upstream is what the entry holds for one service.
@@ -53,11 +55,9 @@
 		router: route.New(now, here, route.WithRamp(a.settings.Ramp), route.WithMeter(func(_ string, sent, received int64) {
 			a.hooks.Crossing(sent, received)
 		})),
-		monitor: health.New(now, s.Name, a.settings.Region),
-		budget: retry.New(now, retry.WithCount(func(reason retry.Reason, verdict retry.Verdict) {
-			a.hooks.Retried(string(reason), string(verdict))
-		})),
-		gate:     limit.New(now),
+		monitor:  health.New(now, s.Name, a.settings.Region),
+		budget:   a.newBudget(now),
+		gate:     limit.New(now, limit.WithLeast(a.settings.Inflight)),
 		dirty:    true,
 		targets:  map[netip.AddrPort]*target{},
 		out:      map[netip.AddrPort]bool{},
@@ -69,6 +69,18 @@
 	return u
 }
 
+func (a *Agent) newBudget(now time.Time) *retry.Budget {
+	opts := []retry.Option{retry.WithCount(func(reason retry.Reason, verdict retry.Verdict) {
+		a.hooks.Retried(string(reason), string(verdict))
+	})}
+	if r := a.settings.Retry; r.Window > 0 {
+		opts = append(opts, retry.WithWindow(r.Window, r.Share, r.Slack))
+	}
+	b := retry.New(now, opts...)
+	b.Divide(a.entries())
+	return b
+}
+
 // updateServices brings the upstreams in line with a new text. The upstream of
 // a service that stays keeps its evidence and budgets.
 func (a *Agent) updateServices(now time.Time) {
@@ -98,7 +110,7 @@
 // tellKeeper tells the keeper of leases what is known of every target.
 func (a *Agent) tellKeeper(now time.Time) {
 	for name := range a.upstreams {
-		for _, t := range a.roster.Snapshot().Targets(name) {
+		for _, t := range a.known(name) {
 			a.keeper.Target(now, a.ejectTarget(t))
 		}
 	}
@@ -138,7 +150,7 @@
 
 // updateUpstream gives the router, the monitor and the gate the present targets.
 func (a *Agent) updateUpstream(now time.Time, u *upstream) {
-	known := a.roster.Snapshot().Targets(u.service.Name)
+	known := a.known(u.service.Name)
 	next := make(map[netip.AddrPort]*target, len(known))
 	routed := make([]route.Target, 0, len(known))
 	lines := make([]line, 0, len(known))
@@ -150,8 +162,11 @@
 	for _, t := range known {
 		h := u.targets[t.Address]
 		if h == nil || !h.Start.Equal(t.Start) {
-			h = &target{Target: t, health: u.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre)}
+			h = &target{
+				Target: t, health: u.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre), suspicion: &susp.Target{},
+			}
 		}
+		h.suspicion.Silence(t.Silent)
 		next[t.Address] = h
 		r := a.routed(now, u, t, h, out)
 		routed = append(routed, r)
@@ -184,6 +199,11 @@
 // routed describes one target to the router.
 func (a *Agent) routed(now time.Time, u *upstream, t roster.Target, h *target, out map[netip.AddrPort]bool) route.Target {
 	ready := now.Add(-t.Age(now))
+	if a.registry != nil {
+		// The clocks of targets are not comparable; the time for which a target
+		// is slow is announced.
+		ready = t.Since.Add(min(t.Cold, a.settings.Ramp) - a.settings.Ramp)
+	}
 	probe, held := out[t.Address]
 	if _, before := u.out[t.Address]; before && !held {
 		u.returned[t.Address] = now
@@ -196,16 +216,20 @@
 	return route.Target{
 		Address: t.Address, Start: t.Start, Region: t.Region, DataCentre: t.DataCentre,
 		Slots: t.Slots, Connections: t.Connections, Ready: ready, Weight: h.health.Weight(), Tag: h,
-		Out:     held,
-		Watched: u.watched[t.Address],
-		Probe:   held && probe,
-		Drained: drained || a.drains.Has(t.Address.String()),
+		Suspicion: h.suspicion,
+		Out:       held,
+		Watched:   u.watched[t.Address],
+		Probe:     held && probe,
+		Drained:   drained || a.drains.Has(t.Address.String()),
 	}
 }
 
 // listPeers lists the live entries, which share the targets with this one. It
 // decodes every record of an instance, so the list is kept between changes.
 func (a *Agent) listPeers() []route.Peer {
+	if a.registry != nil {
+		return a.registry.peersOf(a.settings.Instance, a.settings.Region)
+	}
 	var out []route.Peer
 	for _, r := range a.gossip.Records(gossip.KindInstance) {
 		body, err := r.Instance()
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -87,6 +87,8 @@
 		Fleet: s.Fleet, Instance: s.Instance, Region: s.Region, DataCentre: s.DataCentre,
 		Peer: p.server.Addr(), Control: s.Control, Seeds: slices.Concat(s.Peers, s.Control),
 		Data: s.Data, Ramp: s.Ramp, Start: d.start,
+		Attach: s.Seeds, Links: s.Links, Inflight: s.Inflight,
+		Retry: agent.Retry{Window: s.RetryWindow, Share: s.RetryShare, Slack: s.RetrySlack},
 	}, agent.Hooks{
 		Mesh: func(opts ...mesh.Option) *mesh.Mesh {
 			opts = append(opts, mesh.WithCount(c.linked))
@@ -114,7 +116,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return proxy.New(hooks, proxy.WithOwner(d.settings.Instance, d.start)), nil
+	opts := append([]proxy.Option{proxy.WithOwner(d.settings.Instance, d.start)}, d.settings.Proxy...)
+	return proxy.New(hooks, opts...), nil
 }
 
 // assembled is what the listeners need.
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/conf"
+	"github.com/galenalock/galenalock/entry/proxy"
 )
 
 // Settings are the settings of an entry.
@@ -22,6 +23,12 @@
 	Announce    netip.AddrPort // not valid: none
 	Control     []netip.AddrPort
 	Peers       []netip.AddrPort
+	Seeds       []netip.AddrPort
+	Links       int
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	Inflight    int
 	Data        string
 	Grace       time.Duration
 	Limit       time.Duration
@@ -36,6 +43,8 @@
 	Level       string
 
 	Log io.Writer // where log lines go, standard output by default
+
+	Proxy []proxy.Option // further options of the data path
 }
 
 // Bounds of the settings.
@@ -49,6 +58,11 @@
 	maxConnections     = 1 << 20
 	defaultBody        = 1024 // MiB
 	maxBody            = 1 << 20
+	defaultLinks       = 3 // one more than the losses that a control group of five bears
+	maxLinks           = 16
+	maxWindow          = 10 * time.Minute
+	maxSlack           = 1 << 20
+	maxInflight        = 1 << 16
 )
 
 // Table describes the settings.
@@ -62,12 +76,18 @@
 	t.Address("peer", &s.Peer, "", "address for links from other instances and for announcements of targets, as they dial it")
 	t.AddressOption("announce", &s.Announce, "further address for announcements of targets, which needs no certificate of the fleet; let only targets reach it")
 	t.Address("admin", &s.Admin, "127.0.0.1:7012", "address of health, metrics and status")
-	t.Addresses("control", &s.Control, true, "peer addresses of control replicas that this entry links to; two or three are enough")
+	t.Addresses("control", &s.Control, false, "peer addresses of control replicas that this entry links to; two or three are enough; not used with seeds")
+	t.Addresses("seeds", &s.Seeds, false, "peer addresses of a few control replicas, in place of control and peers: the entry finds the others, takes its targets from control and has no overlay")
+	t.Int("links", &s.Links, defaultLinks, 1, maxLinks, "links", "with seeds, links to control replicas, the nearest ones")
 	t.Addresses("peers", &s.Peers, false, "peer addresses of a few other entries, in other data centres as well")
 	t.Text("data", &s.Data, "", "folder for a copy of the configuration; empty: none")
 	t.Duration("grace", &s.Grace, defaultGrace, 0, maxGrace, "time from a stop until the balancer has taken the instance out")
 	t.Duration("limit", &s.Limit, defaultLimit, time.Second, maxLimit, "longest time that a stop waits for requests in flight")
 	t.Duration("ramp", &s.Ramp, defaultRamp, 0, maxGrace, "slow start of a target")
+	t.Int("inflight", &s.Inflight, 0, 0, maxInflight, "requests", "requests of a service that this entry always admits, however few slots its share is")
+	t.Duration("retry.window", &s.RetryWindow, 0, 0, maxWindow, "span in which further attempts are bounded over the whole fleet; 0: each entry has a budget of its own")
+	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
+	t.Float("retry.slack", &s.RetrySlack, 0, 0, maxSlack, "attempts", "with a window, further attempts of all entries beyond the share")
 	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections of callers")
 	t.Int("body", &s.Body, defaultBody, 1, maxBody, "MiB", "largest request body")
 	t.Text("tls.cert", &s.Cert, "", "certificate file for links between instances; empty: no TLS")
@@ -88,6 +108,9 @@
 
 // check returns what a single row of the table cannot tell, or nil.
 func (s *Settings) check() *conf.Error {
+	if len(s.Control) == 0 && len(s.Seeds) == 0 {
+		return &conf.Error{Key: "control", Reason: "is missing, and there are no seeds"}
+	}
 	if s.Peer.Addr().IsUnspecified() {
 		return &conf.Error{Key: "peer", Reason: "must be the address that other instances dial, not " + s.Peer.Addr().String()}
 	}
@@ -115,4 +138,7 @@
 	if s.Body == 0 {
 		s.Body = defaultBody
 	}
+	if s.Links == 0 {
+		s.Links = defaultLinks
+	}
 }
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
 	"github.com/galenalock/galenalock/core/pool"
-	"github.com/galenalock/galenalock/core/refuse"
 )
 
 // attempt is one dispatch of a request to a target.
@@ -25,17 +25,25 @@
 	reused   atomic.Bool
 	given    atomic.Pointer[Class] // why the attempt was given up on this side
 	response *pool.Response
+	fetched  []byte // first part of the body, read in advance
+	whole    bool   // fetched holds the rest of the body
 	outcome  Outcome
 	once     sync.Once
 }
 
 // shedError is the declaration of a target that it did not run the request.
 type shedError struct {
-	full bool // the whole service is full, other targets would shed too
+	full        bool // the whole service is full, other targets would shed too
+	misdirected bool // another target answered at the address
 }
 
 // Error describes the declaration.
-func (e *shedError) Error() string { return "the target shed the request" }
+func (e *shedError) Error() string {
+	if e.misdirected {
+		return "another target has the address"
+	}
+	return "the target shed the request"
+}
 
 func (c *call) attempt(ctx context.Context, target Target, number int) *attempt {
 	a := &attempt{call: c, info: Attempt{Request: c.request, Target: target, Number: number}}
@@ -58,24 +66,57 @@
 	a.response = response
 	a.outcome.Head = hooks.Now().Sub(a.info.Start)
 	a.outcome.Status = response.StatusCode
-	a.outcome.Load = response.Header.Get(headerLoad)
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerRun) == string(refuse.NotRun) {
-		err := &shedError{full: response.Header.Get(headerShed) == "service"}
+	d := &c.proxy.dialect
+	a.outcome.Load, a.outcome.Loaded = d.Load(response.Header)
+	if unrun, full := d.Unrun(response.StatusCode, response.Header); unrun {
+		err := &shedError{full: full, misdirected: d.Misdirected(response.StatusCode)}
+		a.discard()
+		a.end(err.class(), err)
+		return err
+	}
+	err = a.genuine(response.Response)
+	if err == nil {
+		err = a.fetch()
+	}
+	if err != nil {
 		response.Body.Close()
-		a.end(Refused, err)
+		a.end(a.class(err), err)
 		return err
 	}
 	return nil
 }
 
+// discard reads the short body of a response that nobody gets, so that its
+// connection can be used again, and closes the connection of a longer one.
+func (a *attempt) discard() {
+	const short = 4 << 10
+	if n := a.response.ContentLength; n >= 0 && n <= short {
+		_, _ = io.CopyN(io.Discard, a.response.Body, n+1) // Close ends a connection that is not at its end
+	}
+	a.response.Body.Close()
+}
+
+func (e *shedError) class() Class {
+	if e.misdirected {
+		return Misdirected
+	}
+	return Refused
+}
+
 // message builds the request for the pool.
 func (a *attempt) message() *pool.Request {
 	c := a.call
 	header := c.header
 	if a.info.Number > 0 {
-		header = maps.Clone(header)
+		header = maps.Clone(header) // the one before may still be written
+	}
+	d := &c.proxy.dialect
+	if d.Deadline != "" {
+		header[d.Deadline] = []string{left(c.request.Deadline, a.info.Start)}
+	}
+	if d.Target != "" && a.info.Target.Name != "" {
+		header[d.Target] = []string{a.info.Target.Name}
 	}
-	header[headerDeadline] = []string{left(c.request.Deadline, a.info.Start)}
 	m := &pool.Request{
 		Target: a.info.Target.Address, Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: header,
 		Data: c.data, Once: c.once, New: a.fresh,
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -29,6 +29,7 @@
 	gate    func() error // asked right before the first byte is sent, may be nil
 	undo    func()       // told that no byte was sent after all, may be nil
 	touched atomic.Bool  // a target may have run the request
+	unsent  int          // attempts of which no byte was sent
 	written bool         // the head of the response went to the caller
 	status  int
 }
@@ -36,6 +37,11 @@
 func newCall(p *Proxy, w http.ResponseWriter, r *http.Request) *call {
 	c := &call{proxy: p, w: w, r: r, control: http.NewResponseController(w)}
 	c.trace, c.request.ID = traceparent(r.Header.Get(headerTrace), p.hooks.Random)
+	if d := &p.dialect; d.Request != "" {
+		if id := r.Header.Get(d.Request); id != "" {
+			c.request.ID = id
+		}
+	}
 	c.request.Start = p.hooks.Now()
 	c.request.View = p.hooks.View()
 	return c
@@ -77,6 +83,9 @@
 		detached, end = context.WithTimeout(context.WithoutCancel(c.r.Context()), left)
 		defer end()
 	}
+	if limit := c.request.View.Text.Limits.Body; limit > 0 && c.r.Body != nil {
+		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
+	}
 	c.upload = newUpload(c.r, c.control, c.proxy.rules.Short)
 	g := &guard{control: c.control, now: c.proxy.hooks.Now}
 	defer g.end()
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -44,8 +44,11 @@
 	case errors.As(err, &shed):
 	case !c.proxy.rules.Unsent(err):
 		c.touched.Store(true)
-	case c.undo != nil:
-		c.undo()
+	default:
+		c.unsent++
+		if c.undo != nil {
+			c.undo()
+		}
 	}
 }
 
@@ -59,11 +62,24 @@
 // again decides about a further attempt after a failed one and takes it out
 // of the budget.
 func (c *call) again(err error, number int) bool {
-	if number >= defaultRetries {
+	reason, ok := c.reason(err)
+	return ok && c.spare(reason, number+1) && c.spend(reason)
+}
+
+// spare reports whether a request of which so many attempts were made may have a
+// further one. A kind with a number of attempts of its own counts only those
+// that may have reached a target.
+func (c *call) spare(reason Reason, made int) bool {
+	limit := c.request.Kind.Attempts
+	switch {
+	case limit == 0:
+		return made <= defaultRetries
+	case made > maxRetries:
 		return false
+	case reason == RetryConnect:
+		return true
 	}
-	reason, ok := c.reason(err)
-	return ok && c.spend(reason)
+	return made-c.unsent < limit
 }
 
 func (c *call) spend(reason Reason) bool {
@@ -85,7 +101,7 @@
 	case c.proxy.rules.Unsent(err):
 		return RetryConnect, resend
 	case errors.As(err, &shed):
-		return RetryShed, resend && !c.once && !shed.full
+		return RetryShed, resend && c.proxy.rules.Reshed(c.request.Kind) && !shed.full
 	}
 	return RetryFailed, resend && !c.once
 }
--- a/entry/proxy/header.go
+++ b/entry/proxy/header.go
@@ -56,6 +56,9 @@
 	if trailers {
 		h["Te"] = []string{"trailers"}
 	}
+	if !c.proxy.dialect.Forwarded {
+		return h
+	}
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		host = "unknown"
@@ -104,10 +107,8 @@
 // kind, or less when the caller has less time left.
 func (c *call) deadline() time.Time {
 	timeout := c.request.Kind.Timeout
-	if left, err := strconv.ParseInt(c.r.Header.Get(headerDeadline), 10, 64); err == nil && left >= 0 {
-		if left < timeout.Milliseconds() {
-			timeout = time.Duration(left) * time.Millisecond
-		}
+	if left, ok := c.proxy.dialect.left(c.r.Header); ok {
+		timeout = min(timeout, left)
 	}
 	return c.request.Start.Add(timeout)
 }
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -21,11 +21,12 @@
 	RetryShed    Reason = "shed"    // the previous target shed the request
 	RetryHedge   Reason = "hedge"   // the previous attempt takes long
 	RetrySilent  Reason = "silent"  // an old connection does not respond
+	RetryFaulty  Reason = "faulty"  // the previous target answered that it failed
 )
 
 // Reasons returns every reason of a further attempt.
 func Reasons() []Reason {
-	return []Reason{RetryConnect, RetryFailed, RetryShed, RetryHedge, RetrySilent}
+	return []Reason{RetryConnect, RetryFailed, RetryShed, RetryHedge, RetrySilent, RetryFaulty}
 }
 
 // Hooks connect the data path to the rest of the entry. The functions are
@@ -79,6 +80,7 @@
 const (
 	defaultPatience = time.Second
 	defaultRetries  = 2 // further attempts of one request, also a bound when the budget is large
+	maxRetries      = 4 // the same for a kind with a number of attempts of its own
 )
 
 // withDefaults returns the hooks with every nil field replaced.
--- a/entry/proxy/match.go
+++ b/entry/proxy/match.go
@@ -21,11 +21,15 @@
 		return err
 	}
 	text := c.request.View.Text
+	if limit := text.Limits.Header; limit > 0 && headerSize(r.Header) > limit {
+		return no(refuse.BigHeader, "")
+	}
 	route := text.Match(hostname(r.Host), path)
 	if route == nil {
 		return no(refuse.NoRoute, "")
 	}
-	service := text.Service(route.Service)
+	// A split is drawn once for a request: a further attempt stays with its part.
+	service := text.Service(route.Pick(float64(c.proxy.hooks.Random()>>11) / (1 << 53)))
 	c.uri = r.URL.RequestURI()
 	if route.Strip && route.Prefix != "" {
 		path = orSlash(strings.TrimPrefix(path, route.Prefix))
@@ -35,7 +39,10 @@
 		c.uri = "*"
 	}
 	c.path = path
-	kind := service.Kind(r.Method, path)
+	kind := route.Kind
+	if kind == nil {
+		kind = service.Kind(r.Method, path)
+	}
 	if kind == nil {
 		return no(refuse.NoMethod, "")
 	}
@@ -44,7 +51,11 @@
 }
 
 func (c *call) workspace(text *spec.Text) error {
-	name := c.r.Header.Get(headerWorkspace)
+	header := c.proxy.dialect.Workspace
+	if header == "" {
+		return nil
+	}
+	name := c.r.Header.Get(header)
 	if name == "" {
 		return nil
 	}
@@ -117,6 +128,18 @@
 	return path
 }
 
+// headerSize is the size of a header as the caller sent it, without the request
+// line.
+func headerSize(h http.Header) int {
+	size := 0
+	for name, values := range h {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 func hostname(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		return h
--- a/entry/proxy/option.go
+++ b/entry/proxy/option.go
@@ -10,6 +10,7 @@
 type Limits struct {
 	Claim  int64 // bytes of the body of a keyed request
 	Buffer int64 // bytes of a body that is read before dispatch and can be resent
+	Whole  int64 // bytes of a response up to which it is read whole before it is passed on, 0: none
 }
 
 const (
@@ -33,6 +34,9 @@
 		if l.Buffer > 0 {
 			p.limits.Buffer = l.Buffer
 		}
+		if l.Whole > 0 {
+			p.limits.Whole = l.Whole
+		}
 	}
 }
 
@@ -42,6 +46,9 @@
 // WithRules replaces decisions, for tests of the promises.
 func WithRules(r Rules) Option { return func(p *Proxy) { p.rules = r.withDefaults() } }
 
+// WithDialect sets how callers and targets speak; Native is the default.
+func WithDialect(d Dialect) Option { return func(p *Proxy) { p.dialect = d } }
+
 // WithOwner sets under which name and incarnation this instance claims. The
 // incarnation must differ from that of every earlier process of the instance.
 func WithOwner(owner string, incarnation time.Time) Option {
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -17,6 +17,8 @@
 	limits Limits
 	pool   *pool.Pool
 
+	dialect Dialect
+
 	owner       string
 	incarnation time.Time
 	records     *records
@@ -31,6 +33,8 @@
 		hooks:  hooks.withDefaults(),
 		rules:  Rules{}.withDefaults(),
 		limits: Limits{Claim: defaultClaim, Buffer: defaultBuffer},
+
+		dialect: Native(),
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -12,7 +12,7 @@
 
 // maxParallel bounds the attempts of one request: the first, the retries, a
 // hedge and one on a new connection.
-const maxParallel = 1 + defaultRetries + 2
+const maxParallel = 1 + maxRetries + 2
 
 // race carries a request that may be repeated to one of several targets.
 type race struct {
@@ -27,7 +27,8 @@
 	pending []*attempt
 	tried   []netip.AddrPort
 	number  int
-	retries int
+	hedges  int      // attempts beside the retries
+	failed  *attempt // answered that it failed; the answer if nothing better comes
 	silent  *attempt // waits on an old connection while probe uses a new one
 	probe   *attempt
 }
@@ -74,12 +75,18 @@
 			r.doubt()
 		case result := <-r.results:
 			r.remove(result.attempt)
+			if result.err == nil && r.replace(result.attempt) {
+				continue
+			}
 			if result.err == nil {
 				r.won(result.attempt)
 				return result.attempt, nil
 			}
 			c.blame(result.err)
 			if r.ctx.Err() != nil || !r.retry(result.err) && len(r.pending) == 0 {
+				if r.failed != nil {
+					return r.failed, nil
+				}
 				// An attempt that is cancelled before its result is known may run.
 				c.pend(len(r.pending))
 				return nil, result.err
@@ -170,22 +177,41 @@
 	}
 }
 
+// replace reports whether another attempt may give a better answer than this
+// one, with which the target tells that it failed. The answer is kept.
+func (r *race) replace(a *attempt) bool {
+	if !a.faulty() || !a.whole || r.ctx.Err() != nil {
+		return false
+	}
+	if len(r.pending) == 0 && !r.extra(RetryFaulty) {
+		return false
+	}
+	a.end(Faulty, errFaulty)
+	r.failed = a
+	return true
+}
+
 // retry starts a further attempt after a failed one. A target that could not
 // be tried because none is left costs nothing of the budget.
 func (r *race) retry(err error) bool {
 	reason, ok := r.call.reason(err)
-	return ok && r.retries < defaultRetries && r.extra(reason, func() { r.retries++ })
+	return ok && r.extra(reason)
 }
 
 // extra starts an attempt at another target if there is one and the budget
 // allows it.
-func (r *race) extra(reason Reason, started func()) bool {
+func (r *race) extra(reason Reason) bool {
 	hooks := &r.call.proxy.hooks
+	if !r.call.spare(reason, r.number-r.hedges) {
+		return false
+	}
 	target, ok := hooks.Pick(r.call.request, r.tried, hooks.Now())
 	if !ok || !r.call.spend(reason) {
 		return false
 	}
-	started()
+	if r.call.request.Kind.Attempts == 0 && (reason == RetryHedge || reason == RetrySilent) {
+		r.hedges++
+	}
 	r.start(target, false)
 	return true
 }
@@ -193,7 +219,7 @@
 // hedge sends the request to a second target while the first is pending.
 func (r *race) hedge() {
 	if len(r.pending) == 1 {
-		r.extra(RetryHedge, func() {})
+		r.extra(RetryHedge)
 	}
 }
 
@@ -202,6 +228,7 @@
 func (r *race) doubt() {
 	for _, a := range r.pending {
 		if a.reused.Load() && r.call.spend(RetrySilent) {
+			r.hedges++ // goes to the same target
 			r.silent, r.probe = a, r.start(a.info.Target, true)
 			return
 		}
--- a/entry/proxy/refusal.go
+++ b/entry/proxy/refusal.go
@@ -43,9 +43,16 @@
 	}
 	h := c.w.Header()
 	clear(h)
-	h[headerRequest] = []string{c.request.ID}
+	d := &c.proxy.dialect
+	if d.Own != "" {
+		h[d.Own] = []string{c.request.ID}
+	}
 	c.closing(h)
-	refuse.Write(c.w, c.request.ID, refusal)
+	style := d.Style
+	if d.Promise && refusal.Run == refuse.NotRun && refusal.Reason.Status() >= http.StatusBadGateway {
+		style.Status = http.StatusServiceUnavailable
+	}
+	refuse.WriteAs(c.w, c.request.ID, refusal, style)
 }
 
 // closing asks the caller to reconnect elsewhere while the instance drains.
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -15,6 +15,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -27,6 +28,15 @@
 
 const order = "POST /orders HTTP/1.1\r\nHost: ledger.example\r\nConnection: close\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx"
 
+// limited returns a view whose text allows short headers only.
+func limited(t *testing.T) func() *proxy.View {
+	text, err := spec.Parse([]byte("[limits]\nheader = 100\n[[service]]\nname = \"a\"\nfloor = \"1\"\n[[route]]\nservice = \"a\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func() *proxy.View { return &proxy.View{Text: text, Revision: 1, Ready: true} }
+}
+
 // Guards against a refusal that changes its reason, status or run field
 // unnoticed, or that is not counted.
 func TestRefusalSessions(t *testing.T) {
@@ -47,6 +57,7 @@
 		{"badrequest", "GET /tables/../x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", proxy.Hooks{}, nil},
 		{"baddigest", fmt.Sprintf(note, "Content-Digest: sha-256=:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=:\r\n"), proxy.Hooks{}, nil},
 		{"toolarge", strings.Replace(order, "Content-Length: 1\r", "Content-Length: 1048577\r", 1), proxy.Hooks{}, nil},
+		{"bigheader", fmt.Sprintf(get, "X-Long: "+strings.Repeat("x", 200)+"\r\n"), proxy.Hooks{View: limited(t)}, nil},
 		{"upgrade", "GET /tables/x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, close\r\nUpgrade: websocket\r\n\r\n", proxy.Hooks{}, nil},
 		{"notarget", fmt.Sprintf(get, ""), proxy.Hooks{}, nil},
 		{"connect", fmt.Sprintf(get, ""), proxy.Hooks{}, []netip.AddrPort{dead}},
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 )
 
@@ -32,9 +33,9 @@
 	if c.r.Method == http.MethodHead && announced != nil {
 		h["Trailer"] = announced // describes the response to a GET
 	}
-	delete(h, headerLoad)
-	delete(h, headerRun)
-	delete(h, headerShed)
+	for _, name := range c.proxy.dialect.Hide {
+		delete(h, name)
+	}
 	if h["Content-Type"] == nil {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
@@ -44,10 +45,13 @@
 	if keep != nil {
 		keep.begin(a.response.StatusCode, h)
 	}
+	if a.whole && a.response.ContentLength < 0 {
+		h["Content-Length"] = []string{strconv.Itoa(len(a.fetched))}
+	}
 	c.closing(h)
 	c.written, c.status = true, a.response.StatusCode
 	c.w.WriteHeader(a.response.StatusCode)
-	if a.response.ContentLength < 0 && bodied(c.r.Method, a.response.StatusCode) {
+	if a.response.ContentLength < 0 && !a.whole && bodied(c.r.Method, a.response.StatusCode) {
 		// The first byte of an event stream may come much later. A caller that
 		// left is noticed when the body is written.
 		_ = c.control.Flush()
@@ -84,7 +88,7 @@
 	defer buffers.Put(buffer)
 	gone := false
 	for {
-		n, err := a.response.Body.Read(*buffer)
+		n, err := a.read(*buffer)
 		a.outcome.Bytes += int64(n)
 		ended := err == io.EOF //nolint:errorlint // only the bare value means a complete body
 		if keep != nil {
--- a/entry/proxy/rules.go
+++ b/entry/proxy/rules.go
@@ -14,6 +14,9 @@
 	Unsent func(err error) bool
 	// Once reports whether requests of a kind must not be repeated.
 	Once func(kind *spec.Kind) bool
+	// Reshed reports whether a request of a kind may go to a further target
+	// after one declared that it did not run it.
+	Reshed func(kind *spec.Kind) bool
 	// Cut reports whether a response that broke off aborts the caller's
 	// connection.
 	Cut func(err error) bool
@@ -34,6 +37,9 @@
 	if r.Once == nil {
 		r.Once = func(kind *spec.Kind) bool { return !kind.Repeat }
 	}
+	if r.Reshed == nil {
+		r.Reshed = func(kind *spec.Kind) bool { return kind.Repeat }
+	}
 	if r.Cut == nil {
 		r.Cut = func(error) bool { return true }
 	}
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -119,12 +119,19 @@
 		return no(refuse.TooLarge, "")
 	case errors.Is(err, errDigest):
 		return no(refuse.BadDigest, "")
+	case tooLarge(err):
+		return no(refuse.TooLarge, "")
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return no(refuse.Deadline, "the body did not arrive in time")
 	}
 	return no(refuse.BadRequest, "the body broke off: "+err.Error())
 }
 
+func tooLarge(err error) bool {
+	var large *http.MaxBytesError
+	return errors.As(err, &large)
+}
+
 // all reads the body, but no more than one byte over the limit.
 func (u *upload) all(limit int64) ([]byte, error) {
 	switch {
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -17,6 +17,7 @@
 
 // Target is a target picked for one attempt.
 type Target struct {
+	Name        string // identity that the target checks, may be empty
 	Address     netip.AddrPort
 	Region      string
 	DataCentre  string
@@ -63,21 +64,24 @@
 
 // The classes of outcomes.
 const (
-	Answered  Class = "answered"  // complete response with a status below 500
-	Faulty    Class = "faulty"    // complete response with a status of 500 or above
-	Refused   Class = "refused"   // the target declared that it did not run the request
-	Dial      Class = "dial"      // no connection could be opened
-	Failed    Class = "failed"    // the connection failed, or the response was truncated or malformed
-	Overdue   Class = "overdue"   // the deadline passed first
-	Silenced  Class = "silenced"  // an old connection did not respond while a new one to the same target did
-	Cancelled Class = "cancelled" // given up for reasons on this side: the caller left, or another attempt won
+	Answered Class = "answered" // complete response with a status below 500
+	Faulty   Class = "faulty"   // complete response with a status of 500 or above
+	Refused  Class = "refused"  // the target declared that it did not run the request
+	// Misdirected means that another target answered at the address.
+	Misdirected Class = "misdirected"
+	Dial        Class = "dial"      // no connection could be opened
+	Failed      Class = "failed"    // the connection failed, or the response was truncated or malformed
+	Overdue     Class = "overdue"   // the deadline passed first
+	Silenced    Class = "silenced"  // an old connection did not respond while a new one to the same target did
+	Cancelled   Class = "cancelled" // given up for reasons on this side: the caller left, or another attempt won
 )
 
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Class  Class
-	Status int           // 0 without a response
-	Load   string        // header Galenalock-Load
+	Status int // 0 without a response
+	Load   Load
+	Loaded bool          // Load was reported
 	Head   time.Duration // from the start to the response head, 0 without a response
 	End    time.Time
 	Reused bool  // the connection had carried a request before
