No further target for a request whose caller has left

It now ends with the attempt that is under way.

TestLostDisk waited for a role that a replica may have for less than its look every 10 ms. It now reads the roles from the log of the replica and asks for the entry that admits the data folder, which is the rule that it guards.

--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"github.com/galenalock/galenalock/core/group"
 	"github.com/galenalock/galenalock/core/raft"
@@ -169,6 +172,36 @@
 	})
 }
 
+// roles collects the roles that a replica logs.
+type roles struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (r *roles) logger() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.AddHook(r)
+	return logrus.NewEntry(logger)
+}
+
+func (r *roles) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (r *roles) Fire(e *logrus.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if role, ok := e.Data["role"].(string); ok {
+		r.list = append(r.list, role)
+	}
+	return nil
+}
+
+func (r *roles) seen() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.list)
+}
+
 // Guards against a replica with a lost or damaged disk that does not recover, or
 // that counts before it has.
 func TestLostDisk(t *testing.T) {
@@ -194,9 +227,17 @@
 				l, r := f.leader(), f.follower()
 				is.NoErr(f.halt(r.id))
 				is.NoErr(harm(f.dir(r.id)))
-				r = f.start(r.id, group.WithFound(name == "found left on"))
-				f.until("recovery", func() bool { return r.group.Status().Role == raft.RoleRecovering })
-				f.until("admission", func() bool { return r.group.Status().Role == raft.RoleFollower })
+				roles := &roles{}
+				r = f.start(r.id, group.WithFound(name == "found left on"), group.WithLogger(roles.logger()))
+				f.until("admission", func() bool {
+					s := r.group.Status()
+					m, _ := s.Members.Find(r.id)
+					return m.Incarnation != 0 && s.Role == raft.RoleFollower
+				})
+				// Between two looks a replica may recover and be admitted; the roles
+				// that it logs show the order.
+				is.True(slices.Contains(roles.seen(), string(raft.RoleRecovering)))
+				is.True(!slices.Contains(roles.seen(), string(raft.RoleLeader)))
 				is.NoErr(f.halt(l.id)) // the second failure right after the repair
 				f.propose("c")
 				f.agree(3)
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -60,8 +60,12 @@
 }
 
 // again decides about a further attempt after a failed one and takes it out
-// of the budget.
+// of the budget. A request whose caller has left goes on at its target, but not
+// to another one.
 func (c *call) again(err error, number int) bool {
+	if c.proxy.rules.Gone(c.r.Context()) {
+		return false
+	}
 	reason, ok := c.reason(err)
 	return ok && c.spare(reason, number+1) && c.spend(reason)
 }
--- a/entry/proxy/rules.go
+++ b/entry/proxy/rules.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/galenalock/galenalock/core/pool"
@@ -17,6 +18,9 @@
 	// Reshed reports whether a request of a kind may go to a further target
 	// after one declared that it did not run it.
 	Reshed func(kind *spec.Kind) bool
+	// Gone reports whether the caller of a request has left, so that no further
+	// target gets it.
+	Gone func(ctx context.Context) bool
 	// Cut reports whether a response that broke off aborts the caller's
 	// connection.
 	Cut func(err error) bool
@@ -40,6 +44,9 @@
 	if r.Reshed == nil {
 		r.Reshed = func(kind *spec.Kind) bool { return kind.Repeat }
 	}
+	if r.Gone == nil {
+		r.Gone = func(ctx context.Context) bool { return ctx.Err() != nil }
+	}
 	if r.Cut == nil {
 		r.Cut = func(error) bool { return true }
 	}
