--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -117,15 +117,18 @@
 }
 
 // Attach opens one link to a control replica in the background. Its opening and
-// end are told as those of Keep; failed is told of an attempt that failed.
-func (m *Mesh) Attach(to netip.AddrPort, failed func(err error)) {
+// end are told as those of Keep; failed is told of an attempt that failed or
+// took longer than limit.
+func (m *Mesh) Attach(to netip.AddrPort, limit time.Duration, failed func(err error)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
 		return
 	}
 	m.working.Go(func() {
-		if _, err := m.control.Dial(m.ctx, to); err != nil && m.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(m.ctx, limit)
+		defer cancel()
+		if _, err := m.control.Dial(ctx, to); err != nil && m.ctx.Err() == nil {
 			failed(err)
 		}
 	})
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -11,14 +11,15 @@
 const (
 	// lossOnce is the cost of a failure of a request that cannot be repeated,
 	// lossAgain that of one that can, which costs a further attempt.
-	lossOnce  = 20
+	lossOnce  = 30
 	lossAgain = 6
 	// costRegion is the cost of another data centre of the region, costFar that
-	// of another region, whose links are slow and billed by volume. Bulky
-	// requests cost twice as much.
+	// of another region, whose links are slow and billed by volume. For a bulky
+	// request both are higher by the factor, about the ratio of the volumes, so
+	// that it leaves its region only when the near targets are full.
 	costRegion = 1.5
 	costFar    = 6
-	bulky      = 2
+	bulky      = 6
 	// temperature is the difference of cost at which one of two endpoints is
 	// chosen e times as often as the other. Entries that know the same would all
 	// choose the same endpoint if the least cost decided.
--- a/core/susp/sign.go
+++ b/core/susp/sign.go
@@ -25,7 +25,7 @@
 // heard is the same for the sign of another entry: less where a fault of the
 // path explains it as well, and nothing where the path is the likely cause.
 var heard = [signs]float64{
-	Failed: 60, Broken: 6, Overdue: 6, Unreachable: 1, Shed: 1, Misdirected: 1e4, Answered: 0.25,
+	Failed: 60, Broken: 5, Overdue: 5, Unreachable: 1, Shed: 1, Misdirected: 1e4, Answered: 0.25,
 }
 
 // names are used in logs.
--- a/core/susp/susp_test.go
+++ b/core/susp/susp_test.go
@@ -17,7 +17,7 @@
 	t := &susp.Target{}
 	before, after := t.See(start, susp.Failed)
 	fmt.Printf("%.2f %.2f %.2f\n", before, after, t.Probability(start.Add(3*susp.Memory)))
-	// Output: 0.03 0.65 0.06
+	// Output: 0.04 0.71 0.07
 }
 
 // Guards against evidence that does not add up: failures in a row must weigh
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -9,12 +9,12 @@
 const (
 	// base is the probability of the failing state of a target of which nothing
 	// is known.
-	base = 0.03
+	base = 0.04
 	// silentBase is the same for a target that control does not hear any more.
 	silentBase = 0.2
 	// Memory is the time over which the probability returns to the base. Phases
 	// of failures last some seconds.
-	Memory = 4 * time.Second
+	Memory = 6 * time.Second
 	// least and most bound the probability, so that a change of state is noticed
 	// after a few signs.
 	least = 0.002
--- a/entry/agent/registry.go
+++ b/entry/agent/registry.go
@@ -71,8 +71,9 @@
 // plan opens and ends links as the core of the links wants.
 func (a *Agent) plan(now time.Time) {
 	dial, drop := a.registry.attach.Plan(now)
-	for _, to := range dial {
-		a.mesh.Attach(to, func(err error) {
+	for _, d := range dial {
+		to := d.Address
+		a.mesh.Attach(to, d.Limit, func(err error) {
 			a.post(func(now time.Time) {
 				a.log.WithField("to", to.String()).WithField(logs.FieldError, err.Error()).Info("control not reached")
 				a.registry.attach.Failed(now, to)
--- a/entry/attach/attach.go
+++ b/entry/attach/attach.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	// slow is how long an attempt may take before another replica is tried
-	// beside it. A link between regions opens in about 0.1 s.
-	slow = 400 * time.Millisecond
+	// Limits of an attempt. A link between regions opens in about 0.1 s, and the
+	// first packet to a machine that is just starting is sent again after 1 s
+	// only. The limit doubles with each failure, for paths that lose packets.
+	firstLimit = 400 * time.Millisecond
+	lastLimit  = 3 * time.Second
 	// Pauses after failed attempts. The longest one bounds how late an entry
 	// links to a replica that is back.
 	firstPause = 100 * time.Millisecond
@@ -48,7 +50,8 @@
 	seed    bool
 	listed  bool
 	open    bool
-	dialing time.Time // start of the attempt, zero: none
+	dialing time.Time     // start of the attempt, zero: none
+	limit   time.Duration // of the next attempt
 	pause   time.Duration
 	until   time.Time // no attempt before
 }
@@ -95,7 +98,7 @@
 func (c *Core) state(address netip.AddrPort) *state {
 	s := c.known[address]
 	if s == nil {
-		s = &state{replica: Replica{Address: address}, pause: firstPause}
+		s = &state{replica: Replica{Address: address}, pause: firstPause, limit: firstLimit}
 		c.known[address] = s
 	}
 	return s
@@ -112,7 +115,7 @@
 // Opened notes an open link.
 func (c *Core) Opened(r Replica) {
 	s := c.state(r.Address)
-	s.replica, s.open, s.dialing, s.pause = r, true, time.Time{}, firstPause
+	s.replica, s.open, s.dialing, s.pause, s.limit = r, true, time.Time{}, firstPause, firstLimit
 }
 
 // Closed notes the end of a link.
@@ -125,13 +128,19 @@
 	s := c.state(address)
 	s.open, s.dialing = false, time.Time{}
 	s.until = now.Add(s.pause)
-	s.pause = min(2*s.pause, lastPause)
+	s.pause, s.limit = min(2*s.pause, lastPause), min(2*s.limit, lastLimit)
 	c.forget()
 }
 
+// Dial is an attempt to open a link.
+type Dial struct {
+	Address netip.AddrPort
+	Limit   time.Duration // after which it has failed
+}
+
 // Plan returns the replicas to dial, which it takes for being dialled, and those
 // whose link is not needed any more.
-func (c *Core) Plan(now time.Time) (dial, drop []netip.AddrPort) {
+func (c *Core) Plan(now time.Time) (dial []Dial, drop []netip.AddrPort) {
 	order := c.order()
 	have := 0
 	for _, s := range order {
@@ -141,7 +150,7 @@
 		if s.open && have > c.links {
 			drop = append(drop, s.replica.Address)
 		}
-		if !s.dialing.IsZero() && now.Sub(s.dialing) < slow {
+		if !s.dialing.IsZero() && now.Sub(s.dialing) < firstLimit {
 			have++
 		}
 	}
@@ -153,7 +162,7 @@
 			continue
 		}
 		s.dialing = now
-		dial = append(dial, s.replica.Address)
+		dial = append(dial, Dial{Address: s.replica.Address, Limit: s.limit})
 		have++
 	}
 	return dial, drop
