--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -36,6 +36,7 @@
 	start    time.Time
 	parts    *parts
 	registry *registry
+	serving  atomic.Bool // the data folder is open, services can be used
 
 	settleLock sync.Mutex
 	settle     *quorum.Settle
@@ -59,6 +60,7 @@
 	if err := d.parts.peer.Listen(s.Peer); err != nil {
 		return nil, err
 	}
+	d.settings.Peer = d.parts.peer.Addr() // the kernel may have chosen the port
 	if err := d.parts.admin.Listen(s.Admin); err != nil {
 		d.parts.peer.Close()
 		return nil, err
@@ -96,6 +98,7 @@
 	if err := p.open(&d.settings); err != nil {
 		return err
 	}
+	d.serving.Store(true)
 	// The parts go on after ctx ends, until leadership has been handed over.
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	tasks := newTasks(stop)
--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/galenalock/galenalock/control/admin"
 	"github.com/galenalock/galenalock/control/daemon"
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -188,11 +189,24 @@
 	conn      *link.Conn
 	revisions chan wire.Revision
 	orders    chan wire.Orders
+	updates   chan enrol.Update
+}
+
+// dialFollower is an entry that takes its targets from the replica.
+func dialFollower(t testing.TB, r *replica) *entry {
+	t.Helper()
+	e := dialEntry(t, r)
+	if err := e.conn.Send(wire.KindFollow, wire.Follow{Primary: true}); err != nil {
+		t.Fatal(err)
+	}
+	return e
 }
 
 func dialEntry(t testing.TB, r *replica) *entry {
 	t.Helper()
-	e := &entry{revisions: make(chan wire.Revision, 100), orders: make(chan wire.Orders, 100)}
+	e := &entry{
+		revisions: make(chan wire.Revision, 100), orders: make(chan wire.Orders, 100), updates: make(chan enrol.Update, 100),
+	}
 	dialer := link.NewDialer(
 		link.WithHello(func() wire.Hello {
 			return wire.Hello{Fleet: fleetOf(t), Instance: "entry-1", Role: wire.RoleEntry, Region: "salish", DataCentre: "salish-2"}
@@ -205,6 +219,12 @@
 					return nil, err
 				}
 				e.revisions <- in
+			case wire.KindTargets:
+				var in enrol.Update
+				if err := wire.Decode(m.Body, &in); err != nil {
+					return nil, err
+				}
+				e.updates <- in
 			case wire.KindOrders:
 				var in wire.Orders
 				if err := wire.Decode(m.Body, &in); err != nil {
--- a/control/daemon/services.go
+++ b/control/daemon/services.go
@@ -30,13 +30,21 @@
 	Log    *logrus.Entry
 }
 
+// errStarting refuses calls before the data folder is open.
+var errStarting = &relay.NoQuorumError{Reason: "the replica is starting"}
+
 func (d *Daemon) services() Services {
 	p := d.parts
 	return Services{
-		Announce: func(ctx context.Context, a enrol.Announcement) error { return d.registry.announce(ctx, a) },
-		Submit:   d.submitRanked,
-		Newest:   d.newest,
-		Nearest:  d.nearest,
+		Announce: func(ctx context.Context, a enrol.Announcement) error {
+			if !d.serving.Load() {
+				return errStarting
+			}
+			return d.registry.announce(ctx, a)
+		},
+		Submit:  d.submitRanked,
+		Newest:  d.newest,
+		Nearest: d.nearest,
 		Region: func(datacentre string) (string, bool) {
 			region, ok := d.settings.Regions[datacentre]
 			return region, ok
@@ -46,6 +54,9 @@
 }
 
 func (d *Daemon) submitRanked(ctx context.Context, rank uint64, change string, text []byte) (state.Submitted, error) {
+	if !d.serving.Load() {
+		return state.Submitted{}, errStarting
+	}
 	result, err := d.parts.relay.Propose(ctx, state.Command{Submit: &state.Submit{Rank: rank, Change: change, Text: text}})
 	log := d.parts.log.WithField("rank", rank)
 	if err != nil {
@@ -60,6 +71,9 @@
 }
 
 func (d *Daemon) newest(ctx context.Context) (uint64, []byte, error) {
+	if !d.serving.Load() {
+		return 0, nil, errStarting
+	}
 	if err := d.parts.relay.Fresh(ctx); err != nil {
 		return 0, nil, err
 	}
--- /dev/null
+++ b/entry/proxy/dialect_test.go
@@ -0,0 +1,231 @@
+package proxy_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/pool"
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+// strict is a dialect in which targets prove that a response is theirs.
+func strict() proxy.Dialect {
+	return proxy.Dialect{
+		Request: "Call-Id", Deadline: "Call-Time", Target: "Call-Target", Proof: "Call-Proof", Own: "Call-Id",
+		Load: func(http.Header) (proxy.Load, bool) { return proxy.Load{}, false },
+		Unrun: func(_ int, h http.Header) (bool, bool) {
+			return h.Get("Unrun") != "", false
+		},
+		Misdirected: func(status int) bool { return status == http.StatusMisdirectedRequest },
+		Hide:        []string{"Unrun"},
+		Promise:     true,
+		Style:       refuse.Style{Fractions: true},
+	}
+}
+
+const strictText = `
+[[service]]
+name = "tables"
+floor = "50%"
+[[service]]
+name = "desk"
+floor = "50%"
+[[route]]
+prefix = "/look"
+service = "tables"
+kind = { repeat = true, timeout = "2s", attempts = 2 }
+[[route]]
+prefix = "/order"
+service = "desk"
+kind = { repeat = false, timeout = "2s", attempts = 2 }
+[[route]]
+prefix = "/once"
+service = "desk"
+kind = { repeat = false, timeout = "2s", attempts = 1 }
+`
+
+// strictEntry runs a proxy with the strict dialect in front of targets that are
+// picked in order.
+func strictEntry(t *testing.T, hooks proxy.Hooks, targets ...netip.AddrPort) *entry {
+	t.Helper()
+	text, err := spec.Parse([]byte(strictText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	hooks.View = func() *proxy.View { return &proxy.View{Text: text, Revision: 1, Ready: true} }
+	hooks.Retry = always
+	hooks.Patience = never
+	hooks.Pick = func(_ proxy.Request, exclude []netip.AddrPort, _ time.Time) (proxy.Target, bool) {
+		for i, a := range targets {
+			if !slices.Contains(exclude, a) {
+				return proxy.Target{Address: a, Name: fmt.Sprint("t-", i)}, true
+			}
+		}
+		return proxy.Target{}, false
+	}
+	return startOptions(t, hooks,
+		proxy.WithDialect(strict()), proxy.WithPool(pool.New(pool.WithUnframed())),
+		proxy.WithLimits(proxy.Limits{Whole: 1 << 10}), proxy.WithRules(proxy.Rules{Reshed: func(*spec.Kind) bool { return true }}))
+}
+
+// says answers each request with a response; %s stands for the request's id.
+func says(t *testing.T, response string, arrivals *atomic.Int64) netip.AddrPort {
+	return listen(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadAll(r.Body)
+			arrivals.Add(1)
+			text := response
+			if strings.Contains(response, "%s") {
+				text = fmt.Sprintf(response, r.Header.Get("Call-Id"))
+			}
+			_, _ = io.WriteString(c, text)
+			if !strings.Contains(response, "Content-Length") || strings.Contains(response, "Connection: close") {
+				return
+			}
+		}
+	})
+}
+
+// Guards against responses that are not the target's whole response to the
+// request, and against attempts that a kind of request must not have.
+func TestResponsesAreChecked(t *testing.T) {
+	const (
+		head   = "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nCall-Proof: p\r\n"
+		good   = head + "Content-Length: 2\r\n\r\nok"
+		bad    = "HTTP/1.1 500 Error\r\nCall-Id: %s\r\nCall-Proof: p\r\nContent-Length: 4\r\n\r\nfail"
+		shed   = "HTTP/1.1 503 Busy\r\nCall-Id: %s\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
+		other  = "HTTP/1.1 421 Other\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
+		closed = head + "Connection: close\r\n\r\nok"
+	)
+	for _, c := range []struct {
+		name, path, first, second string
+		status                    int
+		body                      string
+		arrivals                  [2]int64
+	}{
+		{"good", "/look", good, good, 200, "ok", [2]int64{1, 0}},
+		{"of another request", "/look", strings.Replace(good, "%s", "other", 1), good, 200, "ok", [2]int64{1, 1}},
+		{"of another request, order", "/order", strings.Replace(good, "%s", "other", 1), good, 502, "", [2]int64{1, 0}},
+		{"without proof", "/look", strings.Replace(good, "Call-Proof: p\r\n", "", 1), good, 200, "ok", [2]int64{1, 1}},
+		{"without proof, order", "/order", strings.Replace(good, "Call-Proof: p\r\n", "", 1), good, 502, "", [2]int64{1, 0}},
+		{"truncated", "/look", head + "Content-Length: 9\r\nConnection: close\r\n\r\nok", good, 200, "ok", [2]int64{1, 1}},
+		{"truncated, order", "/order", head + "Content-Length: 9\r\nConnection: close\r\n\r\nok", good, 502, "", [2]int64{1, 0}},
+		{"ends with its connection", "/order", closed, good, 200, "ok", [2]int64{1, 0}},
+		{"failed", "/look", bad, good, 200, "ok", [2]int64{1, 1}},
+		{"failed twice", "/look", bad, bad, 500, "fail", [2]int64{1, 1}},
+		{"failed, then broken", "/look", bad, "nonsense", 500, "fail", [2]int64{1, 1}},
+		{"failed, order", "/order", bad, good, 500, "fail", [2]int64{1, 0}},
+		{"shed, order", "/order", shed, good, 200, "ok", [2]int64{1, 1}},
+		{"shed twice, order", "/order", shed, shed, 503, "", [2]int64{1, 1}},
+		{"shed, one attempt", "/once", shed, good, 503, "", [2]int64{1, 0}},
+		{"address of another target", "/order", other, good, 200, "ok", [2]int64{1, 1}},
+		{"address of another target twice", "/order", other, other, 503, "", [2]int64{1, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var arrivals [2]atomic.Int64
+			e := strictEntry(t, proxy.Hooks{}, says(t, c.first, &arrivals[0]), says(t, c.second, &arrivals[1]))
+			method := http.MethodGet
+			if c.path != "/look" {
+				method = http.MethodPost
+			}
+			status, header, body, err := e.send(method, c.path, strings.NewReader(""), "Call-Id", "r-1")
+			is.NoErr(err)
+			is.Equal(status, c.status)
+			is.Equal(header.Get("Call-Id"), "r-1")
+			is.Equal(header.Get("Unrun"), "")
+			if c.body != "" {
+				is.Equal(body, c.body)
+			}
+			is.Equal([2]int64{arrivals[0].Load(), arrivals[1].Load()}, c.arrivals)
+		})
+	}
+}
+
+// Guards against a body that a reset connection makes look complete.
+func TestResetBodyIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	first := listen(t, func(c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nCall-Proof: p\r\n\r\nha", r.Header.Get("Call-Id"))
+		_ = c.(*net.TCPConn).SetLinger(0) // the close resets the connection
+	})
+	e := strictEntry(t, proxy.Hooks{}, first)
+	status, _, _, err := e.send(http.MethodPost, "/order", nil, "Call-Id", "r-1")
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+}
+
+// Guards against "not run" that a caller cannot tell from a failure, and against
+// more time for a target than its caller has left.
+func TestPromiseAndDeadline(t *testing.T) {
+	is := is.New(t)
+	e := strictEntry(t, proxy.Hooks{}, refusing(t))
+	status, header, _, err := e.send(http.MethodPost, "/order", nil, "Call-Id", "r-1")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable) // nothing was sent
+	is.True(header.Get("Retry-After") != "")
+
+	seen := make(chan http.Header, 1)
+	e = strictEntry(t, proxy.Hooks{}, answers(t, "", func(r *http.Request, _ string) { seen <- r.Header }))
+	status, _, _, err = e.send(http.MethodPost, "/order", nil, "Call-Id", "r-1", "Call-Time", "150")
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+	got := <-seen
+	is.True(len(got.Get("Call-Time")) <= 3)
+	is.Equal(got.Get("Call-Target"), "t-0")
+	is.Equal(got.Get("Forwarded"), "")
+}
+
+// Guards against shares of a split that a further attempt or the kind changes.
+func TestSplitByWeight(t *testing.T) {
+	is := is.New(t)
+	text, err := spec.Parse([]byte(`
+[[service]]
+name = "old"
+floor = "50%"
+[[service]]
+name = "new"
+floor = "50%"
+[[route]]
+prefix = "/look"
+split = [{ service = "old", weight = 3 }, { service = "new", weight = 1 }]
+kind = { repeat = true, timeout = "2s" }
+`))
+	is.NoErr(err)
+	count := map[string]int{}
+	hooks := proxy.Hooks{
+		View: func() *proxy.View { return &proxy.View{Text: text, Revision: 1, Ready: true} },
+		Pick: func(r proxy.Request, _ []netip.AddrPort, _ time.Time) (proxy.Target, bool) {
+			count[r.Service.Name]++
+			return proxy.Target{}, false
+		},
+		Random: func() uint64 { return uint64(count["old"]+count["new"]) << 62 },
+	}
+	e := startOptions(t, hooks)
+	for range 8 {
+		_, _, _, err := e.send(http.MethodGet, "/look", nil)
+		is.NoErr(err)
+	}
+	is.Equal(count, map[string]int{"old": 6, "new": 2})
+}
--- a/entry/proxy/harness_test.go
+++ b/entry/proxy/harness_test.go
@@ -117,6 +117,20 @@
 		return proxy.Target{}, false
 	}
 	e.proxy = proxy.New(hooks, proxy.WithRules(rules), proxy.WithPool(connections))
+	e.serve(t, h2c)
+	return e
+}
+
+// startOptions runs a proxy whose hooks and options are complete.
+func startOptions(t testing.TB, hooks proxy.Hooks, opts ...proxy.Option) *entry {
+	t.Helper()
+	e := &entry{proxy: proxy.New(hooks, opts...)}
+	e.serve(t, false)
+	return e
+}
+
+// serve answers callers on an address of its own until the test ends.
+func (e *entry) serve(t testing.TB, h2c bool) {
 	server := httptest.NewUnstartedServer(e.proxy)
 	server.Config.Protocols = new(http.Protocols)
 	server.Config.Protocols.SetHTTP1(true)
@@ -134,7 +148,6 @@
 		server.Close()
 		e.proxy.Close()
 	})
-	return e
 }
 
 // send sends a request and returns status, headers and body; an error means
