A line for each request, bounded logs and an address of the metrics

Each request ends with one line: id, route, revision, targets tried, outcome and reason; each attempt but the plain first one has a line of its own with the time left, the load that the target reported and what came of it.

--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -36,6 +36,7 @@
 	dialer   *link.Dialer
 	peer     *serve.Server
 	admin    *serve.Server
+	metrics  *serve.Server // nil without an address of their own
 	claims   *meter.Counter
 	syncs    *meter.Counter
 	bytes    *meter.Counter
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -14,6 +14,8 @@
 	"github.com/galenalock/galenalock/control/fleet"
 	"github.com/galenalock/galenalock/control/quorum"
 	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/serve"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -65,6 +67,13 @@
 		d.parts.peer.Close()
 		return nil, err
 	}
+	if s.Metrics.IsValid() {
+		d.parts.metrics = serve.NewMetrics(d.parts.meter.Handler())
+		if err := d.parts.metrics.Listen(s.Metrics); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
 	if len(s.Seeds) > 0 {
 		return d, nil
 	}
@@ -106,6 +115,9 @@
 	tasks.start("fleet", func() error { p.fleet.Run(inner); return nil })
 	tasks.start("peer", p.peer.Serve)
 	tasks.start("admin", p.admin.Serve)
+	if p.metrics != nil {
+		tasks.start("metrics", p.metrics.Serve)
+	}
 	tasks.start("dial", func() error { d.dialAll(inner); return nil })
 	tasks.start("watch", func() error { d.watch(inner); return nil })
 	tasks.start("registry", func() error { d.registry.run(inner); return nil })
@@ -123,7 +135,12 @@
 	}
 	stop()
 	d.close()
-	return tasks.wait()
+	err := tasks.wait()
+	p.log.Info("stopped")
+	if b, ok := d.settings.Log.(*logs.Bound); ok {
+		b.Close()
+	}
+	return err
 }
 
 // handOver stops new requests, lets those in flight end and transfers
@@ -150,6 +167,9 @@
 	d.parts.server.Close()
 	d.parts.peer.Close()
 	d.parts.admin.Close()
+	if d.parts.metrics != nil {
+		d.parts.metrics.Close()
+	}
 }
 
 // Snapshot returns the state as an operator may save it.
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenalock/galenalock/core/conf"
+	"github.com/galenalock/galenalock/core/logs"
 )
 
 // Settings are the settings of a control replica.
@@ -38,6 +39,8 @@
 	Key        string
 	Authority  string
 	Level      string
+	Lines      int
+	Metrics    netip.AddrPort // not valid: none
 	Grace      time.Duration
 	Snapshot   int
 
@@ -68,6 +71,7 @@
 	t.Name("datacentre", &s.DataCentre, "data centre of the instance")
 	t.Int("replica", &s.Replica, 1, 1, math.MaxInt32, "number", "number of this replica in the group; without meaning with seeds")
 	t.Address("peer", &s.Peer, "", "address for links from entries and replicas, as they dial it")
+	t.AddressOption("metrics", &s.Metrics, "further address of the metrics, for scrapers that must not reach the others")
 	t.Address("admin", &s.Admin, "127.0.0.1:7002", "address of the administration interface, health and metrics")
 	t.Replicas("replicas", &s.Replicas, "peer addresses of all replicas, this one included; not used with seeds")
 	t.Addresses("seeds", &s.Seeds, false, "peer addresses of a few replicas, in place of replicas: the seeds found the group, all others join through them; targets then announce themselves to control, and there is no overlay")
@@ -81,6 +85,7 @@
 	t.Text("tls.key", &s.Key, "", "key file of the certificate")
 	t.Text("tls.authority", &s.Authority, "", "file of the authority that signs all instances of the fleet")
 	t.Text("log.level", &s.Level, "info", "lowest level that is logged", "debug", "info", "warning", "error")
+	t.Int("log.lines", &s.Lines, logs.DefaultLines, 1, logs.MaxLines, "lines per second", "lines that are written; more are left out and counted")
 	t.Duration("grace", &s.Grace, defaultGrace, 0, maxGrace, "how long a stop waits for the hand-over of leadership and for requests in flight")
 	t.Int("snapshot", &s.Snapshot, defaultSnapshot, 16, 1<<20, "entries", "log entries between snapshots")
 	return t
@@ -132,7 +137,7 @@
 
 func (s *Settings) defaults() {
 	if s.Log == nil {
-		s.Log = os.Stdout
+		s.Log = logs.NewBound(os.Stdout, cmp.Or(s.Lines, logs.DefaultLines))
 	}
 	if s.Clock == nil {
 		s.Clock = time.Now
--- a/core/serve/server.go
+++ b/core/serve/server.go
@@ -65,6 +65,13 @@
 	return s
 }
 
+// NewMetrics returns a server that answers /metrics and nothing else.
+func NewMetrics(metrics http.Handler) *Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics)
+	return New(WithHandler(mux))
+}
+
 // Listen binds the address. Port 0 lets the kernel choose.
 func (s *Server) Listen(addr netip.AddrPort) error {
 	l, err := net.Listen("tcp", addr.String())
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -107,9 +107,9 @@
 	}, log)
 }
 
-func (d *Daemon) newProxy(a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
+func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
-		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Admit: a.Admit,
+		View: a.View, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, Hedge: a.Hedge, Patience: a.Patience,
 		Enter: proxy.Tracked(d.inflightCore),
 	}.Counted(m)
@@ -154,6 +154,9 @@
 	if s.Announce.IsValid() {
 		d.announce = d.newAnnounce(in)
 	}
+	if s.Metrics.IsValid() {
+		d.metrics = serve.NewMetrics(in.Meter.Handler())
+	}
 	if err := d.gauges(); err != nil {
 		return err
 	}
@@ -183,6 +186,9 @@
 	if err == nil && d.announce != nil {
 		err = d.announce.Listen(s.Announce)
 	}
+	if err == nil && d.metrics != nil {
+		err = d.metrics.Listen(s.Metrics)
+	}
 	if err != nil {
 		d.close()
 	}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -44,6 +44,7 @@
 	peer         *serve.Server
 	admin        *serve.Server
 	announce     *serve.Server // nil without an address of its own
+	metrics      *serve.Server // nil without an address of their own
 	inflightCore *drain.Core
 	stopping     atomic.Bool
 	drained      atomic.Bool // by an operator
@@ -96,8 +97,10 @@
 	group.Go(d.traffic.Serve)
 	group.Go(d.peer.Serve)
 	group.Go(d.admin.Serve)
-	if d.announce != nil {
-		group.Go(d.announce.Serve)
+	for _, s := range []*serve.Server{d.announce, d.metrics} {
+		if s != nil {
+			group.Go(s.Serve)
+		}
 	}
 	d.reload(inner)
 	addresses := logrus.Fields{"traffic": d.Traffic().String(), "peer": d.Peer().String(), "admin": d.Admin().String()}
@@ -117,6 +120,9 @@
 		err = nil
 	}
 	d.log.Info("stopped")
+	if b, ok := d.settings.Log.(*logs.Bound); ok {
+		b.Close()
+	}
 	return err
 }
 
@@ -175,8 +181,10 @@
 	d.traffic.Close()
 	d.peer.Close()
 	d.admin.Close()
-	if d.announce != nil {
-		d.announce.Close()
+	for _, s := range []*serve.Server{d.announce, d.metrics} {
+		if s != nil {
+			s.Close()
+		}
 	}
 }
 
--- /dev/null
+++ b/entry/daemon/record.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+// logRequest writes one line for each request: what was known when it was
+// decided on, and how it ended.
+func logRequest(log *logrus.Entry) func(proxy.Finish) {
+	return func(f proxy.Finish) {
+		fields := logrus.Fields{
+			logs.FieldRequest: f.Request.ID, "route": f.Route, "attempts": f.Attempts, "target": f.Target,
+			"duration": f.Duration.Round(time.Millisecond).String(),
+		}
+		if v := f.Request.View; v != nil {
+			fields["revision"] = v.Revision
+		}
+		if f.Request.Service != nil {
+			fields["service"] = f.Request.Service.Name
+		}
+		switch {
+		case f.Refusal != nil:
+			fields["outcome"], fields["reason"], fields["run"] = "refused", string(f.Refusal.Reason), string(f.Refusal.Run)
+			if f.Refusal.Retry > 0 {
+				fields["retry"] = f.Refusal.Retry.String()
+			}
+			if f.Refusal.Err != nil {
+				fields[logs.FieldError] = f.Refusal.Err.Error()
+			}
+		case f.Gone:
+			fields["outcome"] = "gone"
+		case f.Status == 0:
+			fields["outcome"] = "aborted"
+		default:
+			fields["outcome"], fields["status"] = "answered", f.Status
+		}
+		log.WithFields(fields).Info("request")
+	}
+}
+
+// logAttempt adds one line for each attempt that is not the plain first one with
+// an answer to the hook that takes outcomes.
+func logAttempt(log *logrus.Entry, end func(proxy.Attempt, proxy.Outcome)) func(proxy.Attempt, proxy.Outcome) {
+	return func(at proxy.Attempt, o proxy.Outcome) {
+		end(at, o)
+		if at.Number == 0 && o.Class == proxy.Answered {
+			return
+		}
+		fields := logrus.Fields{
+			logs.FieldRequest: at.Request.ID, "service": at.Request.Service.Name, "target": at.Target.String(),
+			"attempt": at.Number, "class": string(o.Class), "left": at.Request.Deadline.Sub(at.Start).Round(time.Millisecond).String(),
+			"took": o.End.Sub(at.Start).Round(time.Millisecond).String(), "reused": o.Reused,
+		}
+		if o.Status != 0 {
+			fields["status"] = o.Status
+		}
+		if o.Loaded {
+			fields["running"], fields["waiting"] = o.Load.Running, o.Load.Waiting
+		}
+		if o.Err != nil {
+			fields[logs.FieldError] = o.Err.Error()
+		}
+		log.WithFields(fields).Info("attempt")
+	}
+}
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/conf"
+	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -21,6 +22,7 @@
 	Peer        netip.AddrPort
 	Admin       netip.AddrPort
 	Announce    netip.AddrPort // not valid: none
+	Metrics     netip.AddrPort // not valid: none
 	Control     []netip.AddrPort
 	Peers       []netip.AddrPort
 	Seeds       []netip.AddrPort
@@ -41,6 +43,7 @@
 	TrafficCert string
 	TrafficKey  string
 	Level       string
+	Lines       int
 
 	Log io.Writer // where log lines go, standard output by default
 
@@ -75,6 +78,7 @@
 	t.Address("traffic", &s.Traffic, "", "address for callers, HTTP/1.1 and HTTP/2")
 	t.Address("peer", &s.Peer, "", "address for links from other instances and for announcements of targets, as they dial it")
 	t.AddressOption("announce", &s.Announce, "further address for announcements of targets, which needs no certificate of the fleet; let only targets reach it")
+	t.AddressOption("metrics", &s.Metrics, "further address of the metrics, for scrapers that must not reach the others")
 	t.Address("admin", &s.Admin, "127.0.0.1:7012", "address of health, metrics and status")
 	t.Addresses("control", &s.Control, false, "peer addresses of control replicas that this entry links to; two or three are enough; not used with seeds")
 	t.Addresses("seeds", &s.Seeds, false, "peer addresses of a few control replicas, in place of control and peers: the entry finds the others, takes its targets from control and has no overlay")
@@ -96,6 +100,7 @@
 	t.Text("tls.trafficcert", &s.TrafficCert, "", "certificate file for callers; empty: no TLS")
 	t.Text("tls.traffickey", &s.TrafficKey, "", "key file of the certificate for callers")
 	t.Text("log.level", &s.Level, "info", "lowest level that is logged", "debug", "info", "warning", "error")
+	t.Int("log.lines", &s.Lines, logs.DefaultLines, 1, logs.MaxLines, "lines per second", "lines that are written; more are left out and counted")
 	return t
 }
 
@@ -124,7 +129,7 @@
 // defaults fills what code that embeds an entry may leave out.
 func (s *Settings) defaults() {
 	if s.Log == nil {
-		s.Log = os.Stdout
+		s.Log = logs.NewBound(os.Stdout, cmp.Or(s.Lines, logs.DefaultLines))
 	}
 	if s.Level == "" {
 		s.Level = "info"
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -48,6 +48,7 @@
 func (c *call) attempt(ctx context.Context, target Target, number int) *attempt {
 	a := &attempt{call: c, info: Attempt{Request: c.request, Target: target, Number: number}}
 	a.ctx, a.cancel = context.WithCancel(ctx)
+	c.made, c.target = c.made+1, target
 	a.informed = c.inform
 	return a
 }
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -29,6 +29,9 @@
 	gate    func() error // asked right before the first byte is sent, may be nil
 	undo    func()       // told that no byte was sent after all, may be nil
 	touched atomic.Bool  // a target may have run the request
+	route   string       // name of the route
+	made    int          // attempts
+	target  Target       // of the last attempt
 	unsent  int          // attempts of which no byte was sent
 	written bool         // the head of the response went to the caller
 	status  int
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -65,6 +65,8 @@
 	// Silent is told that closed old connections of a target were silent.
 	Silent func(target Target, closed int)
 
+	// Finished is told once of each request how it ended.
+	Finished func(Finish)
 	// Answered is told of each response that was passed on completely, also of
 	// recorded ones; Refused, Retried and Claimed count.
 	Answered func(r Request, status int, duration time.Duration)
@@ -116,6 +118,9 @@
 	if h.Silent == nil {
 		h.Silent = func(Target, int) {}
 	}
+	if h.Finished == nil {
+		h.Finished = func(Finish) {}
+	}
 	if h.Answered == nil {
 		h.Answered = func(Request, int, time.Duration) {}
 	}
--- a/entry/proxy/match.go
+++ b/entry/proxy/match.go
@@ -28,6 +28,7 @@
 	if route == nil {
 		return no(refuse.NoRoute, "")
 	}
+	c.route = route.Name
 	// A split is drawn once for a request: a further attempt stays with its part.
 	service := text.Service(route.Pick(float64(c.proxy.hooks.Random()>>11) / (1 << 53)))
 	c.uri = r.URL.RequestURI()
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenalock/galenalock/core/claim"
 	"github.com/galenalock/galenalock/core/pool"
+	"github.com/galenalock/galenalock/core/refuse"
 )
 
 // Proxy is the handler of an entry's traffic address.
@@ -56,6 +57,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(p, w, r)
 	err := c.serve()
+	c.finish(err)
 	if errors.Is(err, errAbort) {
 		panic(http.ErrAbortHandler)
 	}
@@ -64,6 +66,18 @@
 	}
 }
 
+// finish tells how the request ended.
+func (c *call) finish(err error) {
+	f := Finish{
+		Request: c.request, Route: c.route, Attempts: c.made, Target: c.target.String(), Status: c.status,
+		Gone: errors.Is(err, errGone), Duration: c.proxy.hooks.Now().Sub(c.request.Start),
+	}
+	if err != nil && !errors.Is(err, errAbort) && !f.Gone && !errors.As(err, &f.Refusal) {
+		f.Refusal = &refuse.Error{Reason: refuse.Broken, Run: refuse.Unknown, Err: err}
+	}
+	c.proxy.hooks.Finished(f)
+}
+
 // Settle waits until the outcomes of all claims are recorded or the context
 // ends, and returns the attempts that are not recorded. It is called after the
 // last request has ended.
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
 )
 
@@ -27,6 +28,17 @@
 	Handle      any // the caller's own reference, returned in Begin and End
 }
 
+// String returns the name of the target, or its address without one.
+func (t Target) String() string {
+	switch {
+	case t.Name != "":
+		return t.Name
+	case t.Address.IsValid():
+		return t.Address.String()
+	}
+	return ""
+}
+
 // Request is what hooks learn about a request.
 type Request struct {
 	ID        string
@@ -59,6 +71,18 @@
 	Start   time.Time
 }
 
+// Finish is how a request ended.
+type Finish struct {
+	Request  Request // without service and kind when no route matched
+	Route    string  // name of the route, may be empty
+	Attempts int
+	Target   string // name or address of the last target
+	Status   int    // of the response, 0: the caller got none
+	Refusal  *refuse.Error
+	Gone     bool // the caller left
+	Duration time.Duration
+}
+
 // Class says how an attempt ended.
 type Class string
 
