--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -20,6 +20,9 @@
 	costRegion = 1.5
 	costFar    = 6
 	bulky      = 6
+	// In trouble failures are forgotten faster by haste and cost less by ease.
+	haste = 4
+	ease  = 1.0 / 6
 	// temperature is the difference of cost at which one of two endpoints is
 	// chosen e times as often as the other. Entries that know the same would all
 	// choose the same endpoint if the least cost decided.
@@ -47,10 +50,11 @@
 	s := r.current.Load()
 	ms := uint32(now.Sub(r.epoch).Milliseconds())
 	typical := float64(r.latency.Load())
+	trouble := r.trouble.present(now)
 	least := math.Inf(1)
 	for i := range s.tiers {
 		for j := range s.tiers[i].members {
-			least = min(least, s.tiers[i].members[j].expected(now, ms, typical, i, &w))
+			least = min(least, s.tiers[i].members[j].expected(now, ms, typical, i, &w, trouble))
 		}
 	}
 	var best *Endpoint
@@ -58,7 +62,7 @@
 	for i := range s.tiers {
 		for j := range s.tiers[i].members {
 			m := &s.tiers[i].members[j]
-			cost := m.expected(now, ms, typical, i, &w)
+			cost := m.expected(now, ms, typical, i, &w, trouble)
 			if math.IsInf(cost, 1) || cost > least+margin {
 				continue
 			}
@@ -75,7 +79,7 @@
 
 // expected is the expected cost of an endpoint at a distance, infinite for one
 // that cannot take the request.
-func (m *member) expected(now time.Time, ms uint32, typical float64, distance int, w *Wish) float64 {
+func (m *member) expected(now time.Time, ms uint32, typical float64, distance int, w *Wish, trouble bool) float64 {
 	e := m.endpoint
 	if !e.free() || slices.Contains(w.Exclude, e.address) {
 		return math.Inf(1)
@@ -98,7 +102,11 @@
 		if w.Once {
 			loss = lossOnce
 		}
-		cost += loss * e.suspicion.Probability(now)
+		if trouble {
+			cost += loss * ease * e.suspicion.After(now, haste)
+		} else {
+			cost += loss * e.suspicion.Probability(now)
+		}
 	}
 	return cost
 }
--- a/core/route/choose_test.go
+++ b/core/route/choose_test.go
@@ -181,3 +181,36 @@
 		t.Fatalf("%v allocations", n)
 	}
 }
+
+// Guards against targets that get nothing while much of the service fails: eight
+// of them failed a moment ago, and the others fail every fourth attempt.
+func TestChooseInTrouble(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(time.Minute)
+	targets := fleet(12)
+	for i := range targets {
+		targets[i].Region, targets[i].DataCentre = "salish", "salish-0"
+		targets[i].Suspicion = &susp.Target{}
+		targets[i].Ready = start
+		if i < 8 {
+			targets[i].Suspicion.See(now, susp.Failed)
+		}
+	}
+	r := route.New(now, route.Here{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, targets, nil)
+	used := func(at time.Time) map[netip.AddrPort]int {
+		draws := rand.New(rand.NewPCG(1, 2))
+		out := map[netip.AddrPort]int{}
+		for range 600 {
+			out[r.Choose(at, draws.Uint64(), route.Wish{Once: true}).Address()]++
+		}
+		return out
+	}
+	later := now.Add(2 * time.Second)
+	is.Equal(len(used(later)), 4)
+	for i := range 40 {
+		r.Count(later, i%4 == 0)
+	}
+	is.Equal(len(used(later)), 12)
+	is.Equal(len(used(later.Add(time.Minute))), 12) // all is forgotten
+}
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -59,10 +59,13 @@
 }
 
 // Probability returns how likely the target is in a phase of failures.
-func (t *Target) Probability(now time.Time) float64 {
+func (t *Target) Probability(now time.Time) float64 { return t.After(now, 1) }
+
+// After is Probability for a caller that forgets faster by a factor.
+func (t *Target) After(now time.Time, factor float64) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.probability(now)
+	return t.probability(t.at.Add(time.Duration(factor * float64(now.Sub(t.at)))))
 }
 
 // probability needs the lock.
