A target that failed is avoided for a time and then tested

A target is now avoided for 4 s after a failure, twice as long after each failed test up to 12 s, and then counts as little risk until a request has tested it. Entries hold for times that differ, so that few of them test.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -5,8 +5,14 @@
 	"time"
 )
 
-// parts is the number of parts that a window is counted in.
-const parts = 10
+const (
+	// parts is the number of parts that a window is counted in.
+	parts = 10
+	// margin is the part of the budget that is used. The rest covers entries
+	// that have just started, which know of no attempts before, and entries that
+	// are not counted yet.
+	margin = 0.92
+)
 
 // window counts requests and further attempts over a sliding span. The sum over
 // all entries stays within the share of the requests and the slack that the
@@ -63,7 +69,7 @@
 			}
 		}
 	}
-	if float64(extra+1) > w.share*float64(requests)+w.slack/float64(w.entries) {
+	if float64(extra+1) > margin*w.share*float64(requests)+max(1, margin*w.slack/float64(w.entries)) {
 		return false
 	}
 	present.extra++
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -20,9 +20,6 @@
 	costRegion = 1.5
 	costFar    = 6
 	bulky      = 6
-	// In trouble failures are forgotten faster by haste and cost less by ease.
-	haste = 4
-	ease  = 1.0 / 6
 	// temperature is the difference of cost at which one of two endpoints is
 	// chosen e times as often as the other. Entries that know the same would all
 	// choose the same endpoint if the least cost decided.
@@ -50,11 +47,10 @@
 	s := r.current.Load()
 	ms := uint32(now.Sub(r.epoch).Milliseconds())
 	typical := float64(r.latency.Load())
-	trouble := r.trouble.present(now)
 	least := math.Inf(1)
 	for i := range s.tiers {
 		for j := range s.tiers[i].members {
-			least = min(least, s.tiers[i].members[j].expected(now, ms, typical, i, &w, trouble))
+			least = min(least, s.tiers[i].members[j].expected(now, ms, typical, i, &w))
 		}
 	}
 	var best *Endpoint
@@ -62,7 +58,7 @@
 	for i := range s.tiers {
 		for j := range s.tiers[i].members {
 			m := &s.tiers[i].members[j]
-			cost := m.expected(now, ms, typical, i, &w, trouble)
+			cost := m.expected(now, ms, typical, i, &w)
 			if math.IsInf(cost, 1) || cost > least+margin {
 				continue
 			}
@@ -79,7 +75,7 @@
 
 // expected is the expected cost of an endpoint at a distance, infinite for one
 // that cannot take the request.
-func (m *member) expected(now time.Time, ms uint32, typical float64, distance int, w *Wish, trouble bool) float64 {
+func (m *member) expected(now time.Time, ms uint32, typical float64, distance int, w *Wish) float64 {
 	e := m.endpoint
 	if !e.free() || slices.Contains(w.Exclude, e.address) {
 		return math.Inf(1)
@@ -102,11 +98,7 @@
 		if w.Once {
 			loss = lossOnce
 		}
-		if trouble {
-			cost += loss * ease * e.suspicion.After(now, haste)
-		} else {
-			cost += loss * e.suspicion.Probability(now)
-		}
+		cost += loss * e.suspicion.Risk(now)
 	}
 	return cost
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -38,7 +38,6 @@
 	meter func(region string, sent, received int64)
 	epoch time.Time
 
-	trouble trouble
 	latency atomic.Int64 // average over all endpoints in nanoseconds, 0: none yet
 
 	known   map[netip.AddrPort]*Endpoint
@@ -99,9 +98,6 @@
 	r.current.Store(next)
 }
 
-// Count takes the outcome of an attempt for Choose.
-func (r *Router) Count(now time.Time, failed bool) { r.trouble.count(now, failed) }
-
 // Endpoint returns the endpoint of a target of the last Update, or nil. Only
 // the control goroutine calls it.
 func (r *Router) Endpoint(address netip.AddrPort) *Endpoint { return r.known[address] }
--- a/core/susp/doc.go
+++ b/core/susp/doc.go
@@ -9,9 +9,9 @@
 // by chance. Target is the filter for this model: each sign moves the
 // probability of the failing state by its likelihood ratio, and with time the
 // probability returns to that of a target of which nothing is known. A single
-// failure makes the failing state likely; how long the target is then avoided
-// follows from what the others would cost, so that the package itself takes no
-// capacity away. Signs of other entries of the region count as well, but less
+// failure makes the failing state likely, and the target is avoided for a while;
+// after that it counts as little risk until a request has tested it, so that a
+// sound target that failed once is soon in use again. Signs of other entries of the region count as well, but less
 // where a fault of the path explains them too.
 //
 // All methods of Target are safe for concurrent use and take the time as an
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -96,9 +96,6 @@
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
 	d.endpoint.Bytes(o.Sent, o.Bytes)
-	if o.Class != proxy.Cancelled {
-		d.upstream.router.Count(o.End, o.Class != proxy.Answered)
-	}
 	if sign, ok := signOf(at, o); ok && a.registry != nil {
 		a.suspect(d.target, sign, o.End)
 	}
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,10 @@
 	"github.com/galenalock/galenalock/core/susp"
 )
 
+// maxPatience spreads the tests of a target that was avoided over the entries of
+// a region, so that most of them hear of the first one.
+const maxPatience = 0.5
+
 // target is an incarnation of a target as the data path uses it.
 type target struct {
 	roster.Target
@@ -163,7 +168,7 @@
 		h := u.targets[t.Address]
 		if h == nil || !h.Start.Equal(t.Start) {
 			h = &target{
-				Target: t, health: u.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre), suspicion: &susp.Target{},
+				Target: t, health: u.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre), suspicion: &susp.Target{Patience: 1 + maxPatience*rand.Float64()},
 			}
 		}
 		h.suspicion.Silence(t.Silent)
