Pre-votes are tried again soon; stops end within their limit

Retry-After now tells when there will be room: 0.1 s where another entry serves at once, 0.5 s at a starting entry or after a shed.

--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -1,11 +1,23 @@
 package raft
 
+import "time"
+
+// preVoteRetry is the part of the election timeout after which a pre-vote that
+// was not won is tried again, up to twice as long.
+const preVoteRetry = 4
+
 // campaign asks for votes: with pre, whether an election could be won, without
 // raising the term; with force, in spite of a live leader.
 func (c *Core) campaign(pre, force bool) {
 	c.become(c.term, 0)
 	c.role, c.pre, c.force = RoleCandidate, pre, force
 	c.resetElection()
+	if pre {
+		// A pre-vote disturbs nobody, so it is tried again soon: after a loss of
+		// power the first ones find too few replicas that have started.
+		quarter := int64(c.cfg.Election) / preVoteRetry
+		c.election = c.now.Add(time.Duration(quarter + c.cfg.Rand.Int63n(quarter)))
+	}
 	c.votes = map[uint64]bool{c.cfg.ID: true}
 	kind, term := MessagePreVote, c.term+1
 	if !pre {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -25,8 +25,11 @@
 	// leaveTimeout bounds the announcement of the stop to the fleet.
 	leaveTimeout = 2 * time.Second
 	// flushTimeout bounds the end of responses that have been written and of
-	// records of claims. It comes on top of the time limit of a stop.
+	// records of claims. It comes on top of the time limit of a stop, and is a
+	// part of it where the limit is short: connections that were opened and carry
+	// no request are not worth more.
 	flushTimeout = 10 * time.Second
+	flushShare   = 8
 )
 
 // Daemon is one entry.
@@ -145,7 +148,7 @@
 		}).Warn("request cut off")
 		d.counts.cut.Add(1, r.Service)
 	}
-	ctx, cancel = context.WithTimeout(context.Background(), flushTimeout)
+	ctx, cancel = context.WithTimeout(context.Background(), min(flushTimeout, d.settings.Limit/flushShare))
 	defer cancel()
 	if len(d.inflightCore.Cut()) == 0 {
 		if err := d.traffic.Shutdown(ctx); err != nil {
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/galenalock/galenalock/core/refuse"
 )
@@ -53,7 +52,7 @@
 func (c *call) serve() error {
 	hooks := &c.proxy.hooks
 	if v := c.request.View; v == nil || !v.Ready || v.Text == nil {
-		return &refuse.Error{Reason: refuse.NotReady, Run: refuse.NotRun, Retry: time.Second}
+		return &refuse.Error{Reason: refuse.NotReady, Run: refuse.NotRun, Retry: retryStarting}
 	}
 	if err := c.match(); err != nil {
 		return err
@@ -65,7 +64,7 @@
 	c.request.Deadline = c.deadline()
 	leave, ok := hooks.Enter(c.request)
 	if !ok {
-		return &refuse.Error{Reason: refuse.Draining, Run: refuse.NotRun, Retry: time.Second}
+		return &refuse.Error{Reason: refuse.Draining, Run: refuse.NotRun, Retry: retryElsewhere}
 	}
 	defer leave()
 	err := c.run()
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -129,13 +129,13 @@
 	case errors.Is(err, errNoTarget):
 		out.Reason, out.Retry = refuse.NoTarget, retryAfter
 	case errors.As(err, &shed):
-		out.Reason, out.Retry = refuse.Shed, retryAfter
+		out.Reason, out.Retry = refuse.Shed, retryShed
 	case errors.Is(err, errDigest):
 		out.Reason = refuse.BadDigest
 	case errors.As(err, &source), errors.As(err, &malformed):
 		out.Reason, out.Detail = refuse.BadRequest, "the request broke off or is malformed"
 	case errors.As(err, &dial), c.proxy.rules.Unsent(err):
-		out.Reason, out.Retry = refuse.Connect, retryAfter
+		out.Reason, out.Retry = refuse.Connect, retryElsewhere
 	default:
 		out.Reason = refuse.Broken
 	}
--- a/entry/proxy/refusal.go
+++ b/entry/proxy/refusal.go
@@ -9,7 +9,17 @@
 	"github.com/galenalock/galenalock/core/refuse"
 )
 
-const retryAfter = time.Second
+// When a resend is sensible after a refusal.
+const (
+	retryAfter = time.Second
+	// retryElsewhere is for what another entry can do at once.
+	retryElsewhere = 100 * time.Millisecond
+	// retryStarting is about the time in which an entry that has started gets its
+	// configuration.
+	retryStarting = 500 * time.Millisecond
+	// retryShed is about the time that a request takes, after which a slot is free.
+	retryShed = 500 * time.Millisecond
+)
 
 // errGone is a caller that left before it got a response.
 var errGone = errors.New("the caller left")
