--- a/galenactl/command/command_test.go
+++ b/galenactl/command/command_test.go
@@ -152,3 +152,15 @@
 		}
 	}
 }
+
+// Guards against a story that misses its lines without a word.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	file := textFile(t, `{"time":"2026-04-24T10:00:10Z","instance":"e1","event":"request","request":"r-1","outcome":"refused","reason":"shed"}`+"\n")
+	code, out, _ := run(t, http.NotFoundHandler(), "explain", "r-1", "--logs", file)
+	is.Equal(code, command.ExitDone)
+	is.Equal(out, "10:00:10.000 e1 request outcome=refused reason=shed request=r-1\n")
+	code, _, errs := run(t, http.NotFoundHandler(), "explain", "r-2", "--logs", file)
+	is.Equal(code, command.ExitInvalid)
+	is.True(strings.Contains(errs, "none of 1 lines is about r-2"))
+}
--- /dev/null
+++ b/galenactl/story/story_test.go
@@ -0,0 +1,47 @@
+package story_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/galenactl/story"
+)
+
+const log = `
+12.1 e1 {"time":"2026-04-24T10:00:09Z","instance":"e1","event":"suspicion","target":"t-1","sign":"failed","after":0.7}
+{"time":"2026-04-24T10:00:01Z","instance":"e1","event":"suspicion","target":"t-2","sign":"failed","after":0.7}
+no JSON
+{"time":"2026-04-24T10:00:10.5Z","instance":"e1","event":"request","request":"r-1","target":"t-1","outcome":"answered","status":500}
+{"time":"2026-04-24T10:00:10.4Z","instance":"e1","event":"attempt","request":"r-1","target":"t-1","class":"faulty","status":500}
+{"time":"2026-04-24T10:00:11Z","instance":"e1","event":"suspicion","target":"t-1","sign":"failed","after":0.9}
+{"time":"2026-04-24T10:00:12Z","instance":"e2","event":"request","request":"r-2","target":"t-2","outcome":"answered","status":200}
+`
+
+func ExampleOf() {
+	lines, err := story.Read(strings.NewReader(log))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for _, l := range story.Of(lines, "r-1") {
+		fmt.Println(l)
+	}
+	// Output:
+	// 10:00:09.000 e1 suspicion after=0.7 sign=failed target=t-1
+	// 10:00:10.400 e1 attempt class=faulty request=r-1 status=500 target=t-1
+	// 10:00:10.500 e1 request outcome=answered request=r-1 status=500 target=t-1
+}
+
+// Guards against lines about a target or an instance that are left out.
+func TestAbout(t *testing.T) {
+	is := is.New(t)
+	lines, err := story.Read(strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(len(lines), 6)
+	is.Equal(len(story.Of(lines, "t-1")), 4)
+	is.Equal(len(story.Of(lines, "e2")), 1)
+	is.Equal(len(story.Of(lines, "nothing")), 0)
+}
