--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -28,7 +28,8 @@
 	// brings a sound target back into use. The time doubles with each failed test
 	// up to LastHold; phases of failures last about as long.
 	FirstHold = 4 * time.Second
-	LastHold  = 12 * time.Second
+	// LastHold is the longest time of avoidance.
+	LastHold = 12 * time.Second
 	// apart is the time between two failures that count as two; those of requests
 	// that were sent at the same moment are one discovery.
 	apart = 500 * time.Millisecond
