--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -228,6 +228,14 @@
 	near.mu.Unlock()
 	until(t, "the third target gets the requests", func() bool { return picks(a)[other.Name] < 10 })
 
+	// A short deadline of a caller is no sign of its target.
+	third, ok := a.Pick(request, []netip.AddrPort{target.Address, other.Address}, time.Now())
+	is.True(ok)
+	short := proxy.Attempt{Request: request, Target: third, Start: time.Now()}
+	a.Begin(short)
+	a.End(short, proxy.Outcome{Class: proxy.Overdue, End: time.Now().Add(50 * time.Millisecond)})
+	is.True(picks(a)[third.Name] > 150)
+
 	for range 5 {
 		is.True(a.Retry(request, proxy.RetryConnect))
 	}
--- a/entry/agent/suspects.go
+++ b/entry/agent/suspects.go
@@ -27,12 +27,13 @@
 }
 
 // signs is what each class of outcome says about the target. An answer counts
-// as a failure of the target only with the status 500 and above.
+// as a failure of the target only with the status 500 and above. A deadline that
+// passes is no sign, since the caller may have set it short; that an answer
+// takes too long is noted while the attempt is pending.
 var signs = map[proxy.Class]susp.Sign{
 	proxy.Faulty:      susp.Failed,
 	proxy.Failed:      susp.Broken,
 	proxy.Dial:        susp.Unreachable,
-	proxy.Overdue:     susp.Overdue,
 	proxy.Refused:     susp.Shed,
 	proxy.Misdirected: susp.Misdirected,
 }
