--- a/core/prog/prog.go
+++ b/core/prog/prog.go
@@ -36,6 +36,10 @@
 	Reload func(file string) error
 }
 
+// Patient is a Hurry for programs whose supervisor may send the signal to stop
+// more than once and ends them itself when their time is over.
+func Patient() {}
+
 // Main reads the command line, runs the program and returns its exit code.
 func (p Program) Main(args []string) int {
 	file := p.Name + ".toml"
@@ -56,7 +60,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go p.watch(ctx, file, d.Reload)
+	// A signal that nobody takes ends the process, so hangups are taken until the
+	// very end, also while the program stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go p.watch(ctx, file, hangups, d.Reload)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
--- a/core/prog/prog_test.go
+++ b/core/prog/prog_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -46,3 +48,31 @@
 	}
 	is.Equal(p.Main(nil), prog.ExitDone)
 }
+
+// Guards against a hangup or a second signal to stop that ends a program while
+// it finishes what is in flight, and against settings that are not read again.
+func TestSignalsWhileStopping(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "x.toml")
+	is.NoErr(os.WriteFile(file, []byte("a = 1"), 0o600))
+	reloads := make(chan string, 4)
+	p := prog.Program{Name: "entry", Errors: io.Discard}
+	p.Open = func(string) (prog.Daemon, error) {
+		return prog.Daemon{
+			Hurry:  prog.Patient,
+			Reload: func(file string) error { reloads <- file; return nil },
+			Run: func(ctx context.Context) error {
+				is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+				is.Equal(<-reloads, file)
+				is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+				<-ctx.Done()
+				for range 3 {
+					is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+					is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+				}
+				return nil
+			},
+		}, nil
+	}
+	is.Equal(p.Main([]string{"--settings", file}), prog.ExitDone)
+}
--- a/core/prog/reload.go
+++ b/core/prog/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 )
 
@@ -14,10 +12,7 @@
 
 // watch reloads the settings on SIGHUP and when the content of the file has
 // changed, until ctx ends.
-func (p Program) watch(ctx context.Context, file string, reload func(file string) error) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (p Program) watch(ctx context.Context, file string, hangups <-chan os.Signal, reload func(file string) error) {
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
 	w := watched{}
