Daemons: one way to follow the settings file; lines lost from the log are a metric

Cause: the three mains that follow a settings file (entry, control and the platform's entry) each repeated the reload loop, and the count of log lines that the bounded writer dropped was visible only in the log itself, which is the place that has just lost lines.

Ruled out: one shared package for both daemons. Their settings differ in every field, and what is shared is already prog.Reload.

No change of behaviour; the tests of core, entry, control and platform pass before and after.

--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -148,6 +148,11 @@
 	d.registry = d.newRegistry()
 	d.connectLinks(in.Bytes)
 	d.connectAdmin()
+	if b, ok := d.settings.Log.(*logs.Bound); ok {
+		if err := p.meter.Gauge(meter.LinesOut, func() float64 { return float64(b.Dropped()) }); err != nil {
+			return err
+		}
+	}
 	return p.gauges()
 }
 
--- a/control/main.go
+++ b/control/main.go
@@ -27,15 +27,5 @@
 	}
 	// A second signal ends the process at once, which loses nothing that was
 	// acknowledged.
-	return prog.Daemon{Run: d.Run, Reload: reload(d)}, nil
-}
-
-func reload(d *daemon.Daemon) func(file string) error {
-	return func(file string) error {
-		settings, err := daemon.Load(file)
-		if err == nil {
-			d.Reload(settings)
-		}
-		return err
-	}
+	return prog.Daemon{Run: d.Run, Reload: d.ReloadFile}, nil
 }
--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -24,6 +24,7 @@
 	Commits     Name = "commits"
 	Syncs       Name = "syncs"
 	Dropped     Name = "dropped"
+	LinesOut    Name = "linesout"
 )
 
 // Row documents one metric.
@@ -53,6 +54,7 @@
 	Crossing:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
 	Commits:     {"counter", "{command}", "command", "Commands applied by a control replica"},
 	Syncs:       {"counter", "{sync}", "", "Calls of fsync by a control replica"},
+	LinesOut:    {"gauge", "{line}", "", "Lines left out of the log since the start"},
 	Dropped:     {"counter", "{message}", "queue", "Messages dropped from full statistics queues"},
 }
 
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -75,14 +75,18 @@
 }
 
 func startAgent(t testing.TB, control ...netip.AddrPort) *agent.Agent {
+	return startWith(t, agent.Settings{Control: control})
+}
+
+// startWith runs an agent with settings that lack only the instance.
+func startWith(t testing.TB, s agent.Settings) *agent.Agent {
 	log, err := logs.New(io.Discard, "error", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := agent.New(agent.Settings{
-		Fleet: "f", Instance: "entry-1", Region: "salish", DataCentre: "salish-1",
-		Peer: netip.MustParseAddrPort("127.0.0.1:9"), Control: control, Start: time.Now(),
-	}, agent.Hooks{
+	s.Fleet, s.Instance, s.Region, s.DataCentre = "f", "entry-1", "salish", "salish-1"
+	s.Peer, s.Start = netip.MustParseAddrPort("127.0.0.1:9"), time.Now()
+	a := agent.New(s, agent.Hooks{
 		Mesh:     func(opts ...mesh.Option) *mesh.Mesh { return mesh.New(opts...) },
 		Drain:    func(bool) {},
 		Retried:  func(string, string) {},
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -1,9 +1,7 @@
 package agent_test
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,8 +15,6 @@
 	"github.com/galenalock/galenalock/core/delta"
 	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/link"
-	"github.com/galenalock/galenalock/core/logs"
-	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/susp"
 	"github.com/galenalock/galenalock/core/wire"
@@ -113,27 +109,11 @@
 	}
 }
 
+// startFollower runs an agent that takes its targets from control.
 func startFollower(t *testing.T, seeds ...netip.AddrPort) *agent.Agent {
-	log, err := logs.New(io.Discard, "error", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := agent.New(agent.Settings{
-		Fleet: "f", Instance: "entry-1", Region: "salish", DataCentre: "salish-1",
-		Peer: netip.MustParseAddrPort("127.0.0.1:9"), Attach: seeds, Links: 3, Start: time.Now(),
-		Retry: agent.Retry{Window: 10 * time.Second, Share: 0.2, Slack: 1},
-	}, agent.Hooks{
-		Mesh:     func(opts ...mesh.Option) *mesh.Mesh { return mesh.New(opts...) },
-		Drain:    func(bool) {},
-		Retried:  func(string, string) {},
-		Crossing: func(int64, int64) {},
-		Inflight: func() int { return 0 },
-	}, log)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- a.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ended })
-	return a
+	return startWith(t, agent.Settings{
+		Attach: seeds, Links: 3, Retry: agent.Retry{Window: 10 * time.Second, Share: 0.2, Slack: 1},
+	})
 }
 
 // order is a request that must not be repeated.
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -212,5 +212,10 @@
 	if err != nil {
 		return err
 	}
+	if b, ok := d.settings.Log.(*logs.Bound); ok {
+		if err := d.meter.Gauge(meter.LinesOut, func() float64 { return float64(b.Dropped()) }); err != nil {
+			return err
+		}
+	}
 	return d.meter.Gauge(meter.Links, func() float64 { return float64(len(d.agent.Mesh().Neighbours())) })
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -25,15 +25,5 @@
 	if err != nil {
 		return prog.Daemon{}, err
 	}
-	return prog.Daemon{Run: d.Run, Hurry: d.Hurry, Reload: reload(d)}, nil
-}
-
-func reload(d *daemon.Daemon) func(file string) error {
-	return func(file string) error {
-		settings, err := daemon.Load(file)
-		if err == nil {
-			d.Reload(settings)
-		}
-		return err
-	}
+	return prog.Daemon{Run: d.Run, Hurry: d.Hurry, Reload: d.ReloadFile}, nil
 }
