Votes that cannot be won any more are tried again soon

When two of five disks are lost the other three must all vote for one; two that ask at once split the votes, and each waited for a whole election timeout of 1 to 2 s before its next attempt.

Change: a candidate counts refusals. Once the others cannot make a majority it tries again after 0.25 to 0.5 s, first with a pre-vote, which disturbs nobody.

--- a/core/raft/core.go
+++ b/core/raft/core.go
@@ -45,7 +45,8 @@
 	pre     bool // collecting pre-votes
 	force   bool // campaign of a transfer
 	votes   map[uint64]bool
-	voteSeq uint64 // persist that holds the own vote
+	refused map[uint64]bool // voters that refused this candidate
+	voteSeq uint64          // persist that holds the own vote
 
 	// Leader.
 	peers     map[uint64]*progress
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// preVoteRetry is the part of the election timeout after which a pre-vote that
-// was not won is tried again, up to twice as long.
-const preVoteRetry = 4
+// retryPart is the part of the election timeout after which a pre-vote that was
+// not won, or a vote that cannot be won any more, is tried again, up to twice as
+// long.
+const retryPart = 4
 
 // campaign asks for votes: with pre, whether an election could be won, without
 // raising the term; with force, in spite of a live leader.
@@ -15,9 +16,9 @@
 	if pre {
 		// A pre-vote disturbs nobody, so it is tried again soon: after a loss of
 		// power the first ones find too few replicas that have started.
-		quarter := int64(c.cfg.Election) / preVoteRetry
-		c.election = c.now.Add(time.Duration(quarter + c.cfg.Rand.Int63n(quarter)))
+		c.retrySoon()
 	}
+	c.refused = map[uint64]bool{}
 	c.votes = map[uint64]bool{c.cfg.ID: true}
 	kind, term := MessagePreVote, c.term+1
 	if !pre {
@@ -33,6 +34,30 @@
 	}
 }
 
+func (c *Core) retrySoon() {
+	part := int64(c.cfg.Election) / retryPart
+	c.election = c.now.Add(time.Duration(part + c.cfg.Rand.Int63n(part)))
+}
+
+// countRefusal notes that a voter refused its vote. When the others do not make
+// a majority, for instance because candidates split the votes of the only
+// replicas that survived, waiting for the timeout would win nothing.
+func (c *Core) countRefusal(from uint64) {
+	if c.votes[from] || c.refused[from] {
+		return
+	}
+	c.refused[from] = true
+	possible := c.members().quorum(func(id uint64) uint64 {
+		if c.refused[id] {
+			return 0
+		}
+		return 1
+	})
+	if possible == 0 {
+		c.retrySoon()
+	}
+}
+
 // electable tells whether the replica may campaign. A voter whose removal is not
 // yet committed still may, because it can be the only one whose log is complete
 // enough to win.
@@ -113,6 +138,10 @@
 		c.become(m.Term, 0)
 		return
 	}
+	if m.Reject && !pre && c.role == RoleCandidate && !c.pre {
+		c.countRefusal(m.From)
+		return
+	}
 	want := c.term
 	if pre {
 		want++
--- /dev/null
+++ b/core/raft/recover_test.go
@@ -0,0 +1,52 @@
+package raft_test
+
+import (
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/raft"
+)
+
+// recovery grows a group, ends every process at once, takes two disks, starts
+// all again within 100 ms and returns the time until a command is acknowledged.
+func recovery(seed int64) (time.Duration, *forming) {
+	f := newForming(seed, false)
+	f.acknowledge(formLimit)
+	f.run(5 * time.Second)
+	rng := rand.New(rand.NewSource(seed))
+	order := rng.Perm(formReplicas)
+	for _, id := range f.ids {
+		f.nodes[id].crash()
+	}
+	for _, i := range order[:formTolerance] {
+		f.pick(i).wipe(false)
+	}
+	for _, id := range f.ids {
+		f.after(time.Duration(rng.Int63n(int64(100*time.Millisecond))), f.nodes[id].restart)
+	}
+	start := f.now
+	f.run(100 * time.Millisecond)
+	f.acknowledge(formLimit)
+	return f.now.Sub(start), f
+}
+
+// Guards against candidates that split the votes of the only replicas which
+// survived and wait for a whole election timeout before the next attempt.
+func TestRecovery(t *testing.T) {
+	is := is.New(t)
+	var all []time.Duration
+	for seed := range int64(300) {
+		d, f := recovery(seed)
+		is.NoErr(f.broken)
+		if d >= raft.DefaultElection {
+			t.Errorf("go test ./raft -run TestRecovery: seed %d: nothing is acknowledged for %v", seed, d)
+		}
+		all = append(all, d)
+	}
+	slices.Sort(all)
+	t.Logf("median %v, longest %v", all[len(all)/2], all[len(all)-1])
+}
