--- /dev/null
+++ b/core/route/floor_test.go
@@ -0,0 +1,42 @@
+package route_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/route"
+	"github.com/galenalock/galenalock/core/susp"
+)
+
+// Guards against a service of which so many targets are avoided at once that the
+// others carry all of it. A target is sound again 2 s after a failure of its own,
+// and 0.7 of the sound targets are to get requests in every 2 s. The load: 105
+// requests in 2 s for 8 targets, four of which failed once.
+func TestChooseKeepsFloor(t *testing.T) {
+	const targets, requests, floor = 8, 105, 0.7
+	is := is.New(t)
+	draws := rand.New(rand.NewPCG(1, 1))
+	known := make([]route.Target, targets)
+	for i := range known {
+		suspicion := &susp.Target{}
+		if i%2 == 0 {
+			suspicion.See(start, susp.Failed)
+		}
+		known[i] = route.Target{
+			Address: address(i), Start: start, Region: "salish", DataCentre: "salish-0", Slots: 6,
+			Connections: 400, Weight: 1, Ready: start.Add(-time.Hour), Suspicion: suspicion, Tag: i,
+		}
+	}
+	r := route.New(start, route.Here{Instance: "e", Region: "salish", DataCentre: "salish-0"})
+	r.Update(start, known, nil)
+	used := map[int]bool{}
+	for n := range requests {
+		now := start.Add(2*time.Second + time.Duration(n)*2*time.Second/requests)
+		used[r.Choose(now, draws.Uint64(), route.Wish{}).Tag().(int)] = true
+	}
+	t.Logf("%d of %d targets got requests", len(used), targets)
+	is.True(float64(len(used)) >= floor*targets)
+}
