Test avoided targets before so many are avoided that the floor breaks

Cause: a target that failed is avoided for 4 to 12 s, however many targets of its service are avoided at the same time.

Now an entry counts the sound targets of its region that are avoided for a failure older than 2 s. When these exceed a share of 0.2, some of the first attempts test them, likely sound ones first; the rate follows from the entry's own rate and the number of entries in the region. An answer ends avoidance only when it outweighs the failure, since a failing target answers one request in four.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -48,9 +48,22 @@
 	ms := uint32(now.Sub(r.epoch).Milliseconds())
 	typical := float64(r.latency.Load())
 	least := math.Inf(1)
+	var near census
 	for i := range s.tiers {
 		for j := range s.tiers[i].members {
-			least = min(least, s.tiers[i].members[j].expected(now, ms, typical, i, &w))
+			m := &s.tiers[i].members[j]
+			least = min(least, m.expected(now, ms, typical, i, &w))
+			if i != elsewhere {
+				draw = mix(draw)
+				near.add(m.endpoint, now, draw)
+			}
+		}
+	}
+	if len(w.Exclude) == 0 {
+		r.pace.note(now.Sub(r.epoch))
+		draw = mix(draw)
+		if near.test != nil && fraction(draw) < r.tests(s, near) {
+			return near.test
 		}
 	}
 	var best *Endpoint
@@ -64,8 +77,7 @@
 			}
 			// The least of costs with Gumbel noise is a draw by exp(-cost).
 			draw = mix(draw)
-			u := (float64(draw>>11) + 0.5) / (1 << 53)
-			if noisy := cost + temperature*math.Log(-math.Log(u)); noisy < score {
+			if noisy := cost - temperature*gumbel(draw); noisy < score {
 				best, score = m.endpoint, noisy
 			}
 		}
@@ -73,6 +85,12 @@
 	return best
 }
 
+// fraction maps a draw to the open interval from 0 to 1.
+func fraction(draw uint64) float64 { return (float64(draw>>11) + 0.5) / (1 << 53) }
+
+// gumbel maps a draw to the standard Gumbel distribution.
+func gumbel(draw uint64) float64 { return -math.Log(-math.Log(fraction(draw))) }
+
 // expected is the expected cost of an endpoint at a distance, infinite for one
 // that cannot take the request.
 func (m *member) expected(now time.Time, ms uint32, typical float64, distance int, w *Wish) float64 {
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -21,4 +21,9 @@
 // weight, and wins when its expected cost is lower. Within a tier two
 // candidates are drawn by weight and the one with the lower expected cost is
 // taken (power of two choices).
+//
+// Choose takes the place of Pick where an entry sends a few requests a second to
+// many targets. It weighs all of them by expected cost, and a share of the first
+// attempts tests targets that are avoided when so many are that the floor of the
+// service would break.
 package route
--- a/core/route/floor_test.go
+++ b/core/route/floor_test.go
@@ -40,3 +40,45 @@
 	t.Logf("%d of %d targets got requests", len(used), targets)
 	is.True(float64(len(used)) >= floor*targets)
 }
+
+// Guards against tests that go to targets in a phase of failures while a sound
+// one waits: of six avoided targets, three failed once and three three times.
+func TestTestsLikelySoundTargetsFirst(t *testing.T) {
+	const targets, requests = 8, 200
+	is := is.New(t)
+	draws := rand.New(rand.NewPCG(2, 2))
+	known := make([]route.Target, targets)
+	for i := range known {
+		suspicion := &susp.Target{}
+		failures := 0
+		switch {
+		case i < 3:
+			failures = 1
+		case i < 6:
+			failures = 3
+		}
+		for n := range failures {
+			suspicion.See(start.Add(-time.Duration(n)*time.Second), susp.Failed)
+		}
+		known[i] = route.Target{
+			Address: address(i), Start: start, Region: "salish", DataCentre: "salish-0", Slots: 6,
+			Connections: 400, Weight: 1, Ready: start.Add(-time.Hour), Suspicion: suspicion, Tag: i,
+		}
+	}
+	r := route.New(start, route.Here{Instance: "e", Region: "salish", DataCentre: "salish-0"})
+	r.Update(start, known, nil)
+	once, often := 0, 0
+	for n := range requests {
+		now := start.Add(2*time.Second + time.Duration(n)*2*time.Second/requests)
+		switch i := r.Choose(now, draws.Uint64(), route.Wish{Once: true}).Tag().(int); {
+		case i < 3:
+			once++
+		case i < 6:
+			often++
+		}
+	}
+	t.Logf("%d tests of targets that failed once, %d of those that failed three times", once, often)
+	is.True(once >= 3)
+	is.True(often < once)
+	is.True(once+often < requests/4)
+}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -39,6 +39,7 @@
 	epoch time.Time
 
 	latency atomic.Int64 // average over all endpoints in nanoseconds, 0: none yet
+	pace    pace         // of the requests of this entry
 
 	known   map[netip.AddrPort]*Endpoint
 	current atomic.Pointer[snapshot]
@@ -72,7 +73,7 @@
 func (r *Router) Update(now time.Time, targets []Target, peers []Peer) {
 	share := assign(r.here, targets, peers)
 	known := make(map[netip.AddrPort]*Endpoint, len(targets))
-	next := &snapshot{}
+	next := &snapshot{peers: r.near(peers)}
 	for i := range next.tiers {
 		next.tiers[i].base = distances[i]
 	}
@@ -113,6 +114,17 @@
 	}
 }
 
+// near counts the peers of the region, this instance included.
+func (r *Router) near(peers []Peer) int {
+	n := 1
+	for _, p := range peers {
+		if p.Region == r.here.Region && p.Instance != r.here.Instance {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Router) distance(t *Target) int {
 	switch {
 	case t.Region != r.here.Region:
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -43,6 +43,7 @@
 	tiers   [tiers]tier
 	probes  []*Endpoint
 	samples []sample
+	peers   int // instances of the region that choose among the targets
 }
 
 // sample is a suspect that gets a share of the repeatable requests for a while.
--- a/core/susp/doc.go
+++ b/core/susp/doc.go
@@ -11,8 +11,9 @@
 // probability returns to that of a target of which nothing is known. A single
 // failure makes the failing state likely, and the target is avoided for a while;
 // after that it counts as little risk until a request has tested it, so that a
-// sound target that failed once is soon in use again. Signs of other entries of the region count as well, but less
-// where a fault of the path explains them too.
+// sound target that failed once is soon in use again. An answer ends the
+// avoidance early when it outweighs the failure. Signs of other entries of the
+// region count as well, but less where a fault of the path explains them too.
 //
 // All methods of Target are safe for concurrent use and take the time as an
 // argument.
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -95,12 +95,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.probability(now)
-	if t.streak > 0 && now.Sub(t.failed) < time.Duration(max(1, t.Patience)*float64(t.hold())) {
+	if t.avoided(now) {
 		return max(p, held)
 	}
 	return min(p, probing)
 }
 
+// Avoided reports whether the target is avoided, and for how long it has not
+// been seen to fail.
+func (t *Target) Avoided(now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.failed), t.avoided(now)
+}
+
+// avoided needs the lock.
+func (t *Target) avoided(now time.Time) bool {
+	return t.streak > 0 && now.Sub(t.failed) < time.Duration(max(1, t.Patience)*float64(t.hold()))
+}
+
 // hold is how long the target is avoided after its last failure; it needs the
 // lock.
 func (t *Target) hold() time.Duration {
@@ -136,7 +149,7 @@
 	case ratio >= evident && seen.Sub(t.failed) >= apart:
 		t.streak++
 		t.failed = seen
-	case ratio < 1 && seen.After(t.failed):
+	case ratio < 1 && seen.After(t.failed) && after < doubtful:
 		t.streak /= 2 // a failing target answers now and then
 	}
 	return before, after
