A full disk makes a replica wait instead of ending it

The group tries again every 250 ms. Meanwhile the disk counts as stalled, so a leader hands over after 0.5 s, and the replica neither votes nor acknowledges.

Ruled out: a sync that fails for want of room stays fatal, since what reached the disk is then unknown.

--- a/core/group/disk.go
+++ b/core/group/disk.go
@@ -1,10 +1,13 @@
 package group
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/galenalock/galenalock/core/raft"
 	"github.com/galenalock/galenalock/core/store"
 )
@@ -20,24 +23,30 @@
 type done struct {
 	seq      uint64
 	snapshot *raft.Snapshot
+	skipped  bool // a snapshot did not fit on the disk
 	err      error
 }
 
+// fullRetry is the time between two writes to a full disk. Bounds on
+// acknowledgements are seconds.
+const fullRetry = 250 * time.Millisecond
+
 // disk owns the store. Its queue holds no more than the core lets in flight.
 type disk struct {
-	store *store.Store
-	wake  chan struct{}
-	done  chan done
-	syncs atomic.Uint64
-	since atomic.Int64 // Unix nanoseconds of the start of the present job, 0: none
-	clock func() time.Time
+	store  *store.Store
+	wake   chan struct{}
+	done   chan done
+	syncs  atomic.Uint64
+	since  atomic.Int64 // Unix nanoseconds of the start of the present job, 0: none
+	clock  func() time.Time
+	logger *logrus.Entry
 
 	mu   sync.Mutex
 	jobs []job
 }
 
-func newDisk(s *store.Store, clock func() time.Time) *disk {
-	return &disk{store: s, clock: clock, wake: make(chan struct{}, 1), done: make(chan done)}
+func newDisk(s *store.Store, clock func() time.Time, logger *logrus.Entry) *disk {
+	return &disk{store: s, clock: clock, logger: logger, wake: make(chan struct{}, 1), done: make(chan done)}
 }
 
 func (d *disk) add(j job) {
@@ -70,7 +79,7 @@
 		for len(jobs) > 0 {
 			var result done
 			d.since.Store(d.clock().UnixNano())
-			result, jobs = d.work(jobs)
+			result, jobs = d.finish(jobs, stop)
 			d.since.Store(0)
 			d.syncs.Store(d.store.Syncs())
 			select {
@@ -91,6 +100,32 @@
 	return since != 0 && now.UnixNano()-since > int64(limit)
 }
 
+// finish does the first jobs, and does them again while the disk is full. A
+// snapshot can wait: what follows it cannot.
+func (d *disk) finish(jobs []job, stop <-chan struct{}) (done, []job) {
+	for waited := false; ; waited = true {
+		result, rest := d.work(jobs)
+		var full *store.FullError
+		if !errors.As(result.err, &full) {
+			if waited {
+				d.logger.Info("disk has room")
+			}
+			return result, rest
+		}
+		if !waited {
+			d.logger.WithField("error", full.Error()).Warn("disk full")
+		}
+		if jobs[0].snapshot != nil {
+			return done{skipped: true}, rest
+		}
+		select {
+		case <-stop:
+			return done{}, rest
+		case <-time.After(fullRetry):
+		}
+	}
+}
+
 // work does the first job, together with as many of the following ones as one
 // sync can cover.
 func (d *disk) work(jobs []job) (done, []job) {
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -89,7 +89,7 @@
 		return nil, eris.Wrap(err, "group")
 	}
 	g := &Group{
-		settings: s, core: core, disk: newDisk(stored, s.clock), started: now,
+		settings: s, core: core, disk: newDisk(stored, s.clock, s.logger), started: now,
 		inbox:     make(chan raft.Message, inboxSize),
 		proposals: make(chan *proposal, proposalsSize),
 		calls:     make(chan func()),
--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -286,3 +288,56 @@
 		is.True(errors.As(err, &over))
 	})
 }
+
+// Guards against a replica that ends when its disk is full, and against a leader
+// that keeps the lead while it cannot write.
+func TestFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3)
+		full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
+		for id, flag := range full {
+			is.NoErr(f.halt(id))
+			f.start(id, group.WithFiles(limited(flag)))
+		}
+		f.propose("a")
+		l := f.leader()
+
+		full[l.id].Store(true)
+		_, err := l.group.Propose(t.Context(), []byte("b"))
+		var unknown *group.UnknownError
+		is.True(errors.As(err, &unknown)) // the others may have it
+		f.propose("c")
+		is.True(f.leader().id != l.id)
+		time.Sleep(10 * time.Second)
+		full[l.id].Store(false)
+		f.propose("d")
+		f.until("catching up", func() bool { return slices.Contains(l.machine.list(), "d") })
+		select {
+		case err := <-l.over:
+			t.Fatalf("ended: %v", err)
+		default:
+		}
+		f.close()
+	})
+}
+
+// limited returns files that refuse every write while the disk is full.
+func limited(full *atomic.Bool) store.Files {
+	files := store.OS()
+	refuse := func(open func(string) (store.Handle, error)) func(string) (store.Handle, error) {
+		return func(name string) (store.Handle, error) {
+			h, err := open(name)
+			write := h.Write
+			h.Write = func(data []byte) error {
+				if full.Load() {
+					return syscall.ENOSPC
+				}
+				return write(data)
+			}
+			return h, err
+		}
+	}
+	files.Append, files.Create = refuse(files.Append), refuse(files.Create)
+	return files
+}
--- a/core/group/loop.go
+++ b/core/group/loop.go
@@ -97,6 +97,8 @@
 	switch {
 	case d.err != nil:
 		g.failed = d.err
+	case d.skipped:
+		g.snapping = false
 	case d.snapshot != nil:
 		g.snapping = false
 		g.step(raft.Compact{Snapshot: *d.snapshot})
--- a/core/store/disk_test.go
+++ b/core/store/disk_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"path/filepath"
 	"sort"
+	"syscall"
 
 	"github.com/galenalock/galenalock/core/store"
 )
@@ -25,6 +26,8 @@
 	crashed bool
 	broken  map[string]bool // operations that return an error
 	ignored string          // operation that does nothing
+	limited bool            // writes go as far as there is room
+	room    int             // bytes
 }
 
 type inode struct{ data, stable []byte }
@@ -176,6 +179,12 @@
 	return store.Handle{
 		Write: func(data []byte) error {
 			return d.do("write", func() error {
+				if d.limited && len(data) > d.room {
+					n.data = append(n.data, data[:d.room]...)
+					d.room = 0
+					return &fs.PathError{Op: "write", Path: "file", Err: syscall.ENOSPC}
+				}
+				d.room -= len(data)
 				n.data = append(n.data, data...)
 				return nil
 			})
--- a/core/store/files.go
+++ b/core/store/files.go
@@ -14,7 +14,7 @@
 	Mkdir    func(dir string) error
 	List     func(dir string) ([]string, error) // base names in ascending order
 	Read     func(name string) ([]byte, error)
-	Create   func(name string) (Handle, error) // empty, for writing
+	Create   func(name string) (Handle, error) // empty, for writing at the end
 	Append   func(name string) (Handle, error) // existing, for writing at the end
 	Truncate func(name string, size int64) error
 	Rename   func(from, to string) error
@@ -36,7 +36,7 @@
 		List:  list,
 		Read:  os.ReadFile,
 		Create: func(name string) (Handle, error) {
-			return open(name, os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
+			return open(name, os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND)
 		},
 		Append: func(name string) (Handle, error) { return open(name, os.O_WRONLY|os.O_APPEND) },
 		Truncate: func(name string, size int64) error {
--- a/core/store/identity.go
+++ b/core/store/identity.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -59,11 +61,11 @@
 func (s *Store) replace(name string, parts ...[]byte) error {
 	h, err := s.files.Create(s.path(name + temporary))
 	if err != nil {
-		return fmt.Errorf("create %s: %w", name, err)
+		return s.discard(name+temporary, fmt.Errorf("create %s: %w", name, err))
 	}
 	if err := h.Write(bytes.Join(parts, nil)); err != nil {
 		_ = h.Close() // the first error is reported
-		return fmt.Errorf("write %s: %w", name, err)
+		return s.discard(name+temporary, fmt.Errorf("write %s: %w", name, err))
 	}
 	if err := h.Sync(); err != nil {
 		_ = h.Close() // the first error is reported
@@ -80,3 +82,14 @@
 	}
 	return nil
 }
+
+// discard removes a new file that a full disk did not take.
+func (s *Store) discard(name string, err error) error {
+	if !full(err) {
+		return err
+	}
+	if gone := s.files.Remove(s.path(name)); gone != nil && !errors.Is(gone, fs.ErrNotExist) {
+		return errors.Join(err, gone)
+	}
+	return &FullError{Err: err}
+}
--- a/core/store/log.go
+++ b/core/store/log.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 
@@ -159,18 +160,19 @@
 // startSegment creates a segment that begins with the hard state, so that older
 // ones can be removed.
 func (s *Store) startSegment(number uint64) error {
-	h, err := s.files.Create(s.path(numbered(segmentPrefix, number)))
+	name := numbered(segmentPrefix, number)
+	h, err := s.files.Create(s.path(name))
 	if err != nil {
-		return s.fail(fmt.Errorf("create segment: %w", err))
+		return s.fail(s.discard(name, fmt.Errorf("create segment: %w", err)))
 	}
 	payload, err := wire.Encode(s.state.Hard)
 	if err != nil {
 		return s.fail(err)
 	}
-	s.batch++
-	out := appendRecord([]byte(magic), record{batch: s.batch, kind: kindHard, payload: payload})
+	out := appendRecord([]byte(magic), record{batch: s.batch + 1, kind: kindHard, payload: payload})
 	if err := h.Write(out); err != nil {
-		return s.fail(fmt.Errorf("write segment: %w", err))
+		_ = h.Close() // the first error is reported
+		return s.fail(s.discard(name, fmt.Errorf("write segment: %w", err)))
 	}
 	if err := h.Sync(); err != nil {
 		return s.fail(fmt.Errorf("sync segment: %w", err))
@@ -178,17 +180,28 @@
 	if err := s.files.SyncDir(s.dir); err != nil {
 		return s.fail(fmt.Errorf("sync folder: %w", err))
 	}
+	s.batch++
 	s.handle = h
 	s.active = segment{number: number, size: int64(len(out))}
 	return nil
 }
 
+// rotate starts the next segment. While the disk is full, the present one grows
+// beyond its size.
 func (s *Store) rotate() error {
-	if err := s.handle.Close(); err != nil {
+	last, handle := s.active, s.handle
+	if err := s.startSegment(s.active.number + 1); err != nil {
+		var full *FullError
+		if errors.As(err, &full) {
+			return nil
+		}
+		return err
+	}
+	s.closed = append(s.closed, last)
+	if err := handle.Close(); err != nil {
 		return s.fail(fmt.Errorf("close segment: %w", err))
 	}
-	s.closed = append(s.closed, s.active)
-	return s.startSegment(s.active.number + 1)
+	return nil
 }
 
 // trim removes the oldest segments that hold nothing after index.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -144,8 +144,13 @@
 	return nil
 }
 
+// fail keeps the store from further work after an error that leaves unknown what
+// reached the disk. A full disk is none.
 func (s *Store) fail(err error) error {
-	s.failed = err
+	var full *FullError
+	if !errors.As(err, &full) {
+		s.failed = err
+	}
 	return err
 }
 
@@ -183,7 +188,7 @@
 		out = appendRecord(out, r)
 	}
 	if err := s.handle.Write(out); err != nil {
-		return s.fail(fmt.Errorf("write log: %w", err))
+		return s.fail(s.undo(fmt.Errorf("write log: %w", err)))
 	}
 	if err := s.handle.Sync(); err != nil {
 		return s.fail(fmt.Errorf("sync log: %w", err))
@@ -197,6 +202,18 @@
 	return nil
 }
 
+// undo takes back a batch of which a full disk holds a part.
+func (s *Store) undo(err error) error {
+	if !full(err) {
+		return err
+	}
+	if cut := s.files.Truncate(s.path(numbered(segmentPrefix, s.active.number)), s.active.size); cut != nil {
+		return errors.Join(err, cut)
+	}
+	s.batch--
+	return &FullError{Err: err}
+}
+
 // Snapshot replaces the stored snapshot and removes the segments that it makes
 // needless.
 func (s *Store) Snapshot(snap raft.Snapshot) error {
