Requests wait for the first configuration of an entry that has just started

Cause: when all instances lose power, entries accept callers again 0.3 to 0.7 s before control has elected a leader and the configuration is confirmed.

An entry now holds such requests until it has its first configuration, at most until 2 s after its start (setting `wait`); later ones are refused at once, since control may be away for long. A caller that leaves ends its wait.

TestStart plays the load: 31 of 100 requests refused without the wait, none with it.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -58,6 +58,7 @@
 
 	// Read by traffic goroutines.
 	view    atomic.Pointer[proxy.View]
+	start   *proxy.Start
 	routes  atomic.Pointer[map[string]*upstream]
 	control atomic.Pointer[conns]
 	fleet   atomic.Pointer[Fleet]
@@ -86,6 +87,7 @@
 		drains:    value.NewSet[string](),
 		rates:     newRates(),
 		sightings: make(chan sighting, suspectQueue),
+		start:     proxy.NewStart(s.Start.Add(s.Wait)),
 	}
 	if len(s.Attach) > 0 {
 		a.registry = newRegistry(&s)
@@ -111,6 +113,9 @@
 // View returns the current snapshot for the data path.
 func (a *Agent) View() *proxy.View { return a.view.Load() }
 
+// Await waits for the first configuration of an instance that has just started.
+func (a *Agent) Await(ctx context.Context) { a.start.Wait(ctx, time.Now()) }
+
 // Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	// Links report their end to the control goroutine, so the queue must be
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -140,6 +140,9 @@
 	}
 	if *a.view.Load() != next {
 		a.view.Store(&next)
+		if next.Ready {
+			a.start.End()
+		}
 		a.reportDue = true
 	}
 }
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -20,6 +20,7 @@
 	Seeds      []netip.AddrPort // peer addresses of other instances
 	Data       string           // folder for a copy of the configuration, empty: none
 	Ramp       time.Duration    // slow start of a target
+	Wait       time.Duration    // from the start, for which requests wait for the configuration
 	Attach     []netip.AddrPort // seeds of the control group; with them, targets come from control and there is no overlay
 	Links      int              // links to control replicas, with Attach
 	Retry      Retry
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -86,7 +86,7 @@
 	return agent.New(agent.Settings{
 		Fleet: s.Fleet, Instance: s.Instance, Region: s.Region, DataCentre: s.DataCentre,
 		Peer: p.server.Addr(), Control: s.Control, Seeds: slices.Concat(s.Peers, s.Control),
-		Data: s.Data, Ramp: s.Ramp, Start: d.start,
+		Data: s.Data, Ramp: s.Ramp, Wait: s.Wait, Start: d.start,
 		Attach: s.Seeds, Links: s.Links, Inflight: s.Inflight,
 		Retry: agent.Retry{Window: s.RetryWindow, Share: s.RetryShare, Slack: s.RetrySlack},
 	}, agent.Hooks{
@@ -109,7 +109,7 @@
 
 func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
-		View: a.View, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
+		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, Hedge: a.Hedge, Patience: a.Patience,
 		Enter: proxy.Tracked(d.inflightCore),
 	}.Counted(m)
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -35,6 +35,7 @@
 	Grace       time.Duration
 	Limit       time.Duration
 	Ramp        time.Duration
+	Wait        time.Duration
 	Connections int
 	Body        int
 	Cert        string
@@ -57,6 +58,8 @@
 	defaultLimit       = 10 * time.Minute // survey uploads over slow links take minutes
 	maxLimit           = time.Hour
 	defaultRamp        = 10 * time.Second
+	defaultWait        = 2 * time.Second // control elects a leader within 1 s of a start of all instances
+	maxWait            = time.Minute
 	defaultConnections = 20000
 	maxConnections     = 1 << 20
 	defaultBody        = 1024 // MiB
@@ -88,6 +91,7 @@
 	t.Duration("grace", &s.Grace, defaultGrace, 0, maxGrace, "time from a stop until the balancer has taken the instance out")
 	t.Duration("limit", &s.Limit, defaultLimit, time.Second, maxLimit, "longest time that a stop waits for requests in flight")
 	t.Duration("ramp", &s.Ramp, defaultRamp, 0, maxGrace, "slow start of a target")
+	t.Duration("wait", &s.Wait, defaultWait, 0, maxWait, "time from the start of the entry for which requests wait for the first configuration instead of being refused")
 	t.Int("inflight", &s.Inflight, 0, 0, maxInflight, "requests", "requests of a service that this entry always admits, however few slots its share is")
 	t.Duration("retry.window", &s.RetryWindow, 0, 0, maxWindow, "span in which further attempts are bounded over the whole fleet; 0: each entry has a budget of its own")
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -51,7 +51,14 @@
 
 func (c *call) serve() error {
 	hooks := &c.proxy.hooks
-	if v := c.request.View; v == nil || !v.Ready || v.Text == nil {
+	if !c.request.View.usable() {
+		hooks.Await(c.r.Context())
+		c.request.View = hooks.View()
+		if c.r.Context().Err() != nil {
+			return errGone
+		}
+	}
+	if !c.request.View.usable() {
 		return &refuse.Error{Reason: refuse.NotReady, Run: refuse.NotRun, Retry: retryStarting}
 	}
 	if err := c.match(); err != nil {
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -38,6 +38,10 @@
 	// Pick selects a target outside exclude. Required.
 	Pick func(r Request, exclude []netip.AddrPort, now time.Time) (Target, bool)
 
+	// Await is called for a request that finds no configuration. It may wait for
+	// the first one.
+	Await func(ctx context.Context)
+
 	// Begin is told of each attempt before it is sent, End of its outcome.
 	Begin func(Attempt)
 	End   func(Attempt, Outcome)
@@ -87,6 +91,9 @@
 
 // withDefaults returns the hooks with every nil field replaced.
 func (h Hooks) withDefaults() Hooks {
+	if h.Await == nil {
+		h.Await = func(context.Context) {}
+	}
 	if h.Begin == nil {
 		h.Begin = func(Attempt) {}
 	}
--- /dev/null
+++ b/entry/proxy/start_test.go
@@ -0,0 +1,104 @@
+package proxy_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+// starting plays an entry that starts at the beginning and gets its configuration
+// after a time, 0: never. Callers send every 20 ms for 2 s. It returns how many
+// are admitted, how many are refused and how long a refusal took at most.
+func starting(t *testing.T, configured, wait time.Duration) (admitted, refused int, longest time.Duration) {
+	data, err := os.ReadFile("testdata/text.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := spec.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var view atomic.Pointer[proxy.View]
+	view.Store(&proxy.View{})
+	start := proxy.NewStart(time.Now().Add(wait))
+	if configured > 0 {
+		time.AfterFunc(configured, func() {
+			view.Store(&proxy.View{Text: text, Revision: 1, Ready: true})
+			start.End()
+		})
+	}
+	var in, out atomic.Int64
+	var late atomic.Int64
+	p := proxy.New(proxy.Hooks{
+		View: view.Load,
+		Await: func(ctx context.Context) {
+			start.Wait(ctx, time.Now())
+		},
+		Pick: func(proxy.Request, []netip.AddrPort, time.Time) (proxy.Target, bool) {
+			in.Add(1)
+			return proxy.Target{}, false
+		},
+		Finished: func(f proxy.Finish) {
+			if f.Refusal != nil && f.Refusal.Reason == refuse.NotReady {
+				out.Add(1)
+				late.Store(max(late.Load(), int64(f.Duration)))
+			}
+		},
+	})
+	defer p.Close()
+	for range 100 {
+		go p.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "http://h/tables/x", nil))
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(time.Minute)
+	return int(in.Load()), int(out.Load()), time.Duration(late.Load())
+}
+
+// Guards against an entry that refuses callers although its configuration is a
+// moment away, as the naive variant without a wait does, and against one that
+// lets them wait although control stays away.
+func TestStart(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		configured, wait  time.Duration
+		admitted, refused int
+		longest           time.Duration
+	}{
+		{"configuration after 0.61 s", 610 * time.Millisecond, 2 * time.Second, 100, 0, 0},
+		{"naive", 610 * time.Millisecond, 0, 69, 31, 0},
+		{"control stays away", 0, time.Second, 0, 100, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				admitted, refused, longest := starting(t, c.configured, c.wait)
+				t.Logf("%d admitted, %d refused, the last after %v", admitted, refused, longest)
+				is.Equal(admitted, c.admitted)
+				is.Equal(refused, c.refused)
+				is.True(longest <= c.longest)
+			})
+		})
+	}
+}
+
+// Guards against a caller that leaves and is waited for all the same.
+func TestStartEndsWithTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		begun := time.Now()
+		proxy.NewStart(begun.Add(time.Minute)).Wait(ctx, begun)
+		is.New(t).Equal(time.Since(begun), 10*time.Millisecond)
+	})
+}
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -16,6 +16,9 @@
 	Draining bool // keep-alive responses ask callers to reconnect elsewhere
 }
 
+// usable reports whether requests can be matched.
+func (v *View) usable() bool { return v != nil && v.Ready && v.Text != nil }
+
 // Target is a target picked for one attempt.
 type Target struct {
 	Name        string // identity that the target checks, may be empty
