--- a/core/route/explore.go
+++ b/core/route/explore.go
@@ -13,7 +13,7 @@
 	floorWindow = 2 * time.Second
 	// idleShare is the share of the sound targets that may go without a request.
 	// The floor allows 0.3; the rest is for targets that get none by chance.
-	idleShare = 0.2
+	idleShare = 0.15
 	// mostTests bounds the share of the requests that test avoided targets.
 	mostTests = 0.25
 	// testBias is how much the probability that a target fails counts against its
