Entries that start fill their routers first and pull past a lagging primary

An entry that is not ready pulls from a replica that is ahead after 50 ms (250 ms otherwise), asks for the confirmed revision every 100 ms (250 ms), publishes what it hears at once and fills its routers before it lets requests go on.

--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -16,8 +16,9 @@
 	pullTimeout    = 2 * time.Second
 	confirmTimeout = 2 * time.Second
 	confirmEvery   = 5 * time.Second
-	// confirmFirst is the pause between questions until a majority has answered.
-	confirmFirst = 250 * time.Millisecond
+	// confirmFirst is the pause between questions until a majority has answered. A
+	// round trip between regions takes 50 ms.
+	confirmFirst = 100 * time.Millisecond
 )
 
 // restore installs the copy of the configuration that the instance kept.
@@ -123,6 +124,7 @@
 				return
 			}
 			a.update.Confirm(now, answer)
+			a.publish(now)
 			if answer.Number > a.update.Number() {
 				a.pull(c, a.update.Pull(now, c.Peer().Instance))
 			}
@@ -132,10 +134,15 @@
 
 // publish replaces the view of the data path when it has changed.
 func (a *Agent) publish(now time.Time) {
+	ready := a.update.Ready(now) && (a.registry == nil || a.registry.filled)
+	if ready && !a.view.Load().Ready {
+		// The routers need the targets before the first request comes.
+		a.tickUpstreams(now)
+	}
 	next := proxy.View{
 		Text:     a.update.Text(),
 		Revision: a.update.Number(),
-		Ready:    a.update.Ready(now) && (a.registry == nil || a.registry.filled),
+		Ready:    ready,
 		Draining: a.draining || a.leaving,
 	}
 	if *a.view.Load() != next {
--- a/entry/agent/registry.go
+++ b/entry/agent/registry.go
@@ -20,6 +20,9 @@
 	// lagLimit is how long another replica may be ahead of the primary before
 	// the entry pulls from it; a push takes a round trip.
 	lagLimit = 250 * time.Millisecond
+	// lagFirst is the same for an entry that is not ready yet. Its primary may have
+	// lost its disk.
+	lagFirst = 50 * time.Millisecond
 	// confirmRegistry is the time between confirmations of the revision when
 	// control pushes it; each costs a round of the control group.
 	confirmRegistry = 30 * time.Second
@@ -187,6 +190,10 @@
 // lagging pulls from a replica that has been ahead of the primary for a while.
 func (a *Agent) lagging(now time.Time) {
 	r := a.registry
+	limit := lagLimit
+	if !a.view.Load().Ready {
+		limit = lagFirst
+	}
 	for c, l := range r.ahead {
 		behind := l.revision > a.update.Number() || l.targets > r.mirror.Have()
 		switch {
@@ -194,7 +201,7 @@
 			l.since = time.Time{}
 		case l.since.IsZero():
 			l.since = now
-		case now.Sub(l.since) >= lagLimit:
+		case now.Sub(l.since) >= limit:
 			l.since = time.Time{}
 			a.log.WithField("peer", c.Peer().Instance).WithField("revision", l.revision).WithField("targets", l.targets).
 				Info("primary lags")
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -32,6 +32,8 @@
 	table  *enrol.Table
 	pulls  int
 	follow map[*link.Conn]wire.Follow
+	late   bool // gives the text only after it has confirmed the revision
+	asked  bool // for the revision
 }
 
 func startRegistrar(t *testing.T, name, region string) *registrar {
@@ -57,8 +59,12 @@
 	defer r.mu.Unlock()
 	switch m.Kind {
 	case wire.KindConfirm:
+		r.asked = true
 		return wire.Confirmed{Number: 1, Sum: delta.Sum(text(1))}, nil
 	case wire.KindPull:
+		if r.late && !r.asked {
+			return nil, &wire.Error{Reason: "noquorum"}
+		}
 		return delta.Whole(1, text(1))
 	case wire.KindFollow:
 		var in wire.Follow
@@ -174,6 +180,28 @@
 	until(t, "the primary pushes", func() bool { return a.Fleet().Targets == 3 })
 }
 
+// Guards against an entry that lets the first requests go on before its routers
+// know the targets, so that they are refused for want of one.
+func TestReadyWithTargets(t *testing.T) {
+	is := is.New(t)
+	near := startRegistrar(t, "near", "salish")
+	near.announce(1, 1, enrol.Ready, false)
+	near.late = true
+	for range 5 {
+		near.mu.Lock()
+		near.asked = false
+		near.mu.Unlock()
+		a := startWith(t, agent.Settings{
+			Attach: []netip.AddrPort{near.addr}, Links: 1, Wait: bound,
+			Retry: agent.Retry{Window: 10 * time.Second, Share: 0.2, Slack: 1},
+		})
+		a.Await(t.Context())
+		is.True(a.View().Ready)
+		_, ok := a.Pick(order(a), nil, time.Now())
+		is.True(ok)
+	}
+}
+
 // Guards against failures that each entry has to see for itself, and against
 // attempts without a connection that use up the budget.
 func TestSignsAreShared(t *testing.T) {
