Floor of large services when all processes end; shorter attempts of links

Tests began at 15%.

Share of the sound targets of a region that may be idle: 0.04, but 1.4 targets in any region.

--- a/core/route/explore.go
+++ b/core/route/explore.go
@@ -11,9 +11,13 @@
 	// after which a target that failed by itself counts as sound again. Source: the
 	// rule FLOOR of the platform.
 	floorWindow = 2 * time.Second
-	// idleShare is the share of the sound targets that may go without a request.
-	// The floor allows 0.3; the rest is for targets that get none by chance.
-	idleShare = 0.15
+	// idleShare is the share of the sound targets of a region that may go without a
+	// request, and idleLeast the number that may in a region of any size. The floor
+	// allows 0.3 of the service; the rest is for targets that get none by chance, and
+	// for looks at those targets only that happen to run nothing. Tests of the last
+	// idle target of a small region cost more requests than they are worth.
+	idleShare = 0.04
+	idleLeast = 1.4
 	// mostTests bounds the share of the requests that test avoided targets.
 	mostTests = 0.25
 	// testBias is how much the probability that a target fails counts against its
@@ -77,10 +81,10 @@
 }
 
 // tests returns which share of the requests of the region that should test its
-// avoided targets, so that no more than idleShare of the sound ones are expected
-// to go without a request for a window.
+// avoided targets, so that no more of the sound ones than may are expected to go
+// without a request for a window.
 func (r *Router) tests(s *snapshot, c census) float64 {
-	spare := idleShare * float64(c.sound)
+	spare := max(idleLeast, idleShare*float64(c.sound))
 	mean := float64(r.pace.mean.Load())
 	if float64(c.idle) <= spare || mean == 0 {
 		return 0
--- a/entry/attach/attach.go
+++ b/entry/attach/attach.go
@@ -21,7 +21,7 @@
 	// Limits of an attempt. A link between regions opens in about 0.1 s, and the
 	// first packet to a machine that is just starting is sent again after 1 s
 	// only. The limit doubles with each failure, for paths that lose packets.
-	firstLimit = 400 * time.Millisecond
+	firstLimit = 200 * time.Millisecond
 	lastLimit  = 3 * time.Second
 	// Pauses after failed attempts. The longest one bounds how late an entry
 	// links to a replica that is back.
