Last read: sound voters counted once, one early retry for a vote that cannot be won

A refusal after the one that decides moved the retry again by 0.13 to 0.25 s. The comment of Daemon.settled says what a group that began below its size bears.

--- a/control/daemon/membership.go
+++ b/control/daemon/membership.go
@@ -43,8 +43,8 @@
 }
 
 // settled reports whether this replica may take changes to the log as leader. A
-// group that has taken one bears the tolerated losses, and stays settled while
-// voters come and go.
+// group that has taken one stays settled while voters come and go. It bears the
+// tolerated losses, unless it began below its size after waiting in vain.
 func (d *Daemon) settled() bool {
 	status := d.parts.group.Status()
 	if len(d.settings.Seeds) == 0 || status.Leader != status.ID || d.parts.machine.view.Load().Index > 0 {
--- a/core/quorum/settle.go
+++ b/core/quorum/settle.go
@@ -28,13 +28,17 @@
 	if sound != s.sound || s.since.IsZero() {
 		s.sound, s.since = sound, now
 	}
-	return s.Bears(now, status) || now.Sub(s.since) >= settleAfter
+	return s.bears(sound, status) || now.Sub(s.since) >= settleAfter
 }
 
 // Bears reports whether a majority of the voters is sound after the tolerated
 // losses.
 func (s *Settle) Bears(now time.Time, status group.Status) bool {
-	return soundVoters(now, status)-(s.wanted-1)/2 > status.Members.Voters()/2
+	return s.bears(soundVoters(now, status), status)
+}
+
+func (s *Settle) bears(sound int, status group.Status) bool {
+	return sound-(s.wanted-1)/2 > status.Members.Voters()/2
 }
 
 // soundVoters counts the voters that hold a part of the log. One that has never
--- a/core/raft/core.go
+++ b/core/raft/core.go
@@ -42,12 +42,13 @@
 	confirmed time.Time // last contact of a follower, last quorum of a leader
 
 	// Candidate.
-	pre     bool // collecting pre-votes
-	began   time.Time
-	force   bool // campaign of a transfer
-	votes   map[uint64]bool
-	refused map[uint64]bool // voters that refused this candidate
-	voteSeq uint64          // persist that holds the own vote
+	pre      bool      // collecting pre-votes
+	began    time.Time // of the last pre-vote
+	hopeless bool      // too many voters refused
+	force    bool      // campaign of a transfer
+	votes    map[uint64]bool
+	refused  map[uint64]bool // voters that refused this candidate
+	voteSeq  uint64          // persist that holds the own vote
 
 	// Leader.
 	peers     map[uint64]*progress
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -26,7 +26,7 @@
 		c.retrySoon()
 		c.began = c.now
 	}
-	c.refused = map[uint64]bool{}
+	c.refused, c.hopeless = map[uint64]bool{}, false
 	c.votes = map[uint64]bool{c.cfg.ID: true}
 	kind, term := MessagePreVote, c.term+1
 	if !pre {
@@ -61,7 +61,8 @@
 		}
 		return 1
 	})
-	if possible == 0 {
+	if possible == 0 && !c.hopeless {
+		c.hopeless = true
 		c.retrySoon()
 	}
 }
