--- a/control/daemon/membership.go
+++ b/control/daemon/membership.go
@@ -8,6 +8,7 @@
 	"github.com/galenalock/galenalock/control/relay"
 	"github.com/galenalock/galenalock/core/group"
 	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/pace"
 	"github.com/galenalock/galenalock/core/quorum"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -74,14 +75,7 @@
 
 // memberships lets this replica join and, as leader, keeps the number of voters.
 func (d *Daemon) memberships(ctx context.Context) {
-	ticker := time.NewTicker(memberEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pace.Every(ctx, memberEvery, func() {
 		status := d.parts.group.Status()
 		switch {
 		case status.Leader == status.ID:
@@ -90,7 +84,7 @@
 		case d.outside(status):
 			d.ask(ctx)
 		}
-	}
+	})
 }
 
 // shape carries out one change of the membership.
--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -10,6 +10,7 @@
 	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/pace"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -76,16 +77,7 @@
 
 // run tells the leader who was heard, and marks silent targets as leader.
 func (r *registry) run(ctx context.Context) {
-	ticker := time.NewTicker(tellEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.tell(ctx)
-		}
-	}
+	pace.Every(ctx, tellEvery, func() { r.tell(ctx) })
 }
 
 func (r *registry) tell(ctx context.Context) {
--- a/core/auth/auth.go
+++ b/core/auth/auth.go
@@ -16,6 +16,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/galenalock/galenalock/core/pace"
 	"github.com/galenalock/galenalock/core/serve"
 )
 
@@ -77,18 +78,11 @@
 	if a.file == "" {
 		return
 	}
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if err := a.Reload(); err != nil {
-				failed(err)
-			}
+	pace.Every(ctx, every, func() {
+		if err := a.Reload(); err != nil {
+			failed(err)
 		}
-	}
+	})
 }
 
 func parse(data []byte) ([]token, string) {
--- a/core/certs/certs.go
+++ b/core/certs/certs.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/galenalock/galenalock/core/pace"
 )
 
 // Files names the PEM files of one process.
@@ -63,18 +65,11 @@
 
 // Watch reloads the files at intervals until ctx ends and reports each failure.
 func (c *Certs) Watch(ctx context.Context, every time.Duration, failed func(error)) {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if err := c.Reload(); err != nil {
-				failed(err)
-			}
+	pace.Every(ctx, every, func() {
+		if err := c.Reload(); err != nil {
+			failed(err)
 		}
-	}
+	})
 }
 
 // Server returns the configuration of a server. With an authority, clients
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -55,13 +55,8 @@
 		return
 	}
 	c.refused[from] = true
-	possible := c.members().quorum(func(id uint64) uint64 {
-		if c.refused[id] {
-			return 0
-		}
-		return 1
-	})
-	if possible == 0 && !c.hopeless {
+	possible := c.majority(func(id uint64) bool { return !c.refused[id] })
+	if !possible && !c.hopeless {
 		c.hopeless = true
 		c.retrySoon()
 	}
@@ -85,14 +80,8 @@
 	if !c.pre && c.acked < c.voteSeq {
 		return
 	}
-	won := c.members().quorum(func(id uint64) uint64 {
-		if c.votes[id] {
-			return 1
-		}
-		return 0
-	})
 	switch {
-	case won == 0:
+	case !c.majority(func(id uint64) bool { return c.votes[id] }):
 	case c.pre:
 		c.campaign(false, false)
 	default:
@@ -100,6 +89,16 @@
 	}
 }
 
+// majority reports whether a majority of the voters is counted.
+func (c *Core) majority(counted func(id uint64) bool) bool {
+	return c.members().quorum(func(id uint64) uint64 {
+		if counted(id) {
+			return 1
+		}
+		return 0
+	}) != 0
+}
+
 // handleVote answers a request for a vote or a pre-vote.
 func (c *Core) handleVote(m Message) {
 	pre := m.Kind == MessagePreVote
