Sized upload bodies that fail with their last bytes stay incomplete

Cause: writeSized sent the bytes that a reader returned together with an error before it looked at the error. If they filled the Content-Length, the target got a complete upload whose source had failed. Change: an error other than io.EOF is returned before its bytes are sent. Ruled out: chunked bodies, whose last chunk is sent only after io.EOF. Test: TestSizedBodyThatFailsAtItsEndIsNotComplete, failed before.

--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -261,3 +263,26 @@
 		is.Equal(pool.Unsent(err), read == 0)
 	}
 }
+
+// Guards against an upload that is complete for the target although reading its
+// last bytes failed.
+func TestSizedBodyThatFailsAtItsEndIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	complete := make(chan bool, 1)
+	to := listen(t, func(_ net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, r.Body)
+		complete <- err == nil
+	})
+	p := pool.New()
+	defer p.Close()
+	body := io.MultiReader(bytes.NewReader([]byte("first ")), iotest.DataErrReader(io.MultiReader(
+		bytes.NewReader([]byte("last")), iotest.ErrReader(io.ErrUnexpectedEOF))))
+	_, err := p.Do(t.Context(), &pool.Request{Target: to, Method: http.MethodPost, URI: "/", Host: "h", Body: body, Length: 10})
+	var source *pool.RequestBodyError
+	is.True(errors.As(err, &source))
+	is.True(!<-complete)
+}
--- a/core/pool/upload.go
+++ b/core/pool/upload.go
@@ -32,18 +32,19 @@
 	remaining := r.Length
 	for remaining > 0 {
 		n, err := r.Body.Read(buffer[:min(int64(len(buffer)), remaining)])
+		if err != nil && !errors.Is(err, io.EOF) {
+			// The bytes read with the error are not sent; they could complete the body.
+			return &RequestBodyError{Target: c.target, Err: err}
+		}
 		if n > 0 {
 			if err := c.write(buffer[:n]); err != nil {
 				return err
 			}
 			remaining -= int64(n)
 		}
-		if remaining > 0 && errors.Is(err, io.EOF) {
+		if remaining > 0 && err != nil {
 			return &RequestBodyError{Target: c.target, Err: io.ErrUnexpectedEOF}
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return &RequestBodyError{Target: c.target, Err: err}
-		}
 	}
 	return nil
 }
