--- a/core/enrol/table.go
+++ b/core/enrol/table.go
@@ -82,8 +82,9 @@
 	case t.Silent && a.Seq > t.Seq:
 		return Changed
 	}
-	if a.Service == t.Service && a.Address == t.Address && a.DataCentre == t.DataCentre &&
-		a.Slots == t.Slots && a.State == t.State {
+	// The cold phase becomes shorter with each announcement; a longer one is new.
+	if a.Service == t.Service && a.Address == t.Address && a.Region == t.Region && a.DataCentre == t.DataCentre &&
+		a.Slots == t.Slots && a.State == t.State && a.Cold <= t.Cold {
 		return Same
 	}
 	return Changed
@@ -199,6 +200,9 @@
 	t := New()
 	t.index, t.pruned = s.Index, s.Pruned
 	for _, row := range s.Rows {
+		if row == nil {
+			continue
+		}
 		row.Start, row.Ended = row.Start.UTC(), row.Ended.UTC()
 		t.rows[row.Name] = row
 		if other := t.rows[t.addresses[row.Address]]; row.Address.IsValid() && (other == nil || other.Start.Before(row.Start)) {
--- a/core/enrol/table_test.go
+++ b/core/enrol/table_test.go
@@ -103,6 +103,36 @@
 	is.Equal(table.MarkSilent(6, []enrol.Incarnation{received}), 0)
 }
 
+// Guards against a target that moves or becomes cold again while entries keep
+// their old view of it, and against a log entry for each announcement of a target
+// that warms up.
+func TestChangesOfRegionAndColdPhase(t *testing.T) {
+	is := is.New(t)
+	table := enrol.New()
+	a := announcement("a", 1, 0, 1, enrol.Ready)
+	a.Cold = 3 * time.Second
+	table.Announce(1, epoch, a)
+	a.Seq, a.Cold = 2, time.Second
+	is.Equal(table.Announce(2, epoch, a), enrol.Same)
+	a.Seq, a.Cold = 3, 5*time.Second
+	is.Equal(table.Announce(3, epoch, a), enrol.Changed)
+	a.Seq, a.Region = 4, "haida"
+	is.Equal(table.Announce(4, epoch, a), enrol.Changed)
+	v := table.View()
+	is.Equal(v.Find("a").Region, "haida")
+}
+
+// Guards against a row without content in a snapshot that ends the process.
+func TestRestoreSkipsEmptyRows(t *testing.T) {
+	is := is.New(t)
+	table := enrol.New()
+	table.Announce(1, epoch, announcement("a", 1, 0, 1, enrol.Ready))
+	saved := table.Save()
+	saved.Rows = append([]*enrol.Target{nil}, saved.Rows...)
+	v := enrol.Restore(saved).View()
+	is.True(v.Find("a").Live())
+}
+
 // Guards against malformed announcements in the log.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
