Load reports newer than a choice count as fresh

Cause: the age of a report was an unsigned difference, so a report that arrived after the time of the choice had an age of weeks and was replaced by the long-term average. Change: the difference is signed. Test: TestLoadReportNewerThanTheChoice (a full target was chosen), failed before.

--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -130,7 +130,8 @@
 	if limit := report >> 32 & math.MaxUint16; limit > 0 {
 		slots = float64(limit)
 	}
-	age := float64(nowMs-uint32(report)) / float64(reportLifetime/time.Millisecond)
+	// The difference is negative for a report that arrived after the time of the choice.
+	age := float64(int32(nowMs-uint32(report))) / float64(reportLifetime/time.Millisecond)
 	if age > 0 {
 		age = min(age, 1)
 		averageOthers := min(math.Float64frombits(e.averageOthers.Load()), slots*maxAssumedUse)
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -262,3 +262,21 @@
 		}
 	})
 }
+
+// Guards against a load report that counts as old because it arrived after the
+// time of the choice: a full target must not be preferred to an idle one.
+func TestLoadReportNewerThanTheChoice(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(time.Minute)
+	targets := fleet(2)
+	for i := range targets {
+		targets[i].Region, targets[i].DataCentre, targets[i].ReadySince = "salish", "salish-0", start
+	}
+	r := route.New(now, route.Location{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, targets, nil)
+	r.Endpoint(targets[0].Address).RecordLoad(now.Add(5*time.Millisecond), 30, 6)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 100 {
+		is.Equal(r.PickByCost(now, rng.Uint64(), route.Request{}).Address(), targets[1].Address)
+	}
+}
