A panic in a message handler or attempt no longer ends the process

Cause: handlers of links and attempts of repeatable requests run in goroutines of their own, where one panic ends the process with all its requests. Change: a panicking handler answers its call with a fault, or closes its link; a panicking attempt fails and closes its connection. Both are logged with the stack. A link whose reader waits for a handler no longer counts as silent. Ruled out: panics in the goroutines of the control state are not contained, since their state could be inconsistent afterwards; what they get is checked when it is decoded. Tests: TestHandlerPanicStaysInItsLink, TestPanicOfAnAttemptFailsOnlyThatAttempt (ended the test process before), TestBlockedHandlerKeepsTheLink.

--- a/control/watch/watch.go
+++ b/control/watch/watch.go
@@ -73,6 +73,7 @@
 		mesh.WithDialError(func(_ wire.Use, err error) {
 			log.WithField(logs.FieldError, err.Error()).Debug("overlay link failed")
 		}),
+		mesh.WithPanicHook(link.LogPanics(log)),
 		mesh.WithHandler(func(c *link.Conn, m wire.Message) (any, error) {
 			if m.Kind == wire.KindGossip {
 				return nil, w.Receive(c, m.Body)
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 	reason       atomic.Pointer[string]
 	lastReceived atomic.Int64 // Unix nanoseconds of the last message received
 	lastSent     atomic.Int64 // Unix nanoseconds of the last message written
+	handling     atomic.Bool  // the reader waits for a handler
 	callSlots    chan struct{}
 
 	mu       sync.Mutex
@@ -210,7 +212,7 @@
 		case <-c.done:
 			return
 		case now := <-ticker.C:
-			if now.UnixNano()-c.lastReceived.Load() > int64(c.opts.receiveTimeout) {
+			if !c.handling.Load() && now.UnixNano()-c.lastReceived.Load() > int64(c.opts.receiveTimeout) {
 				c.Close("nothing received for " + c.opts.receiveTimeout.String())
 				return
 			}
@@ -238,12 +240,29 @@
 			c.Close(err.Error())
 			return
 		}
-		if !c.dispatch(m) {
+		// While a handler blocks the reader, nothing can arrive from the peer.
+		c.handling.Store(true)
+		more := c.dispatch(m)
+		c.lastReceived.Store(time.Now().UnixNano())
+		c.handling.Store(false)
+		if !more {
 			return
 		}
 	}
 }
 
+// handle calls the handler and returns a panic of it as a *PanicError.
+func (c *Conn) handle(m wire.Message) (answer any, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			failed := &PanicError{Kind: m.Kind, Value: value, Stack: debug.Stack()}
+			c.opts.onPanic(failed)
+			answer, err = nil, failed
+		}
+	}()
+	return c.opts.handler(c, m)
+}
+
 // dispatch handles one message and reports whether to read the next one.
 func (c *Conn) dispatch(m wire.Message) bool {
 	switch {
@@ -261,7 +280,7 @@
 		}
 		return true
 	case m.Call == 0:
-		if _, err := c.opts.handler(c, m); err != nil {
+		if _, err := c.handle(m); err != nil {
 			c.Close(err.Error())
 			return false
 		}
@@ -280,7 +299,7 @@
 }
 
 func (c *Conn) handleCall(m wire.Message) {
-	body, err := c.opts.handler(c, m)
+	body, err := c.handle(m)
 	kind := m.Kind
 	if err != nil {
 		var fault *wire.FaultError
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -135,3 +135,65 @@
 	<-ended
 	is.Equal(failures, 2)
 }
+
+// Guards against a message whose handler panics and so ends the process: a call
+// is answered with a fault, and a plain message closes the link.
+func TestHandlerPanicStaysInItsLink(t *testing.T) {
+	is := is.New(t)
+	panics := make(chan *link.PanicError, 2)
+	to := serve(t, hello("a", "f"),
+		link.WithPanicHook(func(err *link.PanicError) { panics <- err }),
+		link.WithHandler(func(_ *link.Conn, m wire.Message) (any, error) {
+			if m.Kind == wire.KindConfirm {
+				return wire.Confirmed{Number: 7}, nil
+			}
+			var rows []int
+			return rows[len(m.Body)], nil
+		}))
+	c, err := link.NewDialer(hello("b", "f")).Dial(t.Context(), to)
+	is.NoErr(err)
+	defer c.Close("test over")
+	var fault *wire.FaultError
+	is.True(errors.As(c.Call(t.Context(), wire.KindPull, wire.Pull{}, nil), &fault))
+	is.Equal((<-panics).Kind, wire.KindPull)
+	var got wire.Confirmed
+	is.NoErr(c.Call(t.Context(), wire.KindConfirm, nil, &got)) // the link goes on
+	is.Equal(got.Number, uint64(7))
+
+	is.NoErr(c.Send(wire.KindGossip, nil))
+	is.Equal((<-panics).Kind, wire.KindGossip)
+	<-c.Done()
+}
+
+// Guards against a link that counts as silent because its own handler blocks the
+// reader.
+func TestBlockedHandlerKeepsTheLink(t *testing.T) {
+	is := is.New(t)
+	block := make(chan struct{})
+	to := serve(t, hello("a", "f"), link.WithKeepalive(5*time.Millisecond, 30*time.Millisecond),
+		link.WithHandler(func(_ *link.Conn, m wire.Message) (any, error) {
+			if m.Kind == wire.KindGossip {
+				<-block
+			}
+			return wire.Confirmed{Number: 7}, nil
+		}))
+	pings := make(chan struct{}, 1<<10)
+	c, err := link.NewDialer(hello("b", "f"), link.WithKeepalive(5*time.Millisecond, time.Minute),
+		link.WithByteCounter(func(direction string, _ int) {
+			if direction == "in" {
+				pings <- struct{}{}
+			}
+		})).Dial(t.Context(), to)
+	is.NoErr(err)
+	defer c.Close("test over")
+	is.NoErr(c.Send(wire.KindGossip, nil))
+	for range 20 { // pings of the peer over three times its limit
+		select {
+		case <-pings:
+		case <-c.Done():
+			t.Fatal(c.Reason())
+		}
+	}
+	close(block)
+	is.NoErr(c.Call(t.Context(), wire.KindConfirm, nil, nil))
+}
--- a/core/link/options.go
+++ b/core/link/options.go
@@ -27,6 +27,7 @@
 	handler        Handler
 	onOpen         func(*Conn)
 	onClose        func(*Conn)
+	onPanic        func(*PanicError)
 	countBytes     func(direction string, bytes int)
 	pingInterval   time.Duration
 	receiveTimeout time.Duration
@@ -50,6 +51,10 @@
 // message is handled.
 func WithOpenHook(f func(*Conn)) Option { return func(o *options) { o.onOpen = f } }
 
+// WithPanicHook sets a function that is called when a handler has panicked. It is
+// called from the goroutine of the link.
+func WithPanicHook(f func(*PanicError)) Option { return func(o *options) { o.onPanic = f } }
+
 // WithCloseHook sets a function that is called when a link has ended.
 func WithCloseHook(f func(*Conn)) Option { return func(o *options) { o.onClose = f } }
 
@@ -86,6 +91,7 @@
 		handler:        func(*Conn, wire.Message) (any, error) { return nil, &wire.FaultError{Code: "unsupported"} },
 		onOpen:         func(*Conn) {},
 		onClose:        func(*Conn) {},
+		onPanic:        func(*PanicError) {},
 		countBytes:     func(string, int) {},
 		keepaliveByUse: func(wire.Use) (interval, receiveTimeout time.Duration, ok bool) { return 0, 0, false },
 		pingInterval:   defaultPingInterval,
--- a/core/mesh/options.go
+++ b/core/mesh/options.go
@@ -20,6 +20,7 @@
 	control      func(c *link.Conn, open bool)
 	accepted     func(c *link.Conn, open bool)
 	failed       func(use wire.Use, err error)
+	panicked     func(err *link.PanicError)
 	countBytes   func(direction string, bytes int)
 	pingInterval time.Duration
 	tls          *tls.Config
@@ -55,6 +56,12 @@
 // failed to open a link.
 func WithDialError(f func(use wire.Use, err error)) Option { return func(o *options) { o.failed = f } }
 
+// WithPanicHook sets the function that is called when the handler of a message has
+// panicked.
+func WithPanicHook(f func(err *link.PanicError)) Option {
+	return func(o *options) { o.panicked = f }
+}
+
 // WithByteCounter sets the function that counts the bytes on all links, by direction.
 func WithByteCounter(f func(direction string, bytes int)) Option {
 	return func(o *options) { o.countBytes = f }
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenalock/galenalock/core/eject"
 	"github.com/galenalock/galenalock/core/gossip"
+	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/roster"
 	"github.com/galenalock/galenalock/core/route"
@@ -103,6 +104,7 @@
 		mesh.WithOverlay(a.overlayLinked, a.overlayUnlinked),
 		mesh.WithControl(a.controlLinkChanged),
 		mesh.WithDialError(a.linkFailed),
+		mesh.WithPanicHook(link.LogPanics(log)),
 	)
 	return a
 }
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
@@ -88,6 +90,28 @@
 	return nil
 }
 
+// panicError is a panic of an attempt that runs in a goroutine of its own.
+type panicError struct {
+	value any
+	stack []byte
+}
+
+// Error returns the argument of the panic and the stack.
+func (e *panicError) Error() string { return fmt.Sprintf("attempt panicked: %v\n%s", e.value, e.stack) }
+
+// doContained is do, but returns a panic as an error. Outside of the goroutine
+// that serves the caller, a panic would end the process.
+func (a *attempt) doContained() (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			err = &panicError{value: value, stack: debug.Stack()}
+			a.cancel() // closes the connection
+			a.end(Failed, err)
+		}
+	}()
+	return a.do()
+}
+
 // discardBody discards the body of an unused response. It reads a short body to
 // the end, so that the connection can be reused; a longer one closes the
 // connection.
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -127,7 +127,7 @@
 	r.started++
 	r.tried = append(r.tried, target.Address)
 	r.pending = append(r.pending, a)
-	go func() { r.deliver(a, a.do()) }()
+	go func() { r.deliver(a, a.doContained()) }()
 	return a
 }
 
--- a/entry/proxy/race_test.go
+++ b/entry/proxy/race_test.go
@@ -265,3 +265,25 @@
 		is.Equal(len(e.proxy.Settle(t.Context())), 0)
 	}
 }
+
+// Guards against a panic in the attempt of one request that ends the process and
+// so breaks off all others.
+func TestPanicOfAnAttemptFailsOnlyThatAttempt(t *testing.T) {
+	is := is.New(t)
+	first, second := respond(t, okResponse, nil), respond(t, okResponse, nil)
+	log := newHookLog()
+	e := startEntry(t, false, log.attach(proxy.Hooks{
+		HedgeDelay: noDelay,
+		Begin: func(a proxy.Attempt) {
+			if a.Target.Address == first {
+				panic("fault in a hook")
+			}
+		},
+	}), proxy.Rules{}, first, second)
+	status, _, body, err := e.send(http.MethodGet, "/tables/1", nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "ok")
+	is.Equal(<-log.classes, proxy.Failed)
+	is.Equal(<-log.classes, proxy.Answered)
+}
