Closing a mesh ends its links to control replicas

Cause: Close knew overlay and owner links only; links of OpenControlLink are not bound to the context of the mesh after the dial. Change: the mesh keeps the set of its control links. Test: TestCloseEndsControlLinks, failed before.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,7 @@
 	mu         sync.Mutex
 	peers      map[string]map[*link.Conn]struct{} // overlay links by instance
 	ownerLinks map[netip.AddrPort]*ownerLink
+	controls   map[*link.Conn]struct{} // dialled links to control replicas
 	dialing    value.Set[string]
 	closed     bool
 }
@@ -40,6 +43,7 @@
 		control:      func(*link.Conn, bool) {},
 		accepted:     func(*link.Conn, bool) {},
 		failed:       func(wire.Use, error) {},
+		panicked:     func(*link.PanicError) {},
 		countBytes:   func(string, int) {},
 		pingInterval: time.Second,
 	}
@@ -51,6 +55,7 @@
 		opts: o, ctx: ctx, cancel: cancel,
 		peers:      map[string]map[*link.Conn]struct{}{},
 		ownerLinks: map[netip.AddrPort]*ownerLink{},
+		controls:   map[*link.Conn]struct{}{},
 		dialing:    value.NewSet[string](),
 	}
 	m.server = link.NewServer(m.linkOptions("", m.acceptedOpened, m.acceptedClosed)...)
@@ -68,6 +73,7 @@
 			return h
 		}),
 		link.WithByteCounter(m.opts.countBytes),
+		link.WithPanicHook(m.opts.panicked),
 		link.WithKeepalive(m.opts.pingInterval, 3*m.opts.pingInterval),
 		link.WithTLS(m.opts.tls),
 		link.WithKeepaliveByUse(pingTimes),
@@ -206,6 +212,7 @@
 	for _, o := range m.ownerLinks {
 		conns = append(conns, o.conn)
 	}
+	conns = slices.AppendSeq(conns, maps.Keys(m.controls))
 	m.mu.Unlock()
 	m.cancel()
 	m.server.Close()
@@ -231,8 +238,23 @@
 	m.opts.accepted(c, false)
 }
 
-func (m *Mesh) controlOpened(c *link.Conn) { m.opts.control(c, true) }
-func (m *Mesh) controlClosed(c *link.Conn) { m.opts.control(c, false) }
+func (m *Mesh) controlOpened(c *link.Conn) {
+	m.mu.Lock()
+	closed := m.closed
+	m.controls[c] = struct{}{}
+	m.mu.Unlock()
+	m.opts.control(c, true)
+	if closed {
+		c.Close("shutdown")
+	}
+}
+
+func (m *Mesh) controlClosed(c *link.Conn) {
+	m.mu.Lock()
+	delete(m.controls, c)
+	m.mu.Unlock()
+	m.opts.control(c, false)
+}
 
 func (m *Mesh) overlayOpened(c *link.Conn) {
 	name := c.Peer().Instance
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -91,3 +92,21 @@
 	_, err := a.mesh.OwnerLink(t.Context(), b.addr)
 	is.True(err != nil)
 }
+
+// Guards against a link to a control replica that Close leaves open.
+func TestCloseEndsControlLinks(t *testing.T) {
+	is := is.New(t)
+	b := startNode(t, "b")
+	ended := make(chan *link.Conn, 1)
+	a := mesh.New(
+		mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "a", Fleet: "f"} }),
+		mesh.WithControl(func(c *link.Conn, open bool) {
+			if open {
+				ended <- c
+			}
+		}))
+	a.OpenControlLink(b.addr, time.Minute, func(err error) { t.Error(err) })
+	c := <-ended
+	a.Close()
+	is.True(c.Ended())
+}
