Commands whose result cannot be read are reported as unknown

Cause: a result that cannot be decoded counted as an attempt that was not applied, so a command that had run could end as 'no quorum', which promises that it did not. Change: it is an unknown outcome, and is retried like one. Test: TestProposeReportsUnknownOutcomes, failed before.

--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -50,7 +50,7 @@
 
 // Propose sets the time of a command, proposes it to the leader and returns its
 // result. It retries until ctx ends, unless the error is permanent. A command
-// whose outcome is unknown is retried too, unless it is a grant: all others give
+// whose outcome is unknown or whose result cannot be decoded is retried too, unless it is a grant: all others give
 // the same result when they are applied again. The errors are *UnknownError,
 // *NoQuorumError, *StoppedError, *SizeError and *MalformedError.
 func (r *Relay) Propose(ctx context.Context, c state.Command) (state.Result, error) {
@@ -109,7 +109,10 @@
 	if err != nil {
 		return result, err
 	}
-	return result, wire.Decode(response, &result)
+	if err := wire.Decode(response, &result); err != nil {
+		return state.Result{}, &UnknownError{Reason: "result of the command: " + err.Error()}
+	}
+	return result, nil
 }
 
 func (r *Relay) proposeLocal(ctx context.Context, command []byte) ([]byte, error) {
