Entries linked to another replica stay reachable between relayed reports

Cause: an entry repeats its report every 15 s and a replica relays it every 20 s, but it counted as unreachable 12 s after the last one. Change: the limit follows the two intervals, which are now named where both sides see them.

--- a/control/admin/status.go
+++ b/control/admin/status.go
@@ -43,9 +43,9 @@
 }
 
 // maxReportAge is how long after its last report an instance counts as reachable
-// when it is linked to another replica. Replicas forward reports every 5 s, so
-// one lost report does not make an instance unreachable.
-const maxReportAge = 12 * time.Second
+// when it is linked to another replica: the longest time between two relayed
+// reports, and a margin for their delay.
+const maxReportAge = wire.ReportInterval + fleet.ReportRelayInterval + 5*time.Second
 
 func describeInstance(i fleet.Instance, v *state.View, now time.Time) Instance {
 	described := Instance{
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -18,16 +18,19 @@
 )
 
 const (
-	eventQueueLength    = 1024 // events, for each of the two queues
-	maxInstallBacklog   = 8    // revisions installed after a burst of changes, the number that delta.RevisionStore can splice from
-	refreshInterval     = time.Second
-	reportRelayInterval = 20 * time.Second // unchanged reports are relayed to the other replicas at this interval
-	instanceRetention   = time.Hour        // how long an instance that is neither linked nor reported is listed
-	decisionInterval    = 100 * time.Millisecond
-	watchListTTL        = 3 * time.Second // validity of the leader's watch list, which is repeated every refreshInterval
-	ticksPerRefresh     = refreshInterval / decisionInterval
+	eventQueueLength  = 1024 // events, for each of the two queues
+	maxInstallBacklog = 8    // revisions installed after a burst of changes, the number that delta.RevisionStore can splice from
+	refreshInterval   = time.Second
+	instanceRetention = time.Hour // how long an instance that is neither linked nor reported is listed
+	decisionInterval  = 100 * time.Millisecond
+	watchListTTL      = 3 * time.Second // validity of the leader's watch list, which is repeated every refreshInterval
+	ticksPerRefresh   = refreshInterval / decisionInterval
 )
 
+// ReportRelayInterval is the interval at which a replica relays unchanged reports
+// to the other replicas.
+const ReportRelayInterval = 20 * time.Second
+
 // Hooks connect the decisions about ejections to the fleet. All are called by the
 // goroutine of Run only. Each may be nil.
 type Hooks struct {
@@ -229,7 +232,7 @@
 			return
 		}
 		unchanged := previous.Revision == i.Revision && previous.State == i.State && previous.Start.Equal(i.Start)
-		if direct && (!unchanged || now.Sub(f.relayedReports[r.Instance].at) >= reportRelayInterval) {
+		if direct && (!unchanged || now.Sub(f.relayedReports[r.Instance].at) >= ReportRelayInterval) {
 			f.relayedReports[r.Instance] = relayedReport{report: r, at: now}
 			f.SendReport(r)
 		}
--- a/control/fleet/registry.go
+++ b/control/fleet/registry.go
@@ -19,7 +19,7 @@
 	countInterval = time.Second
 	// relayedEntryTTL is how long an entry that is linked to another replica is
 	// counted after its last report. It covers one lost report.
-	relayedEntryTTL = 2*reportRelayInterval + 5*time.Second
+	relayedEntryTTL = 2*ReportRelayInterval + 5*time.Second
 )
 
 // ReceiveFollow registers which messages an entry wants and sends those it lacks.
--- a/core/wire/revision.go
+++ b/core/wire/revision.go
@@ -31,6 +31,9 @@
 	Checksum uint64 `cbor:"sum"`
 }
 
+// ReportInterval is the interval at which an instance repeats an unchanged Report.
+const ReportInterval = 15 * time.Second
+
 // Report describes the state of an instance to control.
 type Report struct {
 	Instance  string        `cbor:"instance"`
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -158,8 +158,7 @@
 // report sends the state of the instance to control when it has changed, and
 // periodically.
 func (a *Agent) report(now time.Time) {
-	const reportInterval = 15 * time.Second // shorter than the time after which control considers an instance dead
-	if !a.reportDue && now.Sub(a.lastReport) < reportInterval {
+	if !a.reportDue && now.Sub(a.lastReport) < wire.ReportInterval {
 		return
 	}
 	a.lastReport, a.reportDue = now, false
