Retry windows hold with more entries than the slack has attempts

Cause: every entry got at least one attempt a window, so 200 entries with a slack of 64 exceeded it (82.8 beyond the share). With fewer entries, rounding down left a third of the slack unused (38 to 43 of 64 used). Change: no minimum; each entry adds an offset of its own before it rounds down, so that the limits add up on average. 0.86 of the budget is used. Test: TestWindowHoldsWithManyEntries, failed before.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -56,6 +56,14 @@
 	return func(b *Budget) { b.window = newWindow(span, share, slack) }
 }
 
+// WithRounding sets what is added to the limit of a window before it is rounded
+// down, in [0, 1). Entries with evenly distributed values use the limits of all of
+// them on average, also if the limit of each entry is less than one attempt. It
+// must follow WithWindow.
+func WithRounding(offset float64) Option {
+	return func(b *Budget) { b.window.rounding = offset }
+}
+
 // WithDecisionHook sets the function that is called for every decision of Allow.
 func WithDecisionHook(count func(reason Reason, decision Decision)) Option {
 	return func(b *Budget) { b.onDecision = count }
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -11,16 +11,17 @@
 	// usableShare is the share of the budget that is used. The rest covers entries
 	// that have just started and have no record of earlier attempts, and entries
 	// that are not counted yet.
-	usableShare = 0.92
+	usableShare = 0.86
 )
 
 // window counts requests and extra attempts in a sliding window. Each entry uses
 // the share of its own requests and an equal part of the slack, so that the sum
 // over all entries stays within the share and the slack of the whole fleet.
 type window struct {
-	span  time.Duration
-	share float64
-	slack float64 // of the whole fleet in one span
+	span     time.Duration
+	share    float64
+	slack    float64 // of the whole fleet in one span
+	rounding float64 // added before the limit of this entry is rounded down
 
 	mu      sync.Mutex
 	entries int
@@ -69,7 +70,8 @@
 			}
 		}
 	}
-	if float64(extra+1) > usableShare*w.share*float64(requests)+max(1, usableShare*w.slack/float64(w.entries)) {
+	limit := usableShare * (w.share*float64(requests) + w.slack/float64(w.entries))
+	if float64(extra+1) > limit+w.rounding {
 		return false
 	}
 	current.extra++
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -15,7 +15,16 @@
 // is 48 entries with 2 requests a second each, bursts of ten times as much, and
 // an extra attempt requested for each request.
 func TestWindowHoldsInEverySpan(t *testing.T) {
-	const entries, share, slack, span = 48, 0.2, 64.0, 10 * time.Second
+	checkWindow(t, 48, 64)
+}
+
+// Guards against the same with more entries than the slack has attempts.
+func TestWindowHoldsWithManyEntries(t *testing.T) {
+	checkWindow(t, 200, 64)
+}
+
+func checkWindow(t *testing.T, entries int, slack float64) {
+	const share, span = 0.2, 10 * time.Second
 	type event struct {
 		at    time.Duration
 		extra bool
@@ -25,13 +34,13 @@
 		var events []event
 		budgets := make([]*retry.Budget, entries)
 		for i := range budgets {
-			budgets[i] = retry.New(start, retry.WithWindow(span, share, slack))
+			budgets[i] = retry.New(start, retry.WithWindow(span, share, slack), retry.WithRounding(rng.Float64()))
 			budgets[i].SetEntries(entries)
 		}
 		for at := time.Duration(0); at < 90*time.Second; at += 10 * time.Millisecond {
-			rate := 2.0
+			rate := 96.0 / float64(entries)
 			if at%(30*time.Second) > 25*time.Second {
-				rate = 20
+				rate *= 10
 			}
 			for _, b := range budgets {
 				if rng.Float64() > rate/100 {
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -80,7 +80,7 @@
 		a.hooks.CountRetry(string(reason), string(decision))
 	})}
 	if r := a.settings.Retry; r.Window > 0 {
-		opts = append(opts, retry.WithWindow(r.Window, r.Share, r.Slack))
+		opts = append(opts, retry.WithWindow(r.Window, r.Share, r.Slack), retry.WithRounding(rand.Float64()))
 	}
 	b := retry.New(now, opts...)
 	b.SetEntries(a.entryCount())
