--- a/galenactl/story/story.go
+++ b/galenactl/story/story.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -19,8 +20,8 @@
 	// contextWindow is the time before a request whose log lines about the
 	// targets can explain why these were chosen.
 	contextWindow = 15 * time.Second
-	// maxLineSize is the maximum size of a log line in bytes. Read fails at a
-	// longer one.
+	// maxLineSize is the maximum size of a log line in bytes. Read skips longer
+	// ones.
 	maxLineSize = 1 << 20
 )
 
@@ -37,27 +38,50 @@
 // process supervisor.
 func Read(r io.Reader) ([]Line, error) {
 	var out []Line
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineSize)
-	for scanner.Scan() {
-		at := bytes.IndexByte(scanner.Bytes(), '{')
-		if at < 0 {
-			continue
-		}
-		fields := map[string]any{}
-		if json.Unmarshal(scanner.Bytes()[at:], &fields) != nil {
-			continue
+	reader := bufio.NewReaderSize(r, maxLineSize)
+	for {
+		text, long, err := readLine(reader)
+		if line, ok := parseLine(text); ok && !long {
+			out = append(out, line)
 		}
-		line := Line{Fields: fields, Instance: formatValue(fields["instance"]), Event: formatValue(fields["event"])}
-		if t, err := time.Parse(time.RFC3339Nano, formatValue(fields["time"])); err == nil {
-			line.Time = t
+		if errors.Is(err, io.EOF) {
+			break
 		}
-		if line.Event != "" {
-			out = append(out, line)
+		if err != nil {
+			return out, eris.Wrap(err, "read log lines")
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return out, eris.Wrap(scanner.Err(), "read log lines")
+	return out, nil
+}
+
+// readLine reads up to the end of a line. If the line is longer than the buffer
+// of the reader, it returns only the last part of it and reports long.
+func readLine(r *bufio.Reader) (text []byte, long bool, err error) {
+	for {
+		text, err = r.ReadSlice('\n')
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return text, long, err
+		}
+		long = true
+	}
+}
+
+// parseLine parses the JSON object in a line and reports whether it has an event.
+func parseLine(text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	fields := map[string]any{}
+	if json.Unmarshal(text[at:], &fields) != nil {
+		return Line{}, false
+	}
+	line := Line{Fields: fields, Instance: formatValue(fields["instance"]), Event: formatValue(fields["event"])}
+	if t, err := time.Parse(time.RFC3339Nano, formatValue(fields["time"])); err == nil {
+		line.Time = t
+	}
+	return line, line.Event != ""
 }
 
 // Select returns the lines about the request with this identifier, with those
--- a/galenactl/story/story_test.go
+++ b/galenactl/story/story_test.go
@@ -45,3 +45,14 @@
 	is.Equal(len(story.Select(lines, "e2")), 1)
 	is.Equal(len(story.Select(lines, "nothing")), 0)
 }
+
+// Guards against a line of any length that hides all others.
+func TestReadSkipsLongLines(t *testing.T) {
+	is := is.New(t)
+	long := `{"event":"request","request":"r-9","text":"` + strings.Repeat("x", 3<<20) + `"}` + "\n"
+	lines, err := story.Read(strings.NewReader(long + log + long + strings.TrimSpace(log)))
+	is.NoErr(err)
+	short, err := story.Read(strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(len(lines), 2*len(short))
+}
