Kept files are durable with their directory; no hedges while requests wait

Causes: the stored configuration of an entry and the pending submission of galenactl were written without syncing their directory (and the latter not atomically); Budget.SetBusy had no caller, so hedges went on while requests waited for admission; voterCount of a test read a key that the API does not send and counted learners as voters. Changes: store.ReplaceFile, taken out of the store, writes all three; the tick of a gate tells the budget whether requests wait; voterCount reads the role. Ruled out: a listener of an entry that stays open after an error. All that can fail after it is bound is bind, which closes all servers.

--- a/control/daemon/seeds_test.go
+++ b/control/daemon/seeds_test.go
@@ -118,7 +118,7 @@
 	n := 0
 	list, _ := doc["replicas"].([]any)
 	for _, one := range list {
-		if r, ok := one.(map[string]any); ok && r["learner"] != true {
+		if r, ok := one.(map[string]any); ok && (r["role"] == "voter" || r["role"] == "leader") {
 			n++
 		}
 	}
--- a/core/store/identity.go
+++ b/core/store/identity.go
@@ -1,11 +1,9 @@
 package store
 
 import (
-	"bytes"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"hash/crc32"
 	"io/fs"
 
@@ -57,31 +55,10 @@
 	return s.replaceFile(identityFile, append(data, body...))
 }
 
-// replaceFile replaces a file atomically: a crash leaves either the old or the new
-// content.
+// replaceFile replaces a file of the store, see ReplaceFile. If the disk is full,
+// it removes the unfinished file.
 func (s *Store) replaceFile(name string, parts ...[]byte) error {
-	h, err := s.files.Create(s.path(name + tempSuffix))
-	if err != nil {
-		return s.removeIfFull(name+tempSuffix, fmt.Errorf("create %s: %w", name, err))
-	}
-	if err := h.Write(bytes.Join(parts, nil)); err != nil {
-		_ = h.Close() // the first error is reported
-		return s.removeIfFull(name+tempSuffix, fmt.Errorf("write %s: %w", name, err))
-	}
-	if err := h.Sync(); err != nil {
-		_ = h.Close() // the first error is reported
-		return fmt.Errorf("sync %s: %w", name, err)
-	}
-	if err := h.Close(); err != nil {
-		return fmt.Errorf("close %s: %w", name, err)
-	}
-	if err := s.files.Rename(s.path(name+tempSuffix), s.path(name)); err != nil {
-		return fmt.Errorf("rename %s: %w", name, err)
-	}
-	if err := s.files.SyncDir(s.dir); err != nil {
-		return fmt.Errorf("sync directory: %w", err)
-	}
-	return nil
+	return s.removeIfFull(name+tempSuffix, ReplaceFile(s.files, s.path(name), parts...))
 }
 
 // removeIfFull removes a new file whose write failed because the disk is full,
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -311,3 +312,29 @@
 	})
 	is.True(admitted > 0)
 }
+
+// Guards against hedges that take the slots of requests that wait for admission.
+func TestNoHedgeWhileRequestsWait(t *testing.T) {
+	is := is.New(t)
+	r := startFakeReplica(t, &fakeReplica{text: serviceText(1), number: 1})
+	a := startAgentWith(t, agent.Settings{
+		Control: []netip.AddrPort{r.addr}, Retry: agent.RetryBudget{Window: 10 * time.Second, Share: 0.2, Slack: 1e9},
+	})
+	waitUntil(t, "ready", func() bool { return a.View().Ready })
+	is.Equal(announce(t, a, renewal("s0", 1)), http.StatusOK)
+	waitUntil(t, "the target is picked", func() bool { return len(picksByAddress(a, "s0")) == 1 })
+	q := request(a, "s0")
+	q.Kind = &spec.Kind{Name: "lookup", Repeatable: true, Weight: 1}
+	q.Deadline = time.Now().Add(waitLimit)
+	is.True(a.Retry(q, proxy.RetryHedge))
+	ctx, cancel := context.WithCancel(t.Context())
+	var waiting sync.WaitGroup
+	for range 200 {
+		waiting.Go(func() { _, _ = a.Admit(ctx, q) })
+	}
+	waitUntil(t, "hedges end", func() bool { return !a.Retry(q, proxy.RetryHedge) })
+	is.True(a.Retry(q, proxy.RetryFailed))
+	cancel()
+	waiting.Wait()
+	waitUntil(t, "hedges return", func() bool { return a.Retry(q, proxy.RetryHedge) })
+}
--- a/entry/agent/copy.go
+++ b/entry/agent/copy.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenalock/galenalock/core/delta"
+	"github.com/galenalock/galenalock/core/store"
 )
 
 const (
@@ -33,31 +34,13 @@
 	return number, text, nil
 }
 
-// writeStoredConfig stores the configuration for the next start. The rename
-// replaces the file atomically. Without the sync before it, a crash could leave
-// an empty file.
+// writeStoredConfig stores the configuration for the next start.
 func writeStoredConfig(dir string, number uint64, text []byte) error {
-	data := make([]byte, storedConfigHeaderSize, storedConfigHeaderSize+len(text))
-	binary.BigEndian.PutUint64(data, number)
-	binary.BigEndian.PutUint64(data[8:], delta.Sum(text))
-	data = append(data, text...)
+	header := make([]byte, storedConfigHeaderSize)
+	binary.BigEndian.PutUint64(header, number)
+	binary.BigEndian.PutUint64(header[8:], delta.Sum(text))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return eris.Wrap(err, "create data directory")
 	}
-	tempPath := filepath.Join(dir, storedConfigFile+".new")
-	f, err := os.OpenFile(tempPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return eris.Wrap(err, "store configuration")
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err == nil {
-		err = os.Rename(tempPath, filepath.Join(dir, storedConfigFile))
-	}
-	return eris.Wrap(err, "store configuration")
+	return eris.Wrap(store.ReplaceFile(store.OS(), filepath.Join(dir, storedConfigFile), header, text), "store configuration")
 }
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -48,6 +48,8 @@
 		if now.Sub(u.lastGateTick) >= gateInterval {
 			u.lastGateTick = now
 			deliverDecisions(u.gate.Tick(now))
+			_, _, waiting := u.gate.Limit()
+			u.budget.SetBusy(waiting > 0)
 		}
 	}
 }
--- a/galenactl/command/pending.go
+++ b/galenactl/command/pending.go
@@ -9,6 +9,8 @@
 	"os"
 
 	"github.com/google/uuid"
+
+	"github.com/galenalock/galenalock/core/store"
 )
 
 // pendingSubmission describes a submission that has no response yet. It is
@@ -47,15 +49,10 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
-	if err != nil {
-		return &InvalidError{Reason: err.Error()}
-	}
-	defer f.Close()
-	if _, err := f.Write(append(data, '\n')); err != nil {
+	if err := store.ReplaceFile(store.OS(), file, data, []byte("\n")); err != nil {
 		return &InvalidError{Reason: err.Error()}
 	}
-	return f.Sync()
+	return nil
 }
 
 // newChangeID returns a change identifier, a UUIDv7, which sorts by time.
