Floors above capacity and further attempts of a split are covered by tests

Two findings of readers that do not happen: a floor in slots above the announced capacity gives a negative budget, with which the leader grants nothing and withdraws what it has granted; further attempts of a request stay with the service that was drawn for it (TestSplitByWeight had none). Unknown outcomes of keys that never expire are a documented promise of the design (section 8), and the header time limit for HTTP/1 only is documented with the setting; both stay.

--- a/core/eject/eject_test.go
+++ b/core/eject/eject_test.go
@@ -167,6 +167,29 @@
 	}
 }
 
+// Guards against a floor above the announced capacity that ends the decision, or
+// leaves targets ejected: its budget is negative.
+func TestFloorAboveCapacity(t *testing.T) {
+	is := is.New(t)
+	report := func(l *eject.Leader) func(now time.Time) {
+		return func(now time.Time) { addEvidence(l, now, "salish", 5, 0, 8, 0) }
+	}
+	l, now := newLeader(health.Fast, 12)
+	took, ok := stepUntil(l, now, "ejected", 5, time.Minute, report(l))
+	is.True(ok)
+	now = now.Add(took)
+	l.SetService("tables", eject.Floor{Slots: 1000}, health.Fast)
+	for _, set := range l.Step(now.Add(tick)) {
+		l.ProposalApplied(3, set.Service)
+	}
+	is.Equal(len(l.Orders(now.Add(tick)).Grants), 0)
+
+	l, now = newLeader(health.Fast, 12)
+	l.SetService("tables", eject.Floor{Slots: 1000}, health.Fast)
+	_, ok = stepUntil(l, now, "ejected", 5, 10*time.Second, report(l))
+	is.True(!ok)
+}
+
 // Guards against a new leader that ejects targets while leases of its predecessor
 // may still be in force on entries.
 func TestNewLeaderDelaysEjections(t *testing.T) {
--- a/entry/proxy/dialect_test.go
+++ b/entry/proxy/dialect_test.go
@@ -232,4 +232,26 @@
 		is.NoErr(err)
 	}
 	is.Equal(count, map[string]int{"old": 6, "new": 2})
+
+	// Further attempts of a request stay with the service that was drawn for it.
+	clear(count)
+	var services []string // of the attempts of one request
+	refused := closedAddress(t)
+	hooks.Pick = func(r proxy.Request, tried []netip.AddrPort, _ time.Time) (proxy.Target, bool) {
+		if len(tried) == 0 {
+			count[r.Service.Name]++
+		}
+		services = append(services, r.Service.Name)
+		return proxy.Target{Address: refused}, len(tried) < 2
+	}
+	hooks.Retry = allowRetry
+	e = startEntryWithOptions(t, hooks)
+	for range 8 {
+		services = nil
+		_, _, _, err := e.send(http.MethodGet, "/look", nil)
+		is.NoErr(err)
+		is.True(len(services) > 1)
+		is.Equal(len(slices.Compact(services)), 1)
+	}
+	is.Equal(count, map[string]int{"old": 6, "new": 2})
 }
