--- a/bench/procs/gray_test.go
+++ b/bench/procs/gray_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/galenalock/galenalock/bench/procs"
 	"github.com/galenalock/galenalock/bench/stub"
+	"github.com/galenalock/galenalock/core/eject"
 )
 
 // setFault sets the fault of a target, given as JSON.
@@ -84,8 +86,23 @@
 		}
 	}
 	f.setFault(slow, `{}`)
-	f.waitUntil("recovered target in service", func() bool { return f.targetState(slow) == "ready" })
-	t.Logf("back in service after %s", time.Since(began))
+	// A target whose grant was withdrawn is in service. It stays in the state
+	// "withdrawn" until its last lease has expired on every entry, so that the floor
+	// counts it as ejected until then.
+	f.waitUntil("recovered target in service", func() bool {
+		return slices.Contains([]string{"withdrawn", "ready"}, f.targetState(slow))
+	})
+	returned := time.Now()
+	t.Logf("back in service after %s", returned.Sub(began))
+	ran := f.counts(slow).Ran[stub.Lookup]
+	f.waitUntil("recovered target has traffic", func() bool { return f.counts(slow).Ran[stub.Lookup] > ran+500 })
+	t.Logf("500 requests %s after its return", time.Since(returned))
+	f.waitUntil("last lease expired", func() bool { return f.targetState(slow) == "ready" })
+	expired := time.Since(returned)
+	t.Logf("last lease expired %s after its return", expired)
+	if limit := eject.LeaseDuration + eject.MaxMessageDelay + time.Second; expired > limit {
+		t.Errorf("state withdrawn for %s, want %s at most", expired, limit)
+	}
 }
 
 // Guards against a target that still gets new requests more than 5 s after it
