Broken connections that several entries see make all avoid the target

Cause: only strong observations made an entry avoid a target. A target that resets connections was reported to the others with a weak ratio, and whatever the sum, the risk in the choice stayed at that of a target under test. In a region with many entries each one lost a request of its own. Change: a further broken connection, 150 ms or more after another one, makes all entries avoid the target once its probability is 0.5.

--- a/core/susp/susp_test.go
+++ b/core/susp/susp_test.go
@@ -60,6 +60,45 @@
 	is.True(!susp.Answered.ShouldShare(0.03))
 }
 
+// Guards against a target that breaks connections and costs every entry a request
+// of its own, because the observations of the others never suffice; and against
+// targets that all entries avoid although only the paths of a few are broken
+// (three of four observations are answers), a fault of the network broke many
+// connections at one moment, or they are slow under load.
+func TestBrokenConnectionsOfOthersAddUp(t *testing.T) {
+	is := is.New(t)
+	const delay = 20 * time.Millisecond
+	avoided := func(target *susp.Target, now time.Time) bool {
+		_, avoided := target.Avoided(now)
+		return avoided
+	}
+	failing, reports, now := &susp.Target{}, 0, start
+	for ; reports < 10 && !avoided(failing, now); reports++ {
+		failing.ObserveRemote(now, susp.Broken, delay)
+		now = now.Add(250 * time.Millisecond)
+	}
+	t.Logf("avoided after %d reports", reports)
+	is.True(reports > 1 && reports <= 4)
+	is.True(failing.Risk(now) > 0.25)
+
+	reachable, reset, slow := &susp.Target{}, &susp.Target{}, &susp.Target{}
+	for n := range 200 {
+		now = now.Add(100 * time.Millisecond)
+		slow.ObserveRemote(now, susp.Overdue, delay)
+		if n%4 == 0 {
+			reachable.ObserveRemote(now, susp.Broken, delay)
+		} else {
+			reachable.ObserveRemote(now, susp.Answered, delay)
+		}
+		is.True(!avoided(reachable, now))
+	}
+	for n := range 20 {
+		reset.ObserveRemote(now.Add(time.Duration(n)*5*time.Millisecond), susp.Broken, delay)
+	}
+	is.True(!avoided(reset, now.Add(100*time.Millisecond)))
+	is.True(!avoided(slow, now))
+}
+
 // Guards against a target that counts as failing only because control receives
 // nothing from it, and against a probability that decreases after a failure as
 // fast as that of other targets.
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -23,6 +23,12 @@
 	// suspectProbability is the probability from which a target is a suspect, so
 	// that an answer from it is worth sending to other entries.
 	suspectProbability = 0.1
+	// avoidProbability is the probability from which broken connections of other
+	// entries together count as a failure.
+	avoidProbability = 0.5
+	// brokenGap is the least time between two of them that count as two. A fault of
+	// the network breaks many connections at one moment.
+	brokenGap = 150 * time.Millisecond
 	// failureRatio is the likelihood ratio from which an observation counts as a
 	// failure.
 	failureRatio = 20
@@ -57,6 +63,7 @@
 	silent      bool
 	streak      int       // consecutive failures
 	lastFailure time.Time // time of the last failure
+	lastBroken  time.Time // time of the last broken connection of another entry that counted
 }
 
 // Observe takes an observation of this entry and returns the probability of the
@@ -76,7 +83,29 @@
 		p := t.Probability(now)
 		return p, p
 	}
-	return t.update(now, now.Add(-age), math.Pow(remoteRatio[o], decay(age)))
+	seen := now.Add(-age)
+	before, after = t.update(now, seen, math.Pow(remoteRatio[o], decay(age)))
+	if o == Broken {
+		t.countBroken(seen, after)
+	}
+	return before, after
+}
+
+// countBroken counts a broken connection of another entry. The target is avoided
+// if it is not the first one and the probability is high enough. Overdue answers
+// do not count: under load many targets are slow, and the others would get more.
+func (t *Target) countBroken(seen time.Time, probability float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	gap := seen.Sub(t.lastBroken)
+	if gap < brokenGap {
+		return
+	}
+	t.lastBroken = seen
+	if gap < DecayTime && probability >= avoidProbability && seen.Sub(t.lastFailure) >= minFailureGap {
+		t.streak++
+		t.lastFailure = seen
+	}
 }
 
 // SetSilent sets whether control no longer receives messages from the target.
