A failed probe no longer starts an attempt beyond the limit of the kind

Cause: the probe of a silent connection does not count as an attempt, since it goes to the same target. If its dial failed, the retry after a failed dial was allowed without a limit, although the first attempt and the hedge were pending: the request ran on three targets where its route allows two. Change: the limit holds for retries after failed dials too; attempts that sent nothing do not count, and a probe that sent nothing is not taken off twice. Test: TestFailedProbeStartsNoFurtherAttempt, failed before.

--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -69,21 +69,19 @@
 		return false
 	}
 	reason, ok := c.retryReason(err)
-	return ok && c.mayAttempt(reason, number+1) && c.takeRetryBudget(reason)
+	return ok && c.mayAttempt(number+1) && c.takeRetryBudget(reason)
 }
 
 // mayAttempt reports whether the limit on attempts allows another one after this
 // number of previous ones. A kind that sets its own limit counts only the
 // attempts that may have reached a target.
-func (c *call) mayAttempt(reason Reason, previous int) bool {
+func (c *call) mayAttempt(previous int) bool {
 	limit := c.request.Kind.MaxAttempts
 	switch {
 	case limit == 0:
 		return previous <= defaultRetries
 	case previous > maxRetries:
 		return false
-	case reason == RetryConnect:
-		return true
 	}
 	return previous-c.unsent < limit
 }
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -84,6 +84,9 @@
 				return result.attempt, nil
 			}
 			c.recordFailure(result.err)
+			if result.attempt == r.probe && c.proxy.rules.Unsent(result.err) {
+				r.nonRetries-- // counted as unsent
+			}
 			if r.ctx.Err() != nil || !r.retry(result.err) && len(r.pending) == 0 {
 				if r.fallback != nil {
 					return r.fallback, nil
@@ -209,7 +212,7 @@
 // allows it, and reports whether it did.
 func (r *race) startExtra(reason Reason) bool {
 	hooks := &r.call.proxy.hooks
-	if !r.call.mayAttempt(reason, r.started-r.nonRetries) {
+	if !r.call.mayAttempt(r.started-r.nonRetries) {
 		return false
 	}
 	target, ok := hooks.Pick(r.call.request, r.tried, hooks.Now())
--- a/entry/proxy/race_test.go
+++ b/entry/proxy/race_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -287,3 +288,59 @@
 	is.Equal(<-log.classes, proxy.Failed)
 	is.Equal(<-log.classes, proxy.Answered)
 }
+
+// Guards against a request that runs on more targets than its kind allows: the
+// first target is silent and refuses the new connection of the probe, while the
+// hedge is pending at the second one.
+func TestFailedProbeStartsNoFurtherAttempt(t *testing.T) {
+	is := is.New(t)
+	text, err := spec.Parse([]byte(`
+[[service]]
+name = "tables"
+floor = "50%"
+[[route]]
+prefix = "/look"
+service = "tables"
+kind = { repeat = true, timeout = "2s", attempts = 2, hedge = true }
+`))
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		l.Close() // further connections are refused
+		in := bufio.NewReader(c)
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(c, okResponse)
+		}
+		_, _ = io.Copy(io.Discard, in) // the second request gets no response
+	}()
+	var second, third atomic.Int64
+	silent := func(arrivals *atomic.Int64) netip.AddrPort {
+		return listen(t, func(_ net.Conn, in *bufio.Reader) {
+			if _, err := http.ReadRequest(in); err == nil {
+				arrivals.Add(1)
+			}
+			_, _ = io.Copy(io.Discard, in)
+		})
+	}
+	log := newHookLog()
+	hooks := log.attach(proxy.Hooks{
+		View:       func() *proxy.View { return &proxy.View{Text: text, Revision: 1, Ready: true} },
+		HedgeDelay: fixedDelay(20 * time.Millisecond), ProbeDelay: fixedDelay(40 * time.Millisecond),
+	})
+	e := startEntry(t, false, hooks, proxy.Rules{}, netip.MustParseAddrPort(l.Addr().String()), silent(&second), silent(&third))
+	status, _, _, err := e.send(http.MethodGet, "/look", nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	status, _, _, err = e.send(http.MethodGet, "/look", nil, "Galenalock-Deadline", "400")
+	is.NoErr(err)
+	is.Equal(status, http.StatusGatewayTimeout)
+	is.Equal(second.Load(), int64(1))
+	is.Equal(third.Load(), int64(0))
+	is.True(slices.Contains(log.retries, proxy.RetrySilent)) // the probe was made
+}
