Replicas pass suspects on in batches, encoded once

Cause: each report of an entry was encoded and sent to every entry of its region on its own. The messages that an entry gets grew with the fleet, those of a replica with its square. A message for many links is encoded once.

--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/galenalock/galenalock/control/batch"
 	"github.com/galenalock/galenalock/core/delta"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
@@ -100,6 +101,8 @@
 	lastCount    time.Time
 	lastReplicas wire.Replicas
 	lastEntries  wire.Entries
+	suspects     *batch.Batch
+	suspectTimer *time.Timer // runs while suspects wait
 }
 
 // New creates a fleet. Run processes its events.
@@ -111,7 +114,10 @@
 		instances:      map[string]*Instance{},
 		relayedReports: map[string]relayedReport{},
 		observedLeases: map[leaseKey]observedLease{},
+		suspects:       batch.New(),
+		suspectTimer:   time.NewTimer(0),
 	}
+	f.suspectTimer.Stop()
 	f.published.Store(&[]Instance{})
 	return f
 }
@@ -137,6 +143,8 @@
 			f.pushChanges()
 		case <-ticker.C:
 			f.tick(ctx)
+		case <-f.suspectTimer.C:
+			f.flushSuspects(f.Clock())
 		case event := <-f.statsEvents:
 			event()
 		}
@@ -308,8 +316,11 @@
 	f.published.Store(&out)
 }
 
-func (f *Fleet) send(c *link.Conn, kind wire.Kind, body any) {
-	if err := c.Send(kind, body); err != nil {
+func (f *Fleet) send(c *link.Conn, kind wire.Kind, body any) { f.sent(c, c.Send(kind, body)) }
+
+// sent logs the error of a message to a link, if there is one.
+func (f *Fleet) sent(c *link.Conn, err error) {
+	if err != nil {
 		f.Log.WithField(logs.FieldError, err.Error()).WithField("peer", c.Peer().Instance).Debug("message not sent")
 	}
 }
--- a/control/fleet/registry.go
+++ b/control/fleet/registry.go
@@ -120,19 +120,3 @@
 		}
 	}
 }
-
-// ReceiveSuspects forwards the suspects reported by an entry to the linked entries
-// of its region. Direct suspects, received from the entry itself, are also sent to
-// the other replicas of the region.
-func (f *Fleet) ReceiveSuspects(c *link.Conn, s wire.Suspects, direct bool) {
-	f.postStats(func() {
-		for other, session := range f.sessions {
-			if other != c && session.wantsTargets && session.isPrimary && other.Peer().Region == s.Region {
-				f.send(other, wire.KindSuspects, s)
-			}
-		}
-		if direct {
-			f.SendSuspects(s)
-		}
-	})
-}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -101,6 +101,15 @@
 	return c.enqueue(data)
 }
 
+// Encoded is an encoded message without an answer. It can be sent on many links.
+type Encoded []byte
+
+// Encode encodes a message for SendEncoded.
+func Encode(kind wire.Kind, body any) (Encoded, error) { return encodeMessage(kind, 0, false, body) }
+
+// SendEncoded is like Send for a message that is already encoded.
+func (c *Conn) SendEncoded(m Encoded) error { return c.enqueue(m) }
+
 // Call sends a message, waits for its answer and decodes it into answer, unless
 // answer is nil. An error of type *wire.FaultError comes from the other side;
 // after any other error the other side may or may not have handled the call.
