--- a/core/pool/option.go
+++ b/core/pool/option.go
@@ -13,8 +13,9 @@
 	defaultMaxIdle         = 8 // idle connections for each target; 48 entries keep 384 of the 400 connections that it accepts
 	defaultDialTimeout     = time.Second
 	defaultContinueTimeout = time.Second // the timeout for 100 Continue of net/http and curl
-	maxHeadBytes           = 1 << 20     // http.DefaultMaxHeaderBytes
-	maxInformational       = 5           // 1xx responses to one request, the limit of net/http
+	defaultSweepInterval   = 2 * time.Second
+	maxHeadBytes           = 1 << 20 // http.DefaultMaxHeaderBytes
+	maxInformational       = 5       // 1xx responses to one request, the limit of net/http
 )
 
 type options struct {
@@ -25,6 +26,7 @@
 	maxIdle         int
 	continueTimeout time.Duration
 	checkIdle       func(c net.Conn) bool
+	sweepInterval   time.Duration
 
 	closeDelimited bool
 }
@@ -56,6 +58,12 @@
 	return func(o *options) { o.idleTimeout, o.recentLimit = idle, nonRepeatable }
 }
 
+// WithSweepInterval sets the interval at which idle connections are closed that
+// have been idle for too long, were closed by the target, or have received bytes.
+func WithSweepInterval(d time.Duration) Option {
+	return func(o *options) { o.sweepInterval = d }
+}
+
 // WithMaxIdle sets how many idle connections are kept for each target.
 func WithMaxIdle(n int) Option { return func(o *options) { o.maxIdle = n } }
 
@@ -81,6 +89,7 @@
 		maxIdle:         defaultMaxIdle,
 		continueTimeout: defaultContinueTimeout,
 		checkIdle:       openWithoutData,
+		sweepInterval:   defaultSweepInterval,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,10 +14,10 @@
 type Pool struct {
 	opts options
 
-	mu        sync.Mutex
-	idle      map[netip.AddrPort][]*conn // the most recently used one last
-	lastSweep time.Time
-	closed    bool
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*conn // the most recently used one last
+	sweep  *time.Timer                // runs while there are idle connections, otherwise nil
+	closed bool
 }
 
 // New returns an empty pool.
@@ -81,7 +82,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeExpired(now)
 	list := p.idle[target]
 	if len(list) == 0 || !list[len(list)-1].usable(now, limit) {
 		return nil
@@ -100,27 +100,33 @@
 		return
 	}
 	p.idle[c.target] = append(p.idle[c.target], c)
+	if p.sweep == nil {
+		p.sweep = time.AfterFunc(p.opts.sweepInterval, p.closeUnusable)
+	}
 }
 
-// closeExpired closes connections that have been idle for too long. It runs at
-// most once a second.
-func (p *Pool) closeExpired(now time.Time) {
-	if now.Sub(p.lastSweep) < time.Second {
-		return
-	}
-	p.lastSweep = now
+// closeUnusable closes the idle connections that no request may use any more.
+func (p *Pool) closeUnusable() {
+	now := p.opts.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for target, list := range p.idle {
-		expired := 0
-		for expired < len(list) && !list[expired].usable(now, p.opts.idleTimeout) {
-			list[expired].netConn.Close()
-			expired++
-		}
-		if expired == len(list) {
+		kept := slices.DeleteFunc(list, func(c *conn) bool {
+			unusable := !c.usable(now, p.opts.idleTimeout) || !p.opts.checkIdle(c.netConn)
+			if unusable {
+				c.netConn.Close()
+			}
+			return unusable
+		})
+		if p.idle[target] = kept; len(kept) == 0 {
 			delete(p.idle, target)
-			continue
 		}
-		p.idle[target] = list[expired:]
 	}
+	if p.closed || len(p.idle) == 0 {
+		p.sweep = nil
+		return
+	}
+	p.sweep.Reset(p.opts.sweepInterval)
 }
 
 // CloseIdleBefore closes the idle connections of a target that were opened before
@@ -155,6 +161,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.sweep != nil {
+		p.sweep.Stop()
+		p.sweep = nil
+	}
 	for target, list := range p.idle {
 		for _, c := range list {
 			c.netConn.Close()
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -286,3 +286,45 @@
 	is.True(errors.As(err, &source))
 	is.True(!<-complete)
 }
+
+// Guards against an idle connection on which a target sends bytes without end:
+// they belong to no request and fill the buffers of the system until the
+// connection is closed. The naive variant does not look at idle connections.
+func TestBytesOnIdleConnectionsCloseThem(t *testing.T) {
+	for _, naive := range []bool{true, false} {
+		is := is.New(t)
+		answered, closed := make(chan struct{}), make(chan struct{})
+		to := listen(t, func(c net.Conn, in *bufio.Reader) {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			<-answered
+			for block := make([]byte, 4<<10); ; {
+				if _, err := c.Write(block); err != nil {
+					close(closed)
+					return
+				}
+			}
+		})
+		opts := []pool.Option{pool.WithSweepInterval(10 * time.Millisecond)}
+		if naive {
+			opts = append(opts, pool.WithIdleCheck(func(net.Conn) bool { return true }))
+		}
+		p := pool.New(opts...)
+		response, err := p.Do(t.Context(), &pool.Request{Target: to, Method: http.MethodGet, URI: "/", Host: "h"})
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(p.IdleCount(to), 1)
+		close(answered)
+		select {
+		case <-closed:
+			is.True(!naive)
+		case <-time.After(500 * time.Millisecond):
+			is.True(naive)
+		}
+		p.Close()
+		<-closed
+	}
+}
