Entries that get their targets from control tick half as often and compare no weights

Cause: each tick of an entry compared the weight of every target of a service with traffic, 20 times a second, although the health monitor that sets them is not used when control pushes the targets. Change: such entries tick every 100 ms and compare no weights.

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -22,6 +22,9 @@
 const (
 	eventQueueLength = 4096 // events
 	tickInterval     = 50 * time.Millisecond
+	// registryTickInterval replaces tickInterval if control pushes the targets. The
+	// health monitor, which needs the shorter one, is not used then.
+	registryTickInterval = 100 * time.Millisecond
 )
 
 // event changes the control state. It runs on the control goroutine.
@@ -136,7 +139,11 @@
 		}
 		a.performGossip(now, a.gossip.SetState(now, gossip.StateReady))
 	}
-	ticker := time.NewTicker(tickInterval)
+	interval := tickInterval
+	if a.registry != nil {
+		interval = registryTickInterval
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/entry/agent/registry.go
+++ b/entry/agent/registry.go
@@ -166,7 +166,7 @@
 		a.log.WithField("targets", r.mirror.AppliedIndex()).WithField("rows", len(u.Rows)).
 			WithField("peer", c.Peer().Instance).Info("targets updated")
 		// Updates in quick succession wait for the next tick.
-		if now.Sub(r.appliedAt) >= tickInterval {
+		if now.Sub(r.appliedAt) >= registryTickInterval {
 			r.appliedAt = now
 			a.tickUpstreams(now)
 		}
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -36,8 +36,8 @@
 		}
 	}
 	for _, u := range a.upstreams {
-		ticked := u.monitorDue(now)
-		if ticked && a.registry == nil {
+		ticked := a.registry == nil && u.monitorDue(now)
+		if ticked {
 			u.lastMonitorTick = now
 			u.monitor.Tick(now)
 			a.sendEvidence(now, u)
