A late copy of an earlier declaration no longer passes for that of a request

Cause: a response that declares that its request was not run was believed before its identifier was compared. A second copy of such a response that arrives late, on a connection that carries another request by then, made the entry send that request to a further target while the first one ran it; with no target left, it told the caller that the request had not run. Change: the identifier is compared first. A declaration without an identifier counts on a new connection only; otherwise the outcome is unknown and the connection is closed. Ruled out: late copies of answers, which were compared already. Test: TestLateCopyOfAnEarlierResponse (shed with and without identifier, wrong target), failed before: the order ran on two targets.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -72,7 +72,7 @@
 	a.outcome.Status = response.StatusCode
 	d := &c.proxy.dialect
 	a.outcome.Load, a.outcome.HasLoad = d.Load(response.Header)
-	if notRun, full := d.NotRun(response.StatusCode, response.Header); notRun {
+	if notRun, full := d.NotRun(response.StatusCode, response.Header); notRun && a.checkDeclaration(response) == nil {
 		err := &shedError{serviceFull: full, misdirected: d.Misdirected(response.StatusCode)}
 		a.discardBody()
 		a.end(err.class(), err)
--- a/entry/proxy/dialect_test.go
+++ b/entry/proxy/dialect_test.go
@@ -255,3 +255,47 @@
 	}
 	is.Equal(count, map[string]int{"old": 6, "new": 2})
 }
+
+// Guards against the late second copy of a response on a connection that carries
+// another request by then. If the copy declares that its request was shed, the
+// next request is not shed: its target runs it, so it must neither go to another
+// target nor be reported as not run.
+func TestLateCopyOfAnEarlierResponse(t *testing.T) {
+	for _, c := range []struct{ name, copy string }{
+		{"answer", "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nCall-Proof: p\r\nContent-Length: 2\r\n\r\nok"},
+		{"declaration of a shed", "HTTP/1.1 503 Service Unavailable\r\nCall-Id: %s\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"declaration without identifier", "HTTP/1.1 503 Service Unavailable\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"another target", "HTTP/1.1 421 Misdirected Request\r\nCall-Id: %s\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran, elsewhere atomic.Int64
+			late := listen(t, func(conn net.Conn, in *bufio.Reader) {
+				first, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadAll(first.Body)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nCall-Proof: p\r\nContent-Length: 2\r\n\r\nok", first.Header.Get("Call-Id"))
+				second, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadAll(second.Body)
+				ran.Add(1) // it works on the second request when the copy goes out
+				_, _ = io.WriteString(conn, strings.ReplaceAll(c.copy, "%s", first.Header.Get("Call-Id")))
+				_, _ = in.ReadByte() // until the proxy closes the connection
+			})
+			other := respondWithID(t, "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nCall-Proof: p\r\nContent-Length: 2\r\n\r\nok", &elsewhere)
+			e := strictEntry(t, proxy.Hooks{HedgeDelay: noDelay}, late, other)
+			status, _, _, err := e.send(http.MethodPost, "/order", nil, "Call-Id", "r-1")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			status, _, _, err = e.send(http.MethodPost, "/order", nil, "Call-Id", "r-2", "Call-Time", "500")
+			is.NoErr(err)
+			is.Equal(ran.Load(), int64(1))
+			is.Equal(elsewhere.Load(), int64(0))
+			is.True(status == http.StatusBadGateway || status == http.StatusGatewayTimeout)
+		})
+	}
+}
--- a/entry/proxy/whole.go
+++ b/entry/proxy/whole.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/galenalock/galenalock/core/pool"
 )
 
 // IdentityError means that a response does not belong to the request or was not
@@ -22,15 +24,36 @@
 	return "the response has " + e.Header + " " + e.Got + ", want " + e.Want
 }
 
+// checkDeclaration checks that a response which declares that a request was not
+// run belongs to this request. On a connection that carried an earlier request it
+// may be a late copy of the response to that one. A declaration without an
+// identifier counts on a new connection only.
+func (a *attempt) checkDeclaration(response *pool.Response) error {
+	if !response.Reused && response.Header.Get(a.call.proxy.dialect.Request) == "" {
+		return nil
+	}
+	return a.checkRequest(response.Response)
+}
+
+// checkRequest checks that a response bears the identifier of the request.
+func (a *attempt) checkRequest(response *http.Response) error {
+	d := &a.call.proxy.dialect
+	if d.Request == "" {
+		return nil
+	}
+	if want, got := a.call.r.Header.Get(d.Request), response.Header.Get(d.Request); want != "" && got != want {
+		return &IdentityError{Header: d.Request, Got: got, Want: want}
+	}
+	return nil
+}
+
 // checkIdentity checks that a response belongs to the request and, if its status
 // is below 300, that a target made it.
 func (a *attempt) checkIdentity(response *http.Response) error {
-	d := &a.call.proxy.dialect
-	if d.Request != "" {
-		if want, got := a.call.r.Header.Get(d.Request), response.Header.Get(d.Request); want != "" && got != want {
-			return &IdentityError{Header: d.Request, Got: got, Want: want}
-		}
+	if err := a.checkRequest(response); err != nil {
+		return err
 	}
+	d := &a.call.proxy.dialect
 	if d.Proof != "" && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(d.Proof) == "" {
 		return &IdentityError{Header: d.Proof}
 	}
