Idle targets of large services are tested sooner, and entries tell of their tests

Each entry computed its share of the tests as if all entries of the region could test each target (only those with it in their subset can), and entries did not know of each other's tests. Change: an entry that sends a request to an avoided target tells the others; such a target is idle only 2 s after its last sign of any kind; an idle target of a region with 30 or more targets is tested within 250 ms, of a smaller one within 1 s, by the entries that can. Up to 4% of the region, or 1.4, stay idle. Conclusion: more failed requests in large services against a floor that holds when all processes end; small services are as before. The message is an observation of its own number, which older entries ignore.

--- a/core/route/choose_test.go
+++ b/core/route/choose_test.go
@@ -142,6 +142,10 @@
 		j := e.Tag().(int)
 		sent++
 		lastRequest[j] = now
+		if _, _, avoided := suspicions[i][j].Avoided(now); avoided && !naive {
+			suspicions[i][j].Observe(now, susp.Tested)
+			pending = append(pending, report{now, i, j, susp.Tested})
+		}
 		if share := 0.01; failing[j] && rng.Float64() < 0.75 || rng.Float64() < share {
 			failures++
 			lastFailure[j] = now
--- a/core/route/explore.go
+++ b/core/route/explore.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 )
@@ -19,6 +18,12 @@
 	// it is worth.
 	avoidedShare = 0.04
 	minAvoided   = 1.4
+	// testDelay is the mean time until an idle target is tested in a region with
+	// manyTargets or more, fewTestDelay in a smaller one. There, the share of the
+	// targets that get requests depends on chance more than on tests.
+	testDelay    = 250 * time.Millisecond
+	fewTestDelay = time.Second
+	manyTargets  = 30
 	// maxTestShare bounds the share of the requests that test avoided targets.
 	maxTestShare = 0.25
 	// testBias is the weight of the failure probability in the choice of the
@@ -53,26 +58,27 @@
 // regionStats counts the targets of the entry's region that are in its subset,
 // and selects one avoided target that a request could test.
 type regionStats struct {
-	healthy        int // without a failure in the window
-	avoidedHealthy int // of these, avoided for an older failure
-	testTarget     *Endpoint
-	testScore      float64 // lowest score so far
+	healthy    int // without a failure in the window
+	idle       int // of these, avoided and without a request in the window
+	testTarget *Endpoint
+	testScore  float64 // lowest score so far
 }
 
 // add counts an endpoint and considers it for a test.
 func (stats *regionStats) add(e *Endpoint, now time.Time, draw uint64) {
-	age, avoided := time.Duration(0), false
-	if e.suspicion != nil {
-		age, avoided = e.suspicion.Avoided(now)
+	if e.suspicion == nil {
+		stats.healthy++
+		return
 	}
-	if avoided && age < floorWindow {
+	sinceFailure, sinceUse, avoided := e.suspicion.Avoided(now)
+	if avoided && sinceFailure < floorWindow {
 		return
 	}
 	stats.healthy++
-	if !avoided {
+	if !avoided || sinceUse < floorWindow {
 		return
 	}
-	stats.avoidedHealthy++
+	stats.idle++
 	if !e.hasFreeConnection() {
 		return
 	}
@@ -83,17 +89,21 @@
 	}
 }
 
-// testShare returns the share of the region's requests that should test avoided
-// targets, so that the expected number of healthy targets without a request in
-// one floorWindow stays within avoidedShare and minAvoided.
+// testShare returns the share of this entry's requests that should test avoided
+// targets. The entries of the region together then test each idle target within
+// the delay on average, except those that may stay idle.
 func (r *Router) testShare(s *snapshot, stats regionStats) float64 {
 	allowed := max(minAvoided, avoidedShare*float64(stats.healthy))
 	meanInterval := float64(r.requestInterval.mean.Load())
-	if float64(stats.avoidedHealthy) <= allowed || meanInterval == 0 {
+	if float64(stats.idle) <= allowed || meanInterval == 0 {
 		return 0
 	}
-	// Of k avoided targets that get n tests at random, k*exp(-n/k) get none.
-	wanted := float64(stats.avoidedHealthy) * math.Log(float64(stats.avoidedHealthy)/allowed)
-	requests := float64(s.regionPeers) * float64(floorWindow) / meanInterval
-	return min(maxTestShare, wanted/requests)
+	delay := testDelay
+	if s.regionTargets < manyTargets {
+		delay = fewTestDelay
+	}
+	// Only the entries with the target in their subset can test it.
+	testers := float64(s.regionPeers) * s.subsetShare()
+	requests := testers * float64(delay) / meanInterval
+	return min(maxTestShare, (float64(stats.idle)-allowed)/requests)
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -87,6 +87,9 @@
 		endpoints[t.Address] = e
 		limit := connections[i]
 		e.connectionLimit.Store(int64(limit))
+		if t.Region == r.location.Region && !t.Drained && !t.OutOfService {
+			next.regionTargets++
+		}
 		switch {
 		case t.Drained || limit == 0:
 		case t.InProbation:
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -44,6 +44,16 @@
 	probes      []*Endpoint
 	suspects    []suspect
 	regionPeers int // instances of the region, including this one
+	// regionTargets is the number of targets of the region that are in service, in
+	// the subset of this instance or not.
+	regionTargets int
+}
+
+// subsetShare returns the share of the region's targets that are in the subset of
+// this instance.
+func (s *snapshot) subsetShare() float64 {
+	subset := len(s.tiers[sameDataCentre].members) + len(s.tiers[sameRegion].members)
+	return float64(subset) / float64(max(1, s.regionTargets))
 }
 
 // suspect is a target that gets a fixed share of the repeatable requests until
--- a/core/susp/sign.go
+++ b/core/susp/sign.go
@@ -12,6 +12,7 @@
 	Shed                               // the target declared that it did not run a request
 	Misdirected                        // another target answered at the address
 	Answered                           // a complete answer in the usual time
+	Tested                             // a request was sent although the target is avoided
 	numObservations
 )
 
@@ -19,18 +20,18 @@
 // failing target to that of a healthy one. A failing target fails most requests
 // and answers the others; a healthy one fails about one request in a hundred.
 var ownRatio = [numObservations]float64{
-	Failed: 60, Broken: 60, Overdue: 30, Unreachable: 60, Shed: 6, Misdirected: 1e4, Answered: 0.25,
+	Failed: 60, Broken: 60, Overdue: 30, Unreachable: 60, Shed: 6, Misdirected: 1e4, Answered: 0.25, Tested: 1,
 }
 
 // remoteRatio is the likelihood ratio of an observation of another entry: smaller
 // where a fault of the network path explains the observation as well, and 1 where
 // the path is the likely cause.
 var remoteRatio = [numObservations]float64{
-	Failed: 60, Broken: 5, Overdue: 5, Unreachable: 1, Shed: 1, Misdirected: 1e4, Answered: 0.25,
+	Failed: 60, Broken: 5, Overdue: 5, Unreachable: 1, Shed: 1, Misdirected: 1e4, Answered: 0.25, Tested: 1,
 }
 
 // observationNames are the names used in logs.
-var observationNames = [numObservations]string{"none", "failed", "broken", "overdue", "unreachable", "shed", "misdirected", "answered"}
+var observationNames = [numObservations]string{"none", "failed", "broken", "overdue", "unreachable", "shed", "misdirected", "answered", "tested"}
 
 // String returns the name used in logs.
 func (o Observation) String() string {
@@ -47,8 +48,11 @@
 // the probability of the failing state before it. An answer is sent only when
 // that probability was at least suspectProbability.
 func (o Observation) ShouldShare(before float64) bool {
-	if o == Answered {
+	switch o {
+	case Answered:
 		return before >= suspectProbability
+	case Tested:
+		return true
 	}
 	return o.valid() && remoteRatio[o] > 1
 }
--- a/core/susp/susp_test.go
+++ b/core/susp/susp_test.go
@@ -69,7 +69,7 @@
 	is := is.New(t)
 	const delay = 20 * time.Millisecond
 	avoided := func(target *susp.Target, now time.Time) bool {
-		_, avoided := target.Avoided(now)
+		_, _, avoided := target.Avoided(now)
 		return avoided
 	}
 	failing, reports, now := &susp.Target{}, 0, start
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -64,6 +64,7 @@
 	streak      int       // consecutive failures
 	lastFailure time.Time // time of the last failure
 	lastBroken  time.Time // time of the last broken connection of another entry that counted
+	lastUse     time.Time // time of the last observation
 }
 
 // Observe takes an observation of this entry and returns the probability of the
@@ -134,12 +135,13 @@
 	return min(p, probeRisk)
 }
 
-// Avoided returns the time since the last failure of the target and reports
-// whether the target is avoided.
-func (t *Target) Avoided(now time.Time) (time.Duration, bool) {
+// Avoided reports whether the target is avoided. It also returns the time since
+// its last failure, and since the last observation of any kind, which shows that
+// an entry has sent it a request.
+func (t *Target) Avoided(now time.Time) (sinceFailure, sinceUse time.Duration, avoided bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Sub(t.lastFailure), t.avoided(now)
+	return now.Sub(t.lastFailure), now.Sub(t.lastUse), t.avoided(now)
 }
 
 // avoided reports whether the target is avoided. The caller holds t.mu.
@@ -179,6 +181,9 @@
 		t.excess = after - silentBaseProbability
 	}
 	t.updatedAt = now
+	if seen.After(t.lastUse) {
+		t.lastUse = seen
+	}
 	switch {
 	case likelihoodRatio >= failureRatio && seen.Sub(t.lastFailure) >= minFailureGap:
 		t.streak++
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -67,6 +67,12 @@
 	if at.Number == 0 {
 		d.upstream.budget.AddRequestAt(at.Start)
 	}
+	if a.registry != nil {
+		if _, _, avoided := d.target.suspicion.Avoided(at.Start); avoided {
+			// The other entries need not test the target as well.
+			a.recordObservation(d.target, susp.Tested, at.Start)
+		}
+	}
 	d.endpoint.Begin()
 	d.upstream.pending.Add(1)
 	d.upstream.active.Store(true)
