Comments and names after a second reading

No change of behaviour: the delay of a batch is explained by the load, sent is logSendError, long comment lines are wrapped, package susp tells of tests.

--- a/control/batch/batch.go
+++ b/control/batch/batch.go
@@ -6,8 +6,8 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// Delay is how long a report may wait for others. A test of a target after its
-// first failure comes later than that at any load.
+// Delay is how long a report may wait for others. It is short against the time
+// between two requests to one target.
 const Delay = 20 * time.Millisecond
 
 // Batch collects reports. It is not safe for concurrent use.
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -322,10 +322,12 @@
 	f.published.Store(&out)
 }
 
-func (f *Fleet) send(c *link.Conn, kind wire.Kind, body any) { f.sent(c, c.Send(kind, body)) }
+func (f *Fleet) send(c *link.Conn, kind wire.Kind, body any) {
+	f.logSendError(c, c.Send(kind, body))
+}
 
-// sent logs the error of a message to a link, if there is one.
-func (f *Fleet) sent(c *link.Conn, err error) {
+// logSendError logs the error of a message to a link, if there is one.
+func (f *Fleet) logSendError(c *link.Conn, err error) {
 	if err != nil {
 		f.Log.WithField(logs.FieldError, err.Error()).WithField("peer", c.Peer().Instance).Debug("message not sent")
 	}
--- a/control/fleet/registry.go
+++ b/control/fleet/registry.go
@@ -67,7 +67,7 @@
 			}
 			updates[s.sentIndex] = update
 		}
-		f.sent(c, c.SendEncoded(update))
+		f.logSendError(c, c.SendEncoded(update))
 		s.sentIndex = targets.Index
 	}
 }
--- a/control/fleet/suspects.go
+++ b/control/fleet/suspects.go
@@ -38,7 +38,7 @@
 			switch {
 			case !s.wantsTargets || !s.isPrimary || c.Peer().Region != name:
 			case !region.Reported(c.Peer().Instance):
-				f.sent(c, c.SendEncoded(shared))
+				f.logSendError(c, c.SendEncoded(shared))
 			default:
 				if list := region.Except(c.Peer().Instance); len(list) > 0 {
 					f.send(c, wire.KindSuspects, wire.Suspects{Region: name, List: list})
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -50,9 +50,10 @@
 
 // Propose sets the time of a command, proposes it to the leader and returns its
 // result. It retries until ctx ends, unless the error is permanent. A command
-// whose outcome is unknown or whose result cannot be decoded is retried too, unless it is a grant: all others give
-// the same result when they are applied again. The errors are *UnknownError,
-// *NoQuorumError, *StoppedError, *SizeError and *MalformedError.
+// whose outcome is unknown or whose result cannot be decoded is retried too,
+// unless it is a grant: all others give the same result when they are applied
+// again. The errors are *UnknownError, *NoQuorumError, *StoppedError, *SizeError
+// and *MalformedError.
 func (r *Relay) Propose(ctx context.Context, c state.Command) (state.Result, error) {
 	maybeApplied := false
 	for {
--- a/core/susp/doc.go
+++ b/core/susp/doc.go
@@ -13,7 +13,8 @@
 // low until a request has tested it, so that a healthy target that failed once is
 // soon in use again. Answers end the avoidance early when they outweigh the
 // failure. Observations of other entries of the region count as well, but less
-// where a fault of the network path explains them too.
+// where a fault of the network path explains them too. An entry that sends a
+// request to an avoided target tells the others, so that they need not test it.
 //
 // All methods of Target are safe for concurrent use and take the time as an
 // argument.
