Entries log and count the limits that targets name

Callers of a target that names a limit of requests a second see nothing of it so far, and the logs cannot show whether entries ignore the limit, hold it one by one, or exceed it by retries. Nothing acts on it yet.

Malformed limits and responses sent before the limit was named are ignored (TestParseRate, TestLateResponseDoesNotLiftLimit).

--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -20,6 +20,7 @@
 	Links               Name = "links"
 	LinkBytes           Name = "linkbytes"
 	Ejections           Name = "ejections"
+	TargetLimits        Name = "limits"
 	Claims              Name = "claims"
 	CrossRegionBytes    Name = "crossing"
 	Commits             Name = "commits"
@@ -51,6 +52,7 @@
 	Links:               {"gauge", "{link}", "", "Open links to other processes"},
 	LinkBytes:           {"counter", "By", "direction", "Bytes on links between processes"},
 	Ejections:           {"counter", "{event}", "event", "Events in the ejection of targets"},
+	TargetLimits:        {"counter", "{event}", "event", "Changes of the limits that targets name: named, changed or lifted"},
 	Claims:              {"counter", "{claim}", "state", "Claims, by answer"},
 	CrossRegionBytes:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
--- /dev/null
+++ b/core/quota/report.go
@@ -0,0 +1,28 @@
+package quota
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Report is what a response says about the limit of its target. The zero value
+// means that the target names no limit.
+type Report struct {
+	Limited bool
+	Rate    float64 // requests a second that the target accepts from the whole fleet
+}
+
+// ParseRate parses a rate in requests a second. It reports false unless the value
+// is a decimal number of at least zero.
+func ParseRate(value string) (float64, bool) {
+	value = strings.TrimSpace(value)
+	if strings.ContainsAny(value, "xXpP_") { // ParseFloat accepts hexadecimal numbers and underscores
+		return 0, false
+	}
+	rate, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0, false
+	}
+	return rate, true
+}
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -23,6 +23,7 @@
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/mesh"
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/agent"
@@ -93,6 +94,7 @@
 		SetDrained:       func(bool) {},
 		CountRetry:       func(string, string) {},
 		CountCrossRegion: func(int64, int64) {},
+		CountLimit:       func(quota.Event) {},
 		Inflight:         func() int { return 0 },
 	}, log)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/mesh"
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -49,6 +50,7 @@
 	SetDrained       func(on bool)                        // called when an operator starts or ends a drain of the instance
 	CountRetry       func(reason, decision string)        // counts a decision of a retry budget
 	CountCrossRegion func(sent, received int64)           // counts bytes exchanged with targets in other regions
+	CountLimit       func(event quota.Event)              // counts a change of the limit of a target
 	Inflight         func() int                           // returns the number of requests in flight
 }
 
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -106,6 +106,9 @@
 	if observation, ok := observationOf(at, o); ok && a.registry != nil {
 		a.recordObservation(d.target, observation, o.End)
 	}
+	if o.HasLimit {
+		a.recordLimit(d.target, at, o)
+	}
 	if d.measured {
 		d.call.Finish(at.Start.Add(latencyOf(at, o)), healthOutcome(o))
 	}
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/galenalock/galenalock/core/gossip"
 	"github.com/galenalock/galenalock/core/health"
 	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/retry"
 	"github.com/galenalock/galenalock/core/roster"
 	"github.com/galenalock/galenalock/core/route"
@@ -27,6 +28,7 @@
 	roster.Target
 	health    *health.Target
 	suspicion *susp.Target
+	quota     *quota.Target
 }
 
 // upstream is the state of one service: its targets, router, budget and gate.
@@ -170,7 +172,8 @@
 		h := u.targets[t.Address]
 		if h == nil || !h.Start.Equal(t.Start) {
 			h = &target{
-				Target: t, health: u.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre), suspicion: &susp.Target{HoldFactor: 1 + holdFactorSpread*rand.Float64()},
+				Target: t, health: u.monitor.Target(now, t.Address, t.Start, t.Region, t.DataCentre),
+				suspicion: &susp.Target{HoldFactor: 1 + holdFactorSpread*rand.Float64()}, quota: &quota.Target{},
 			}
 		}
 		h.suspicion.SetSilent(t.Silent)
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -105,6 +105,7 @@
 		},
 		CountRetry:       c.addRetry,
 		CountCrossRegion: c.addCrossRegion,
+		CountLimit:       c.addLimitEvent,
 		Inflight:         d.inflight,
 	}, log)
 }
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/galenalock/galenalock/core/meter"
+	"github.com/galenalock/galenalock/core/quota"
 )
 
 // counters are the metrics of an entry that the data path does not count itself.
@@ -10,6 +11,7 @@
 	crossRegionBytes *meter.Counter
 	linkBytes        *meter.Counter
 	requestsCut      *meter.Counter
+	targetLimits     *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -19,7 +21,7 @@
 		into **meter.Counter
 	}{
 		{meter.RetryDecisions, &c.retryDecisions}, {meter.CrossRegionBytes, &c.crossRegionBytes},
-		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut},
+		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut}, {meter.TargetLimits, &c.targetLimits},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -40,3 +42,5 @@
 }
 
 func (c *counters) addLinkBytes(dir string, n int) { c.linkBytes.Add(int64(n), dir) }
+
+func (c *counters) addLimitEvent(event quota.Event) { c.targetLimits.Add(1, string(event)) }
--- a/entry/daemon/record.go
+++ b/entry/daemon/record.go
@@ -62,6 +62,9 @@
 		if o.HasLoad {
 			fields["running"], fields["waiting"] = o.Load.Running, o.Load.Waiting
 		}
+		if o.Limit.Limited {
+			fields["limit"] = o.Limit.Rate
+		}
 		if o.Err != nil {
 			fields[logs.FieldError] = o.Err.Error()
 		}
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -74,12 +74,16 @@
 	a.outcome.Load, a.outcome.HasLoad = d.Load(response.Header)
 	if notRun, full := d.NotRun(response.StatusCode, response.Header); notRun && a.checkDeclaration(response) == nil {
 		err := &shedError{serviceFull: full, misdirected: d.Misdirected(response.StatusCode)}
+		if !err.misdirected {
+			a.recordLimit()
+		}
 		a.discardBody()
 		a.end(err.class(), err)
 		return err
 	}
 	err = a.checkIdentity(response.Response)
 	if err == nil {
+		a.recordLimit()
 		err = a.prefetch()
 	}
 	if err != nil {
@@ -90,6 +94,13 @@
 	return nil
 }
 
+// recordLimit records what the response says about the limit of its target.
+func (a *attempt) recordLimit() {
+	if limit := a.call.proxy.dialect.Limit; limit != nil {
+		a.outcome.Limit, a.outcome.HasLimit = limit(a.response.Header)
+	}
+}
+
 // panicError is a panic of an attempt that runs in a goroutine of its own.
 type panicError struct {
 	value any
--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/refuse"
 )
 
@@ -29,6 +30,9 @@
 
 	// Load parses the load that a target reports.
 	Load func(h http.Header) (Load, bool)
+	// Limit parses the request rate that a target accepts from the whole fleet;
+	// false means that the header is malformed. May be nil.
+	Limit func(h http.Header) (quota.Report, bool)
 	// NotRun reports whether a response declares that the request was not run,
 	// and whether the other targets of the service are full too.
 	NotRun func(status int, h http.Header) (notRun, full bool)
@@ -46,17 +50,30 @@
 func Native() Dialect {
 	return Dialect{
 		Workspace: headerWorkspace, Deadline: headerDeadline, RefusalID: headerRequest,
-		Load: nativeLoad,
+		Load: nativeLoad, Limit: LimitHeader(headerLimit),
 		NotRun: func(status int, h http.Header) (bool, bool) {
 			notRun := status == http.StatusServiceUnavailable && h.Get(headerRun) == string(refuse.NotRun)
 			return notRun, h.Get(headerShed) == "service"
 		},
 		Misdirected: func(int) bool { return false },
-		HideHeaders: []string{headerLoad, headerRun, headerShed},
+		HideHeaders: []string{headerLoad, headerLimit, headerRun, headerShed},
 		Forwarded:   true,
 	}
 }
 
+// LimitHeader returns a Limit function for a header that holds the rate in requests
+// a second.
+func LimitHeader(name string) func(h http.Header) (quota.Report, bool) {
+	return func(h http.Header) (quota.Report, bool) {
+		value := h.Get(name)
+		if value == "" {
+			return quota.Report{}, true
+		}
+		rate, ok := quota.ParseRate(value)
+		return quota.Report{Limited: ok, Rate: rate}, ok
+	}
+}
+
 // nativeLoad parses the header Galenalock-Load, such as "inflight=3 limit=6".
 func nativeLoad(h http.Header) (Load, bool) {
 	first, rest, _ := strings.Cut(h.Get(headerLoad), " ")
--- a/entry/proxy/header.go
+++ b/entry/proxy/header.go
@@ -14,6 +14,7 @@
 	headerWorkspace = "Galenalock-Workspace" // names the workspace of a request
 	headerDeadline  = "Galenalock-Deadline"  // milliseconds left
 	headerLoad      = "Galenalock-Load"      // load of a target
+	headerLimit     = "Galenalock-Limit"     // requests a second that a target accepts from the whole fleet
 	headerRun       = "Galenalock-Run"       // "no" on a 503: the target did not run the request
 	headerShed      = "Galenalock-Shed"      // "service" on a shed response: other targets are full too
 	headerReplayed  = "Galenalock-Replayed"  // "true": the response was recorded for an earlier request
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
 )
@@ -110,6 +111,8 @@
 	Status        int // 0 without a response
 	Load          Load
 	HasLoad       bool          // the response reported Load
+	Limit         quota.Report  // what the response says about the limit of the target
+	HasLimit      bool          // there is a verified response and its Limit is well-formed
 	HeaderLatency time.Duration // from the start to the response header, 0 without a response
 	End           time.Time
 	Reused        bool  // the connection had carried a request before
