Entries share the limits that targets name

Callers saw little of it, but targets in trouble got many times the requests that they said they could take: 30 in 4 s with a limit of 3.8 a second, 56 with 1.

The class of fault is a bound of a shared resource that is left to uncoordinated processes: it holds for one process at most, if for any. 4 to 21 of 48 entries were told the limit of a target, and a few entries send most of the requests, so neither limits that each entry keeps for itself nor equal parts of them are enough.

Change: core/quota holds a token bucket for each limited target. All buckets of the fleet together hold the rate and a bounded burst. Choice, tests of avoided targets, probation, retries, hedges and repeats on a new connection all observe the bucket. Without any token the request is refused at once as limited, with a Retry-After from the bucket. A limit ends with a complete answer without it, to a request sent after it was named.

--- a/bench/trial/real.go
+++ b/bench/trial/real.go
@@ -103,7 +103,7 @@
 	sim := r.entry.simulation
 	kind := &sim.scenario.Kinds[q.kind]
 	if q.attempts == 0 && kind.Repeat && sim.now-r.lastProbe >= probeInterval {
-		if e := r.router.PickProbation(sim.decisionRand.Uint64()); e != nil {
+		if e := r.router.PickProbation(sim.wallTime(), sim.decisionRand.Uint64()); e != nil {
 			r.lastProbe = sim.now
 			return r.targetIndex[e.Address()], true
 		}
--- a/control/batch/batch.go
+++ b/control/batch/batch.go
@@ -1,105 +1,109 @@
 package batch
 
-import (
-	"time"
-
-	"github.com/galenalock/galenalock/core/wire"
-)
+import "time"
 
 // Delay is how long a report may wait for others. It is short against the time
 // between two requests to one target.
 const Delay = 20 * time.Millisecond
 
+// Notice is an element of a report.
+type Notice[N any] interface {
+	// Aged returns the notice after some more time.
+	Aged(d time.Duration) N
+}
+
 // Batch collects reports. It is not safe for concurrent use.
-type Batch struct {
+type Batch[N Notice[N]] struct {
 	delay     time.Duration
 	lastFlush time.Time
-	reports   []report
+	reports   []report[N]
 }
 
-// report holds the suspects that one instance reported.
-type report struct {
+// report holds the notices that one instance reported.
+type report[N any] struct {
 	from   string
-	region string
+	group  string
 	direct bool
-	list   []wire.Suspect
+	list   []N
 	at     time.Time
 }
 
 // Option configures a Batch.
-type Option func(*Batch)
+type Option func(*options)
+
+type options struct{ delay time.Duration }
 
 // WithDelay sets how long a report may wait for others. The default is Delay.
-func WithDelay(d time.Duration) Option { return func(b *Batch) { b.delay = d } }
+func WithDelay(d time.Duration) Option { return func(o *options) { o.delay = d } }
 
 // New returns an empty batch.
-func New(opts ...Option) *Batch {
-	b := &Batch{delay: Delay}
+func New[N Notice[N]](opts ...Option) *Batch[N] {
+	o := options{delay: Delay}
 	for _, opt := range opts {
-		opt(b)
+		opt(&o)
 	}
-	return b
+	return &Batch[N]{delay: o.delay}
 }
 
-// Add adds a report of an instance. A direct report comes from the instance
-// itself and not from another replica.
-func (b *Batch) Add(now time.Time, from string, s wire.Suspects, direct bool) {
-	b.reports = append(b.reports, report{from: from, region: s.Region, direct: direct, list: s.List, at: now})
+// Add adds a report of an instance to the entries of a group. A direct report
+// comes from the instance itself and not from another replica.
+func (b *Batch[N]) Add(now time.Time, from, group string, list []N, direct bool) {
+	b.reports = append(b.reports, report[N]{from: from, group: group, direct: direct, list: list, at: now})
 }
 
 // Next returns the time from which Flush is due, and false if there is nothing to
 // flush.
-func (b *Batch) Next() (time.Time, bool) {
+func (b *Batch[N]) Next() (time.Time, bool) {
 	return b.lastFlush.Add(b.delay), len(b.reports) > 0
 }
 
-// Flush removes the reports and returns them by region.
-func (b *Batch) Flush(now time.Time) map[string]Region {
+// Flush removes the reports and returns their notices by group.
+func (b *Batch[N]) Flush(now time.Time) map[string]Group[N] {
 	b.lastFlush = now
-	out := map[string]Region{}
+	out := map[string]Group[N]{}
 	for _, r := range b.reports {
-		region, ok := out[r.region]
+		group, ok := out[r.group]
 		if !ok {
-			region = Region{reporters: map[string]bool{}}
+			group = Group[N]{reporters: map[string]bool{}}
 		}
-		region.reporters[r.from] = true
-		for _, s := range r.list {
-			s.Age += now.Sub(r.at)
-			region.all = append(region.all, s)
-			region.from = append(region.from, r.from)
+		group.reporters[r.from] = true
+		for _, n := range r.list {
+			n = n.Aged(now.Sub(r.at))
+			group.all = append(group.all, n)
+			group.from = append(group.from, r.from)
 			if r.direct {
-				region.direct = append(region.direct, s)
+				group.direct = append(group.direct, n)
 			}
 		}
-		out[r.region] = region
+		out[r.group] = group
 	}
 	b.reports = nil
 	return out
 }
 
-// Region holds the suspects of one region.
-type Region struct {
-	all       []wire.Suspect
+// Group holds the notices for one group of entries.
+type Group[N any] struct {
+	all       []N
 	from      []string // reporters of all
-	direct    []wire.Suspect
+	direct    []N
 	reporters map[string]bool
 }
 
-// All returns all suspects.
-func (r Region) All() []wire.Suspect { return r.all }
+// All returns all notices.
+func (g Group[N]) All() []N { return g.all }
 
-// Direct returns the suspects of direct reports.
-func (r Region) Direct() []wire.Suspect { return r.direct }
+// Direct returns the notices of direct reports.
+func (g Group[N]) Direct() []N { return g.direct }
 
-// Reported reports whether one of the suspects was reported by the instance.
-func (r Region) Reported(instance string) bool { return r.reporters[instance] }
+// Reported reports whether one of the notices was reported by the instance.
+func (g Group[N]) Reported(instance string) bool { return g.reporters[instance] }
 
-// Except returns the suspects that the instance did not report.
-func (r Region) Except(instance string) []wire.Suspect {
-	var out []wire.Suspect
-	for i, s := range r.all {
-		if r.from[i] != instance {
-			out = append(out, s)
+// Except returns the notices that the instance did not report.
+func (g Group[N]) Except(instance string) []N {
+	var out []N
+	for i, n := range g.all {
+		if g.from[i] != instance {
+			out = append(out, n)
 		}
 	}
 	return out
--- a/control/batch/batch_test.go
+++ b/control/batch/batch_test.go
@@ -22,7 +22,7 @@
 	const span, step, rate = 5 * time.Second, time.Millisecond, 4.0
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, uint64(entries)))
-	b := batch.New(opts...)
+	b := batch.New[wire.Suspect](opts...)
 	name := func(i int) string { return fmt.Sprint("e", i) }
 	sent, messages, own, received := 0, 0, 0, 0
 	longest := time.Duration(0)
@@ -33,7 +33,7 @@
 				if i == 0 {
 					own++
 				}
-				b.Add(now, name(i), wire.Suspects{Region: "salish", List: []wire.Suspect{{Start: int64(sent)}}}, true)
+				b.Add(now, name(i), "salish", []wire.Suspect{{Start: int64(sent)}}, true)
 			}
 		}
 		if due, ok := b.Next(); !ok || now.Before(due) {
@@ -78,10 +78,10 @@
 // Guards against a single report that waits for others.
 func TestSingleReportIsDueAtOnce(t *testing.T) {
 	is := is.New(t)
-	b := batch.New()
+	b := batch.New[wire.Suspect]()
 	_, ok := b.Next()
 	is.True(!ok)
-	b.Add(start, "e1", wire.Suspects{Region: "salish", List: []wire.Suspect{{}}}, false)
+	b.Add(start, "e1", "salish", []wire.Suspect{{}}, false)
 	due, ok := b.Next()
 	is.True(ok && !due.After(start))
 	region := b.Flush(start)["salish"]
--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -138,6 +138,7 @@
 		Propose:          p.relay.Propose,
 		ReplicaAddresses: d.replicaAddresses,
 		SendSuspects:     func(w wire.Suspects) { p.links.SendToRegion(w.Region, wire.KindSuspects, w) },
+		SendNotices:      p.links.Broadcast,
 		SendReport:       func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
 		SendWatchList:    func(o wire.Orders) { p.links.Broadcast(wire.KindOrders, o) },
 		CountDropped:     func() { in.Dropped.Add(1, "reports") },
--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -192,6 +192,7 @@
 	revisions chan wire.Revision
 	orders    chan wire.Orders
 	updates   chan enrol.Update
+	limits    chan wire.List[wire.Limit]
 }
 
 // dialFollower links an entry that receives its targets from the replica.
@@ -207,7 +208,7 @@
 func dialEntry(t testing.TB, r *replica) *entry {
 	t.Helper()
 	e := &entry{
-		revisions: make(chan wire.Revision, 100), orders: make(chan wire.Orders, 100), updates: make(chan enrol.Update, 100),
+		revisions: make(chan wire.Revision, 100), orders: make(chan wire.Orders, 100), updates: make(chan enrol.Update, 100), limits: make(chan wire.List[wire.Limit], 100),
 	}
 	dialer := link.NewDialer(
 		link.WithHello(func() wire.Hello {
@@ -227,6 +228,12 @@
 					return nil, err
 				}
 				e.updates <- in
+			case wire.KindLimits:
+				var in wire.List[wire.Limit]
+				if err := wire.Decode(m.Body, &in); err != nil {
+					return nil, err
+				}
+				e.limits <- in
 			case wire.KindOrders:
 				var in wire.Orders
 				if err := wire.Decode(m.Body, &in); err != nil {
--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -137,6 +137,20 @@
 		}
 		p.fleet.ReceiveSuspects(c, in, !fromReplica)
 		return nil, nil
+	case wire.KindLimits:
+		var in wire.List[wire.Limit]
+		if err := wire.Decode(m.Body, &in); err != nil {
+			return nil, err
+		}
+		p.fleet.ReceiveLimits(c, in.List, !fromReplica)
+		return nil, nil
+	case wire.KindDemands:
+		var in wire.List[wire.Demand]
+		if err := wire.Decode(m.Body, &in); err != nil {
+			return nil, err
+		}
+		p.fleet.ReceiveDemands(c, in.List, !fromReplica)
+		return nil, nil
 	}
 	var in wire.Follow
 	if err := wire.Decode(m.Body, &in); err != nil {
--- a/control/daemon/seeds_test.go
+++ b/control/daemon/seeds_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenalock/galenalock/control/daemon"
 	"github.com/galenalock/galenalock/core/enrol"
+	"github.com/galenalock/galenalock/core/wire"
 )
 
 // seededReplica is a replica that is configured with seeds.
@@ -240,3 +241,30 @@
 	})
 	is.True((<-e.updates).Rows[0].Silent) // it has not announced itself for a second
 }
+
+// Guards against limits of targets that only a part of the entries learns: those
+// of other replicas and those that link later must know them too.
+func TestLimitsReachAllEntries(t *testing.T) {
+	is := is.New(t)
+	group := seedGroup(t, 3, 3, 1)
+	for _, r := range group {
+		r.run()
+	}
+	first, second := dialFollower(t, group[0].replica), dialFollower(t, group[2].replica)
+	limit := wire.Limit{Service: "ledger", Target: netip.MustParseAddrPort("10.0.0.1:80"), Start: 1, Limited: true, Rate: 2.5}
+	waitUntil(t, "the limit reaches the entry of another replica", func() bool {
+		is.NoErr(first.conn.Send(wire.KindLimits, wire.List[wire.Limit]{List: []wire.Limit{limit}}))
+		select {
+		case got := <-second.limits:
+			return got.List[0].Rate == limit.Rate && got.List[0].Target == limit.Target
+		case <-time.After(50 * time.Millisecond): // the replicas may not be linked yet
+			return false
+		}
+	})
+	is.Equal(len(first.limits), 0) // the entry that reported it needs no copy
+	for _, r := range group[1:] {
+		late := dialFollower(t, r.replica)
+		got := <-late.limits
+		is.Equal(got.List[0].Rate, limit.Rate)
+	}
+}
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -51,6 +51,8 @@
 	ReplicaAddresses func() []netip.AddrPort // returns the addresses of the control replicas
 	// SendSuspects sends suspects to the other replicas of their region.
 	SendSuspects func(s wire.Suspects)
+	// SendNotices sends notices to the other replicas.
+	SendNotices  func(kind wire.Kind, body any)
 	CountDropped func() // counts an event dropped from the full queue of reports, evidence and suspects
 	Clock        func() time.Time
 	Log          *logrus.Entry
@@ -101,8 +103,11 @@
 	lastCount    time.Time
 	lastReplicas wire.Replicas
 	lastEntries  wire.Entries
-	suspects     *batch.Batch
+	suspects     *batch.Batch[wire.Suspect]
 	suspectTimer *time.Timer // runs while suspects wait
+	limits       *notices[limitSubject, wire.Limit]
+	demands      *notices[demandSubject, wire.Demand]
+	noticeTimer  *time.Timer // runs while notices wait
 	lastPush     time.Time
 	pushTimer    *time.Timer // runs while a change of the view waits
 }
@@ -116,11 +121,15 @@
 		instances:      map[string]*Instance{},
 		relayedReports: map[string]relayedReport{},
 		observedLeases: map[leaseKey]observedLease{},
-		suspects:       batch.New(),
+		suspects:       batch.New[wire.Suspect](),
 		suspectTimer:   time.NewTimer(0),
+		limits:         newLimits(),
+		demands:        newDemands(),
+		noticeTimer:    time.NewTimer(0),
 		pushTimer:      time.NewTimer(0),
 	}
 	f.suspectTimer.Stop()
+	f.noticeTimer.Stop()
 	f.pushTimer.Stop()
 	f.published.Store(&[]Instance{})
 	return f
@@ -151,6 +160,8 @@
 			f.tick(ctx)
 		case <-f.suspectTimer.C:
 			f.flushSuspects(f.Clock())
+		case <-f.noticeTimer.C:
+			f.scheduleNotices(f.Clock())
 		case event := <-f.statsEvents:
 			event()
 		}
@@ -218,6 +229,7 @@
 			for _, known := range f.relayedReports {
 				f.send(c, wire.KindReport, known.report)
 			}
+			f.catchUpNotices(c)
 			return
 		}
 		f.installRevisions()
--- a/control/fleet/registry.go
+++ b/control/fleet/registry.go
@@ -34,6 +34,7 @@
 		f.send(c, wire.KindReplicas, f.replicaList())
 		if s.isPrimary {
 			f.send(c, wire.KindEntries, f.entryCounts())
+			f.catchUpNotices(c)
 		}
 		f.pushTargets(c, s)
 	})
--- a/control/fleet/suspects.go
+++ b/control/fleet/suspects.go
@@ -16,7 +16,7 @@
 func (f *Fleet) ReceiveSuspects(c *link.Conn, s wire.Suspects, direct bool) {
 	f.postStats(func() {
 		now := f.Clock()
-		f.suspects.Add(now, c.Peer().Instance, s, direct)
+		f.suspects.Add(now, c.Peer().Instance, s.Region, s.List, direct)
 		due, _ := f.suspects.Next()
 		if wait := due.Sub(now); wait > 0 && wait <= batch.Delay { // a longer one means that the clock was set back
 			f.suspectTimer.Reset(wait)
--- a/core/quota/target.go
+++ b/core/quota/target.go
@@ -1,10 +1,20 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
+const (
+	// minRate is the lowest rate in requests a second that is observed. Without any
+	// request, it would not become known that a limit has been lifted.
+	minRate = 0.1
+	// renewFactor is the ratio by which a limit must change to be sent to other
+	// entries before RenewInterval has passed.
+	renewFactor = 1.1
+)
+
 // Event is a change of what is known about the limit of a target. The values are
 // attributes of a counter.
 type Event string
@@ -20,23 +30,56 @@
 // Events returns all events that change something.
 func Events() []Event { return []Event{Named, Changed, Lifted} }
 
-// Target tracks the limit of one incarnation of a target. The zero value is a
-// target that has named none.
+// Target tracks the limit of one incarnation of a target and is the token bucket
+// of this entry for it. The zero value is a target that has named no limit.
 type Target struct {
 	mu         sync.Mutex
 	report     Report
 	reportedAt time.Time // arrival of the last response that named the limit or lifted it
+	shared     Report    // last report known to the other entries
+	sharedAt   time.Time
+
+	share    int // tokens of the burst that this entry gets
+	burst    int // tokens of all entries
+	tokens   float64
+	filledAt time.Time
 }
 
 // Observe takes the report of a response to a request that this entry sent at the
-// given time.
-func (t *Target) Observe(now, sent time.Time, r Report) Event {
+// given time. It also tells whether the report is to be sent to the other entries.
+func (t *Target) Observe(now, sent time.Time, r Report) (event Event, share bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !r.Limited && t.report.Limited && !sent.After(t.reportedAt) {
-		return Unchanged // the response may be older than the one that named the limit
+		return Unchanged, false // the response may be older than the one that named the limit
+	}
+	event = t.update(now, r)
+	if event == Unchanged && !r.Limited || !t.shareDue(now, r) {
+		return event, false
+	}
+	t.shared, t.sharedAt = r, now
+	return event, true
+}
+
+// ObserveRemote takes a report that another entry received some time ago.
+func (t *Target) ObserveRemote(now time.Time, r Report, age time.Duration) Event {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := now.Add(-age)
+	if age < 0 || at.Before(t.reportedAt) {
+		return Unchanged
+	}
+	t.shared, t.sharedAt = r, at
+	return t.update(at, r)
+}
+
+// shareDue reports whether the other entries need the report. The caller holds
+// t.mu.
+func (t *Target) shareDue(now time.Time, r Report) bool {
+	if r.Limited != t.shared.Limited || now.Sub(t.sharedAt) >= RenewInterval {
+		return true
 	}
-	return t.update(now, r)
+	return r.Rate > t.shared.Rate*renewFactor || r.Rate*renewFactor < t.shared.Rate
 }
 
 // Report returns the last known report.
@@ -52,14 +95,106 @@
 	if !r.Limited && !previous.Limited {
 		return Unchanged
 	}
+	t.fill(at) // at the previous rate
 	t.report, t.reportedAt = r, at
 	switch {
 	case !r.Limited:
+		t.share, t.burst = 0, 0
 		return Lifted
 	case !previous.Limited:
+		t.filledAt = at
 		return Named
 	case r.Rate != previous.Rate:
 		return Changed
 	}
 	return Unchanged
 }
+
+// SetShare sets how many of the tokens of all entries this entry gets. A bucket
+// that is new to the entry begins with a random part of a token, so that the
+// entries that share the limit do not all send at the same moment.
+func (t *Target) SetShare(now time.Time, share, burst int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fill(now)
+	switch {
+	case share == 0:
+		t.tokens = min(t.tokens, 0)
+	case t.share == 0 && t.tokens >= 0:
+		t.tokens = rand.Float64()
+	}
+	t.share, t.burst = share, burst
+	t.tokens = min(t.tokens, float64(share))
+}
+
+// Share returns the tokens of the burst that this entry gets.
+func (t *Target) Share() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.share
+}
+
+// Available reports whether this entry may send a request now.
+func (t *Target) Available(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.report.Limited {
+		return true
+	}
+	t.fill(now)
+	return t.tokens >= 1
+}
+
+// Take takes the token of a request that is sent. Requests that are sent at the
+// same moment may take more than there are, which later ones make up for.
+func (t *Target) Take(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.report.Limited {
+		t.fill(now)
+		t.tokens--
+	}
+}
+
+// Return returns the token of a request that did not reach the target.
+func (t *Target) Return(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.report.Limited {
+		t.fill(now)
+		t.tokens = min(t.tokens+1, float64(t.share))
+	}
+}
+
+// Wait returns the time until this entry may send a request, and false if it has
+// no share of the limit.
+func (t *Target) Wait(now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fill(now)
+	switch {
+	case !t.report.Limited || t.tokens >= 1:
+		return 0, true
+	case t.share == 0:
+		return 0, false
+	}
+	return time.Duration((1 - t.tokens) / t.fillRate() * float64(time.Second)), true
+}
+
+// fill adds the tokens gained since the last call. The caller holds t.mu.
+func (t *Target) fill(now time.Time) {
+	elapsed := now.Sub(t.filledAt)
+	if elapsed <= 0 {
+		return
+	}
+	t.filledAt = now
+	if t.report.Limited && t.share > 0 {
+		t.tokens = min(t.tokens+t.fillRate()*elapsed.Seconds(), float64(t.share))
+	}
+}
+
+// fillRate returns the tokens that this entry gains in a second. The caller holds
+// t.mu.
+func (t *Target) fillRate() float64 {
+	return max(t.report.Rate, minRate) * float64(t.share) / float64(max(1, t.burst))
+}
--- a/core/quota/target_test.go
+++ b/core/quota/target_test.go
@@ -39,11 +39,13 @@
 func TestLateResponseDoesNotLiftLimit(t *testing.T) {
 	is := is.New(t)
 	target := &quota.Target{}
-	is.Equal(target.Observe(start, start.Add(-time.Second), quota.Report{}), quota.Unchanged)
-	is.Equal(target.Observe(start, start.Add(-time.Second), quota.Report{Limited: true, Rate: 2}), quota.Named)
-	is.Equal(target.Observe(start.Add(time.Second), start.Add(-time.Second), quota.Report{}), quota.Unchanged)
+	is.Equal(event(target.Observe(start, start.Add(-time.Second), quota.Report{})), quota.Unchanged)
+	is.Equal(event(target.Observe(start, start.Add(-time.Second), quota.Report{Limited: true, Rate: 2})), quota.Named)
+	is.Equal(event(target.Observe(start.Add(time.Second), start.Add(-time.Second), quota.Report{})), quota.Unchanged)
 	is.True(target.Report().Limited)
-	is.Equal(target.Observe(start.Add(time.Second), start, quota.Report{Limited: true, Rate: 3}), quota.Changed)
-	is.Equal(target.Observe(start.Add(3*time.Second), start.Add(2*time.Second), quota.Report{}), quota.Lifted)
+	is.Equal(event(target.Observe(start.Add(time.Second), start, quota.Report{Limited: true, Rate: 3})), quota.Changed)
+	is.Equal(event(target.Observe(start.Add(3*time.Second), start.Add(2*time.Second), quota.Report{})), quota.Lifted)
 	is.True(!target.Report().Limited)
 }
+
+func event(e quota.Event, _ bool) quota.Event { return e }
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -100,7 +100,7 @@
 // is infinite if the endpoint cannot take the request.
 func (m *member) expectedCost(now time.Time, nowMs uint32, typicalLatency float64, tierIndex int, req *Request) float64 {
 	e := m.endpoint
-	if !e.hasFreeConnection() || slices.Contains(req.Exclude, e.address) {
+	if !e.available(now) || slices.Contains(req.Exclude, e.address) {
 		return math.Inf(1)
 	}
 	load, slots := e.estimateLoad(nowMs, m.slots)
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/susp"
 )
 
@@ -38,6 +39,7 @@
 	countTraffic func(region string, sent, received int64)
 
 	suspicion      *susp.Target  // nil: the target is never avoided
+	quota          *quota.Target // nil: the target is never limited
 	serviceLatency *atomic.Int64 // average latency of all endpoints of the router
 
 	connectionLimit atomic.Int64
--- a/core/route/explore.go
+++ b/core/route/explore.go
@@ -79,7 +79,7 @@
 		return
 	}
 	stats.idle++
-	if !e.hasFreeConnection() {
+	if !e.available(now) {
 		return
 	}
 	// Targets with a low failure probability are preferred.
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -31,18 +31,24 @@
 
 // query holds the parameters of one pick.
 type query struct {
-	nowMs          uint32 // time of the pick since the epoch of the router
+	now            time.Time
+	nowMs          uint32 // now since the epoch of the router
 	draw           uint64
-	typicalLatency float64 // average over all endpoints, for those without a sample
-	excluded       func(e *Endpoint) bool
+	typicalLatency float64   // average over all endpoints, for those without a sample
+	avoid          *Endpoint // may be nil
+	exclude        []netip.AddrPort
+}
+
+func (q *query) excludes(e *Endpoint) bool {
+	return e == q.avoid || slices.Contains(q.exclude, e.address)
 }
 
 // Pick chooses an endpoint by power of two choices. It returns nil when no
 // target can take a request. draw is a uniformly random number. The endpoint
 // avoid, which may be nil, is returned only if no other one is available.
 func (r *Router) Pick(now time.Time, draw uint64, avoid *Endpoint) *Endpoint {
-	e := r.pick(now, draw, func(e *Endpoint) bool { return e == avoid })
-	if e == nil && avoid != nil && avoid.hasFreeConnection() {
+	e := r.pick(now, draw, avoid, nil)
+	if e == nil && avoid != nil && avoid.available(now) {
 		return avoid
 	}
 	return e
@@ -51,14 +57,14 @@
 // PickExcluding is like Pick, but never returns an endpoint with an excluded
 // address.
 func (r *Router) PickExcluding(now time.Time, draw uint64, exclude []netip.AddrPort) *Endpoint {
-	return r.pick(now, draw, func(e *Endpoint) bool { return slices.Contains(exclude, e.address) })
+	return r.pick(now, draw, nil, exclude)
 }
 
-func (r *Router) pick(now time.Time, draw uint64, skip func(e *Endpoint) bool) *Endpoint {
+func (r *Router) pick(now time.Time, draw uint64, avoid *Endpoint, exclude []netip.AddrPort) *Endpoint {
 	s := r.current.Load()
 	q := query{
-		nowMs: uint32(now.Sub(r.epoch).Milliseconds()), draw: draw,
-		typicalLatency: float64(r.latency.Load()), excluded: skip,
+		now: now, nowMs: uint32(now.Sub(r.epoch).Milliseconds()), draw: draw,
+		typicalLatency: float64(r.latency.Load()), avoid: avoid, exclude: exclude,
 	}
 	var best candidate
 	for i := range s.tiers {
@@ -88,14 +94,14 @@
 }
 
 // PickProbation returns a random endpoint in probation, or nil if there is none
-// or the chosen one has an attempt in flight. It is meant for repeatable
+// or the chosen one has an attempt in flight or is at its limit. It is meant for repeatable
 // requests; the caller limits how often it is used.
-func (r *Router) PickProbation(draw uint64) *Endpoint {
+func (r *Router) PickProbation(now time.Time, draw uint64) *Endpoint {
 	s := r.current.Load()
 	if len(s.probes) == 0 {
 		return nil
 	}
-	if e := s.probes[draw%uint64(len(s.probes))]; e.Inflight() == 0 {
+	if e := s.probes[draw%uint64(len(s.probes))]; e.Inflight() == 0 && e.withinQuota(now) {
 		return e
 	}
 	return nil
@@ -111,7 +117,7 @@
 	}
 	c := &s.suspects[draw/sampleEvery%uint64(len(s.suspects))]
 	load, slots := c.endpoint.estimateLoad(uint32(now.Sub(r.epoch).Milliseconds()), c.slots)
-	if !now.Before(c.until) || !c.endpoint.hasFreeConnection() || load+1 > spillUse*slots {
+	if !now.Before(c.until) || !c.endpoint.available(now) || load+1 > spillUse*slots {
 		return nil
 	}
 	return c.endpoint
@@ -145,7 +151,7 @@
 
 func (t *tier) lowerCost(best candidate, m *member, q *query) candidate {
 	e := m.endpoint
-	if !e.hasFreeConnection() || q.excluded(e) {
+	if !e.available(q.now) || q.excludes(e) {
 		return best
 	}
 	load, slots := e.estimateLoad(q.nowMs, m.slots)
@@ -166,7 +172,13 @@
 	return best
 }
 
-func (e *Endpoint) hasFreeConnection() bool { return e.inflight.Load() < e.connectionLimit.Load() }
+// available reports whether the endpoint can take a request: there is a free
+// connection, and a limit of the target allows it.
+func (e *Endpoint) available(now time.Time) bool {
+	return e.inflight.Load() < e.connectionLimit.Load() && e.withinQuota(now)
+}
+
+func (e *Endpoint) withinQuota(now time.Time) bool { return e.quota == nil || e.quota.Available(now) }
 
 // splitMix64 is one step of the SplitMix64 generator. It derives an independent
 // draw from x.
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -85,7 +85,7 @@
 		t := &targets[i]
 		e := r.endpointFor(t)
 		endpoints[t.Address] = e
-		limit := connections[i]
+		limit := max(connections[i], limitedConnections(t))
 		e.connectionLimit.Store(int64(limit))
 		if t.Region == r.location.Region && !t.Drained && !t.OutOfService {
 			next.regionTargets++
@@ -106,6 +106,16 @@
 	r.current.Store(next)
 }
 
+// limitedConnections returns the number of connections that this instance needs for
+// its share of the limit of a target, also if the target is not in its subset: the
+// shares are not distributed by subset.
+func limitedConnections(t *Target) int {
+	if t.Quota == nil {
+		return 0
+	}
+	return min(maxConnections, t.Quota.Share())
+}
+
 // Endpoint returns the endpoint of a target of the last Update, or nil. Only
 // the control goroutine may call it.
 func (r *Router) Endpoint(address netip.AddrPort) *Endpoint { return r.endpoints[address] }
@@ -119,7 +129,7 @@
 	return &Endpoint{
 		address: t.Address, start: t.Start, region: t.Region, tag: t.Tag,
 		crossRegion: t.Region != r.location.Region, epoch: r.epoch, countTraffic: r.countTraffic,
-		suspicion: t.Suspicion, serviceLatency: &r.latency,
+		suspicion: t.Suspicion, quota: t.Quota, serviceLatency: &r.latency,
 	}
 }
 
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/susp"
 )
 
@@ -23,7 +24,8 @@
 	Drained      bool      // draining, leaving, gone or drained by an operator
 	Tag          any       // opaque value of the caller, fixed for the incarnation
 
-	Suspicion *susp.Target // of this incarnation; nil: the target is never avoided
+	Suspicion *susp.Target  // of this incarnation; nil: the target is never avoided
+	Quota     *quota.Target // of this incarnation; nil: the target is never limited
 }
 
 // Location identifies the instance that chooses and its place.
--- a/core/wire/fleet.go
+++ b/core/wire/fleet.go
@@ -65,3 +65,9 @@
 	Observation uint8         // kind of observation, as numbered by package susp
 	Age         time.Duration // time since the observation
 }
+
+// Aged returns the notice after some more time.
+func (s Suspect) Aged(d time.Duration) Suspect {
+	s.Age += d
+	return s
+}
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -168,6 +168,15 @@
 	}
 }
 
+// tryPost queues an event like post, but drops it if the queue is full. It is meant
+// for traffic goroutines, which must not block.
+func (a *Agent) tryPost(e event) {
+	select {
+	case a.events <- e:
+	default:
+	}
+}
+
 // applyAndWait posts an event and waits until it has been applied. It returns
 // false if ctx or the agent ended first; the event may still be applied later.
 func (a *Agent) applyAndWait(ctx context.Context, e event) bool {
--- a/entry/agent/limits_test.go
+++ b/entry/agent/limits_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/quota"
+	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/agent"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -66,6 +68,11 @@
 	limited, rate := renewal("s0", 0).Address, 1.0
 	reports := map[netip.AddrPort]quota.Report{limited: {Limited: true, Rate: rate}}
 
+	waitUntil(t, "the entry uses its share of the limit", func() bool {
+		exchange(a, time.Now(), reports)
+		wait, ok := a.LimitWait(request(a, "s0"), time.Now())
+		return ok && wait < time.Second
+	})
 	now, begin := time.Now(), time.Now()
 	var sent []time.Time
 	for ; now.Before(begin.Add(20 * time.Second)); now = now.Add(25 * time.Millisecond) {
@@ -88,3 +95,53 @@
 	}
 	is.True(after > 100)
 }
+
+// Guards against an entry that observes only the limits that it was told itself,
+// keeps them to itself, or takes more than its part of them.
+func TestLimitsAreShared(t *testing.T) {
+	is := is.New(t)
+	near := startFakeRegistry(t, "near", "salish")
+	for n := range 2 {
+		near.announce(uint64(n+1), n+1, enrol.Ready, false)
+	}
+	a := startRegistryAgent(t, near.addr)
+	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByName(a)) == 2 })
+	limitOf := func(n int, report quota.Report) wire.List[wire.Limit] {
+		return wire.List[wire.Limit]{List: []wire.Limit{{
+			Service: "s0", Target: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80), Start: targetStart.UnixMilli(),
+			Limited: report.Limited, Rate: report.Rate,
+		}}}
+	}
+	near.send(t, wire.KindDemands, wire.List[wire.Demand]{List: []wire.Demand{{Service: "s0", Entry: 1, Region: "salish", Rate: 1e9}}})
+	near.send(t, wire.KindLimits, limitOf(1, quota.Report{Limited: true, Rate: 1000}))
+	waitUntil(t, "the target is left to the entry with the demand", func() bool { return picksByName(a)["t-1"] == 0 })
+	demand := <-near.demands
+	is.True(demand.List[0].Rate > 0)
+	is.Equal(demand.List[0].Region, "salish")
+	near.send(t, wire.KindDemands, wire.List[wire.Demand]{List: []wire.Demand{{Service: "s0", Entry: 1, Region: "salish"}}})
+	waitUntil(t, "this entry uses the target", func() bool { return picksByName(a)["t-1"] > 0 })
+	near.send(t, wire.KindLimits, limitOf(1, quota.Report{}))
+	waitUntil(t, "the limit is lifted", func() bool { return picksByName(a)["t-1"] > 50 })
+
+	// An entry that is told a limit passes it on.
+	told := renewal("s0", 2).Address
+	waitUntil(t, "a target names its limit", func() bool {
+		address, ok := exchange(a, time.Now(), map[netip.AddrPort]quota.Report{told: {Limited: true, Rate: 2}})
+		return ok && address == told
+	})
+	got := <-near.limits
+	for got.List[0].Target != told { // this entry may have seen before control that the other limit was lifted
+		got = <-near.limits
+	}
+	is.Equal(got.List[0].Rate, 2.0)
+
+	// No target is left. The refusal tells when there is one again.
+	near.send(t, wire.KindDemands, wire.List[wire.Demand]{List: []wire.Demand{{Service: "s0", Entry: 1, Region: "salish", Rate: 1e9}}})
+	waitUntil(t, "no target is left", func() bool {
+		near.send(t, wire.KindLimits, limitOf(1, quota.Report{Limited: true, Rate: 2}))
+		_, ok := a.Pick(request(a, "s0"), nil, time.Now())
+		return !ok
+	})
+	wait, limited := a.LimitWait(request(a, "s0"), time.Now())
+	is.True(limited && wait > 0 && wait <= 5*time.Second)
+}
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -45,6 +45,12 @@
 		return deliver(m, func(e wire.Entries) { a.postToRegistry(func(time.Time) { a.receiveEntryCounts(e) }) })
 	case wire.KindSuspects:
 		return deliver(m, func(s wire.Suspects) { a.postToRegistry(func(now time.Time) { a.receiveSuspects(now, s) }) })
+	case wire.KindLimits:
+		return deliver(m, func(l wire.List[wire.Limit]) {
+			a.postToRegistry(func(now time.Time) { a.receiveLimits(now, c.Peer().Instance, l) })
+		})
+	case wire.KindDemands:
+		return deliver(m, func(d wire.List[wire.Demand]) { a.postToRegistry(func(now time.Time) { a.receiveDemands(now, d) }) })
 	case wire.KindOrders:
 		return deliver(m, func(o wire.Orders) {
 			a.post(func(now time.Time) { a.applyOrders(now, c, o) })
--- a/entry/agent/pick.go
+++ b/entry/agent/pick.go
@@ -29,7 +29,7 @@
 func (u *upstream) pickProbe(now time.Time, random uint64) *route.Endpoint {
 	last := u.lastProbe.Load()
 	if now.UnixNano()-last >= int64(probeInterval) {
-		if e := u.router.PickProbation(random); e != nil && u.lastProbe.CompareAndSwap(last, now.UnixNano()) {
+		if e := u.router.PickProbation(now, random); e != nil && u.lastProbe.CompareAndSwap(last, now.UnixNano()) {
 			return e
 		}
 	}
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -28,6 +28,8 @@
 	name, region string
 	addr         netip.AddrPort
 	suspects     chan wire.Suspects
+	limits       chan wire.List[wire.Limit]
+	demands      chan wire.List[wire.Demand]
 
 	mu               sync.Mutex
 	table            *enrol.Table
@@ -38,7 +40,8 @@
 }
 
 func startFakeRegistry(t *testing.T, name, region string) *fakeRegistry {
-	r := &fakeRegistry{name: name, region: region, table: enrol.New(), follows: map[*link.Conn]wire.Follow{}, suspects: make(chan wire.Suspects, 16)}
+	r := &fakeRegistry{name: name, region: region, table: enrol.New(), follows: map[*link.Conn]wire.Follow{}, suspects: make(chan wire.Suspects, 16),
+		limits: make(chan wire.List[wire.Limit], 16), demands: make(chan wire.List[wire.Demand], 16)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -91,10 +94,34 @@
 			return nil, err
 		}
 		r.suspects <- in
+	case wire.KindLimits:
+		return receiveInto(m, r.limits)
+	case wire.KindDemands:
+		return receiveInto(m, r.demands)
 	}
 	return nil, nil
 }
 
+func receiveInto[T any](m wire.Message, into chan<- T) (any, error) {
+	var in T
+	if err := wire.Decode(m.Body, &in); err != nil {
+		return nil, err
+	}
+	into <- in
+	return nil, nil
+}
+
+// send sends a message to all entries.
+func (r *fakeRegistry) send(t *testing.T, kind wire.Kind, body any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.follows {
+		if err := c.Send(kind, body); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // announce adds an announcement to the table. With notify it sends the change to
 // entries that use this replica as the primary, and a digest to the others.
 func (r *fakeRegistry) announce(index uint64, n int, state enrol.State, notify bool) {
--- a/entry/agent/status.go
+++ b/entry/agent/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/gossip"
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/roster"
 	"github.com/galenalock/galenalock/core/route"
 )
@@ -53,6 +54,7 @@
 type targetSnapshot struct {
 	roster.Target
 	endpoint  *route.Endpoint
+	quota     *quota.Target
 	weight    float64
 	ejected   bool // ejected by a grant
 	probation bool // ejected, but tested with a few requests
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -42,6 +42,7 @@
 			u.monitor.Tick(now)
 			a.sendEvidence(now, u)
 		}
+		a.tickLimits(now, u)
 		if u.updateDue(now) || u.leasesChanged(a) || ticked && u.weightsChanged() {
 			a.updateUpstream(now, u)
 		}
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -38,6 +38,9 @@
 	if u == nil {
 		return proxy.Target{}, false
 	}
+	if len(exclude) == 0 {
+		u.meter.Record(now)
+	}
 	var e *route.Endpoint
 	if a.registry != nil {
 		e = u.router.PickByCost(now, rand.Uint64(), route.Request{NonRepeatable: !r.Kind.Repeatable, LargeBody: r.Kind.Upload, Exclude: exclude})
@@ -74,6 +77,7 @@
 		}
 	}
 	d.endpoint.Begin()
+	d.target.quota.Take(at.Start)
 	d.upstream.pending.Add(1)
 	d.upstream.active.Store(true)
 	if overdue := d.upstream.overdueDelay(at.Request.Kind); a.registry != nil && overdue > 0 {
@@ -107,7 +111,10 @@
 		a.recordObservation(d.target, observation, o.End)
 	}
 	if o.HasLimit {
-		a.recordLimit(d.target, at, o)
+		a.recordLimit(d.upstream, d.target, at, o)
+	}
+	if o.Class == proxy.Dial {
+		d.target.quota.Return(o.End)
 	}
 	if d.measured {
 		d.call.Finish(at.Start.Add(latencyOf(at, o)), healthOutcome(o))
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -41,11 +41,13 @@
 	pending   atomic.Int64                     // attempts in flight
 	active    atomic.Bool                      // an attempt began or ended since the last tick of the monitor
 	lastProbe atomic.Int64                     // Unix nanoseconds of the last probe
+	meter     quota.Meter                      // demand of this entry
 
 	// Accessed only by the control goroutine.
 	service         *spec.Service
 	dirty           bool
 	targets         map[netip.AddrPort]*target
+	limits          limits
 	slowStarting    bool                         // a target is in slow start or watched
 	ejected         map[netip.AddrPort]bool      // ejected by a grant at the last update; true: in probation
 	returnedAt      map[netip.AddrPort]time.Time // end of the last ejection, for the slow start
@@ -181,7 +183,7 @@
 		r := a.routeTarget(now, u, t, h, ejected)
 		routeTargets = append(routeTargets, r)
 		u.slowStarting = u.slowStarting || now.Sub(r.ReadySince) < a.settings.SlowStart
-		snapshots = append(snapshots, targetSnapshot{Target: t, weight: r.Weight, ejected: r.OutOfService, probation: r.InProbation, drained: a.drains.Has(t.Address.String())})
+		snapshots = append(snapshots, targetSnapshot{Target: t, quota: h.quota, weight: r.Weight, ejected: r.OutOfService, probation: r.InProbation, drained: a.drains.Has(t.Address.String())})
 	}
 	for address := range u.targets {
 		if next[address] == nil {
@@ -227,6 +229,7 @@
 		Address: t.Address, Start: t.Start, Region: t.Region, DataCentre: t.DataCentre,
 		Slots: t.Slots, Connections: t.Connections, ReadySince: ready, Weight: h.health.Weight(), Tag: h,
 		Suspicion:    h.suspicion,
+		Quota:        h.quota,
 		OutOfService: ejectedNow,
 		SuspectSince: u.watchedSince[t.Address],
 		InProbation:  ejectedNow && probe,
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -129,6 +129,9 @@
 		return errCallerGone
 	case errors.Is(err, errNoTarget):
 		out.Reason, out.RetryAfter = refuse.NoTarget, retryAfter
+		if wait, limited := c.proxy.hooks.LimitWait(c.request, c.proxy.hooks.Now()); limited {
+			out.Reason, out.RetryAfter = refuse.Limited, wait
+		}
 	case errors.As(err, &shed):
 		out.Reason, out.RetryAfter = refuse.Shed, retryShed
 	case errors.Is(err, errDigestMismatch):
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -39,6 +39,13 @@
 	// none. Required.
 	Pick func(r Request, exclude []netip.AddrPort, now time.Time) (Target, bool)
 
+	// MayResend reports whether a target may get a request again on another
+	// connection.
+	MayResend func(target Target, now time.Time) bool
+	// LimitWait is called if there is no target. It returns the time until a target
+	// with a limit may get a request, and false if limits are not the reason.
+	LimitWait func(r Request, now time.Time) (time.Duration, bool)
+
 	// Await is called for a request that arrives before there is a usable view.
 	// It may wait for the first configuration.
 	Await func(ctx context.Context)
@@ -101,6 +108,12 @@
 	if h.Await == nil {
 		h.Await = func(context.Context) {}
 	}
+	if h.MayResend == nil {
+		h.MayResend = func(Target, time.Time) bool { return true }
+	}
+	if h.LimitWait == nil {
+		h.LimitWait = func(Request, time.Time) (time.Duration, bool) { return 0, false }
+	}
 	if h.Begin == nil {
 		h.Begin = func(Attempt) {}
 	}
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -63,6 +63,9 @@
 		{"bigheader", fmt.Sprintf(get, "X-Long: "+strings.Repeat("x", 200)+"\r\n"), proxy.Hooks{View: shortHeaderView(t)}, nil},
 		{"upgrade", "GET /tables/x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, close\r\nUpgrade: websocket\r\n\r\n", proxy.Hooks{}, nil},
 		{"notarget", fmt.Sprintf(get, ""), proxy.Hooks{}, nil},
+		{"limited", fmt.Sprintf(get, ""), proxy.Hooks{LimitWait: func(proxy.Request, time.Time) (time.Duration, bool) {
+			return 1500 * time.Millisecond, true
+		}}, nil},
 		{"connect", fmt.Sprintf(get, ""), proxy.Hooks{}, []netip.AddrPort{closedTarget}},
 		{"shed", fmt.Sprintf(change, ""), proxy.Hooks{}, []netip.AddrPort{respond(t, shed, nil)}},
 		{"broken", fmt.Sprintf(change, ""), proxy.Hooks{}, []netip.AddrPort{silentTarget}},
