Entries log and count the crashes of targets during requests

Targets crash one after the other, and the logs do not show whether requests do that, or which: identifiers of requests are new for each attempt of a caller, and a lost connection looks the same whether the target crashed or closed it.

An entry now connects again to a target after a lost connection. If that is refused, or if the target announces a new incarnation, the loss was a crash. The line names a print of the request: a hash of what makes it the same for a target. Nothing acts on it yet.

--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -21,6 +21,7 @@
 	LinkBytes           Name = "linkbytes"
 	Ejections           Name = "ejections"
 	TargetLimits        Name = "limits"
+	TargetCrashes       Name = "crashes"
 	Claims              Name = "claims"
 	CrossRegionBytes    Name = "crossing"
 	Commits             Name = "commits"
@@ -53,6 +54,7 @@
 	LinkBytes:           {"counter", "By", "direction", "Bytes on links between processes"},
 	Ejections:           {"counter", "{event}", "event", "Events in the ejection of targets"},
 	TargetLimits:        {"counter", "{event}", "event", "Changes of the limits that targets name: named, changed or lifted"},
+	TargetCrashes:       {"counter", "{request}", "", "Requests during which their target crashed"},
 	Claims:              {"counter", "{claim}", "state", "Claims, by answer"},
 	CrossRegionBytes:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
--- a/core/pool/error.go
+++ b/core/pool/error.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
+	"syscall"
 )
 
 // DialError reports a connection that could not be opened.
@@ -105,3 +107,16 @@
 	}
 	return false
 }
+
+// ConnectionLost reports whether the connection ended after bytes of the request
+// were sent and before the response was complete. Responses that are malformed are
+// not included.
+func ConnectionLost(err error) bool {
+	var read *ReadError
+	var write *WriteError
+	if !errors.As(err, &read) && (!errors.As(err, &write) || write.Sent == 0) {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -58,6 +58,7 @@
 	lastTick       time.Time
 	peersDirty     bool
 	peers          []route.Peer
+	crashes        crashes
 	registry       *registry // nil if targets come from the overlay
 
 	// Shared with traffic goroutines.
@@ -93,6 +94,10 @@
 		suspectReports: make(chan suspectReport, suspectQueueLength),
 		startupGate:    proxy.NewStartupGate(s.Start.Add(s.StartupWait)),
 	}
+	a.crashes.probing = map[*target]bool{}
+	if a.hooks.Connect == nil {
+		a.hooks.Connect = connect
+	}
 	if len(s.ControlSeeds) > 0 {
 		a.registry = newRegistry(&s)
 		a.update = update.New(s.Start, update.WithControlOnly())
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -95,6 +95,7 @@
 		CountRetry:       func(string, string) {},
 		CountCrossRegion: func(int64, int64) {},
 		CountLimit:       func(quota.Event) {},
+		CountCrash:       func() {},
 		Inflight:         func() int { return 0 },
 	}, log)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -51,7 +52,11 @@
 	CountRetry       func(reason, decision string)        // counts a decision of a retry budget
 	CountCrossRegion func(sent, received int64)           // counts bytes exchanged with targets in other regions
 	CountLimit       func(event quota.Event)              // counts a change of the limit of a target
+	CountCrash       func()                               // counts a request during which its target crashed
 	Inflight         func() int                           // returns the number of requests in flight
+	// Connect opens a connection to a target and closes it. The default is a TCP
+	// connection.
+	Connect func(ctx context.Context, target netip.AddrPort) error
 }
 
 // conns are the open links to control replicas, the preferred one first.
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -113,6 +113,9 @@
 	if o.HasLimit {
 		a.recordLimit(d.upstream, d.target, at, o)
 	}
+	if o.Lost {
+		a.examineLoss(d.target, at, o)
+	}
 	if o.Class == proxy.Dial {
 		d.target.quota.Return(o.End)
 	}
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -205,6 +205,7 @@
 	}
 	u.snapshots.Store(&snapshots)
 	u.targets, u.ejected, u.dirty, u.lastUpdate = next, ejected, false, now
+	a.confirmRestarts(now, u)
 	deliverDecisions(u.gate.SetCapacity(now, float64(slots), a.entryCount()))
 }
 
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -106,6 +106,7 @@
 		CountRetry:       c.addRetry,
 		CountCrossRegion: c.addCrossRegion,
 		CountLimit:       c.addLimitEvent,
+		CountCrash:       c.addCrash,
 		Inflight:         d.inflight,
 	}, log)
 }
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -12,6 +12,7 @@
 	linkBytes        *meter.Counter
 	requestsCut      *meter.Counter
 	targetLimits     *meter.Counter
+	targetCrashes    *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -21,7 +22,7 @@
 		into **meter.Counter
 	}{
 		{meter.RetryDecisions, &c.retryDecisions}, {meter.CrossRegionBytes, &c.crossRegionBytes},
-		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut}, {meter.TargetLimits, &c.targetLimits},
+		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut}, {meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -44,3 +45,5 @@
 func (c *counters) addLinkBytes(dir string, n int) { c.linkBytes.Add(int64(n), dir) }
 
 func (c *counters) addLimitEvent(event quota.Event) { c.targetLimits.Add(1, string(event)) }
+
+func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -219,6 +219,7 @@
 		a.outcome.Class, a.outcome.Err = class, err
 		a.outcome.End = a.call.proxy.hooks.Now()
 		a.outcome.Reused = a.reused.Load()
+		a.outcome.Lost = class == Failed && pool.ConnectionLost(err)
 		a.outcome.BytesSent = a.call.upload.bytesRead.Load()
 		a.call.proxy.hooks.End(a.info, a.outcome)
 	})
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
+	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/core/refuse"
 )
 
@@ -34,6 +36,9 @@
 	unsent       int          // number of attempts that sent no byte
 	wroteHeader  bool         // the response header was sent to the caller
 	status       int
+
+	printOnce  sync.Once
+	printValue poison.Print
 }
 
 func newCall(p *Proxy, w http.ResponseWriter, r *http.Request) *call {
@@ -105,6 +110,7 @@
 		return err
 	}
 	defer c.upload.stop()
+	c.request.Print = c.print
 	admitted, err := c.proxy.hooks.Admit(ctx, c.request)
 	if err != nil {
 		return admissionRefusal(ctx, err)
--- a/entry/proxy/key.go
+++ b/entry/proxy/key.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/core/refuse"
 )
 
@@ -78,15 +79,41 @@
 // clients change dates, trace context and credentials when they resend.
 func fingerprint(r *http.Request, path, workspace string, body []byte) uint64 {
 	h := sha256.New()
-	for _, part := range []string{r.Method, path, r.URL.RawQuery, workspace} {
-		writeLength(h, len(part))
-		h.Write([]byte(part))
-	}
+	writeParts(h, r.Method, path, r.URL.RawQuery, workspace)
 	writeLength(h, len(body))
 	h.Write(body)
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
+// print identifies the request for targets: a hash of service, method, host, URI,
+// workspace, credentials and body. The body of a streamed request is not known in
+// advance, so only its length counts.
+func (c *call) print() poison.Print {
+	c.printOnce.Do(func() {
+		h := sha256.New()
+		writeParts(h, c.request.Service.Name, c.r.Method, c.r.Host, c.uri, c.request.Workspace)
+		for _, name := range []string{"Authorization", "Cookie"} {
+			writeParts(h, c.r.Header[name]...)
+			writeLength(h, 0) // ends the list of values
+		}
+		if c.streaming {
+			writeLength(h, int(c.upload.length))
+		} else {
+			writeLength(h, len(c.bufferedBody))
+			h.Write(c.bufferedBody)
+		}
+		copy(c.printValue[:], h.Sum(nil))
+	})
+	return c.printValue
+}
+
+func writeParts(h hash.Hash, parts ...string) {
+	for _, part := range parts {
+		writeLength(h, len(part))
+		h.Write([]byte(part))
+	}
+}
+
 // writeLength hashes the length of the next part, so that different splits of
 // the same bytes have different fingerprints.
 func writeLength(h hash.Hash, n int) {
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
@@ -54,6 +55,7 @@
 	Start     time.Time
 	Deadline  time.Time
 	Admission Admission
+	Print     func() poison.Print // identifies the request for targets; nil before the body is known
 }
 
 // Admission is the permission to run a request.
@@ -118,5 +120,6 @@
 	Reused        bool  // the connection had carried a request before
 	BytesReceived int64 // of the response body
 	BytesSent     int64 // of the request body
+	Lost          bool  // the target or its host closed the connection before the response was complete
 	Err           error // why the attempt failed
 }
