--- /dev/null
+++ b/entry/agent/crashes_test.go
@@ -0,0 +1,163 @@
+package agent_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/wire"
+	"github.com/galenalock/galenalock/entry/agent"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+// fragileTarget is a target that ends when it gets a request for /deadly, and
+// starts again at the same address when restart is called.
+type fragileTarget struct {
+	t        testing.TB
+	address  netip.AddrPort
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	deadly   int // requests for /deadly
+}
+
+func startFragileTarget(t testing.TB) *fragileTarget {
+	f := &fragileTarget{t: t, conns: map[net.Conn]bool{}}
+	f.restart()
+	t.Cleanup(f.crash)
+	return f
+}
+
+func (f *fragileTarget) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listener != nil {
+		return
+	}
+	address := "127.0.0.1:0"
+	if f.address.IsValid() {
+		address = f.address.String()
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.listener, f.address = l, l.Addr().(*net.TCPAddr).AddrPort()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.conns[c] = true
+			f.mu.Unlock()
+			go f.serve(c)
+		}
+	}()
+}
+
+func (f *fragileTarget) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listener != nil {
+		f.listener.Close()
+		f.listener = nil
+	}
+	for c := range f.conns {
+		c.Close()
+	}
+	clear(f.conns)
+}
+
+func (f *fragileTarget) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/deadly" {
+			f.mu.Lock()
+			f.deadly++
+			f.mu.Unlock()
+			f.crash()
+			return
+		}
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+}
+
+// startCrashFleet runs an agent with a proxy in front of fragile targets. send
+// sends a GET request and returns the status and how often a target got a deadly
+// request so far.
+func startCrashFleet(t *testing.T, a *agent.Agent, targets []*fragileTarget) (send func(path string) (status, deadly int)) {
+	p := proxy.New(proxy.Hooks{
+		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Retry: a.Retry,
+	})
+	server := httptest.NewServer(p)
+	t.Cleanup(func() { server.Close(); p.Close() })
+	return func(path string) (int, int) {
+		response, err := http.Get(server.URL + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		total := 0
+		for _, f := range targets {
+			f.mu.Lock()
+			total += f.deadly
+			f.mu.Unlock()
+			f.restart()
+		}
+		return response.StatusCode, total
+	}
+}
+
+// Guards against a request that crashes one target after the other, and against
+// other requests that are refused because of it.
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	text := "[[service]]\nname = \"s0\"\nfloor = \"50%\"\n[[route]]\nprefix = \"/\"\nservice = \"s0\"\nkind = { repeat = true, timeout = \"2s\", attempts = 2 }\n"
+	r := startFakeReplica(t, &fakeReplica{text: []byte(text), number: 1})
+	a := startAgent(t, r.addr)
+	waitUntil(t, "ready", func() bool { return a.View().Ready })
+	var targets []*fragileTarget
+	for range 6 {
+		f := startFragileTarget(t)
+		targets = append(targets, f)
+		is.Equal(announce(t, a, wire.Renew{
+			Service: "s0", Address: f.address, Region: "salish", DataCentre: "salish-1", Slots: 6, Connections: 400,
+			Start: targetStart, Seq: 1, State: "ready", TTL: 60,
+		}), http.StatusOK)
+	}
+	waitUntil(t, "all targets are picked", func() bool { return len(picksByAddress(a, "s0")) == len(targets) })
+	send := startCrashFleet(t, a, targets)
+
+	crashed := 0
+	waitUntil(t, "three targets have crashed", func() bool { _, crashed = send("/deadly"); return crashed >= 3 })
+	const retries = 3 // that may still reach a target
+	waitUntil(t, "the request is refused", func() bool {
+		status, total := send("/deadly")
+		is.True(total <= crashed+retries)
+		return status == http.StatusServiceUnavailable
+	})
+	before := 0
+	for range 20 {
+		status, total := send("/deadly")
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(before == 0 || total == before)
+		before = total
+	}
+	waitUntil(t, "other requests are answered", func() bool { status, _ := send("/harmless"); return status == http.StatusOK })
+}
