Requests that crash several targets are quarantined in the whole fleet

Cause: attempts of a request are connected by its identifier only, which is new for each attempt of a caller. The bound on attempts and the retry budgets hold for one attempt of a caller or one entry, so nothing counts what one request does to the fleet. The class of fault is the same as with limits of targets: a bound on the whole fleet that each process applies to what it sees itself.

Change: core/poison keeps the crashes under each print for the whole fleet. A request under which three targets crashed, and that none has answered since, is refused at once with run no and a Retry-After; it is tried again after the setting quarantine (10 min, doubled by each further crash). Crashes that a quarantined request explains do not count against requests that were running beside it. Entries report crashes and answers through control, which passes each on once and keeps them for entries that link later. Entries send those of quarantined requests to a new primary replica, which may have lost them in a restart.

Limits: the body of a request that is streamed is not part of its print, only its length. Fleets with an overlay instead of seeds do not share crashes.

--- a/control/daemon/harness_test.go
+++ b/control/daemon/harness_test.go
@@ -193,6 +193,7 @@
 	orders    chan wire.Orders
 	updates   chan enrol.Update
 	limits    chan wire.List[wire.Limit]
+	crashes   chan wire.List[wire.Crash]
 }
 
 // dialFollower links an entry that receives its targets from the replica.
@@ -208,7 +209,7 @@
 func dialEntry(t testing.TB, r *replica) *entry {
 	t.Helper()
 	e := &entry{
-		revisions: make(chan wire.Revision, 100), orders: make(chan wire.Orders, 100), updates: make(chan enrol.Update, 100), limits: make(chan wire.List[wire.Limit], 100),
+		revisions: make(chan wire.Revision, 100), orders: make(chan wire.Orders, 100), updates: make(chan enrol.Update, 100), limits: make(chan wire.List[wire.Limit], 100), crashes: make(chan wire.List[wire.Crash], 100),
 	}
 	dialer := link.NewDialer(
 		link.WithHello(func() wire.Hello {
@@ -234,6 +235,12 @@
 					return nil, err
 				}
 				e.limits <- in
+			case wire.KindCrashes:
+				var in wire.List[wire.Crash]
+				if err := wire.Decode(m.Body, &in); err != nil {
+					return nil, err
+				}
+				e.crashes <- in
 			case wire.KindOrders:
 				var in wire.Orders
 				if err := wire.Decode(m.Body, &in); err != nil {
--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -151,6 +151,13 @@
 		}
 		p.fleet.ReceiveDemands(c, in.List, !fromReplica)
 		return nil, nil
+	case wire.KindCrashes:
+		var in wire.List[wire.Crash]
+		if err := wire.Decode(m.Body, &in); err != nil {
+			return nil, err
+		}
+		p.fleet.ReceiveCrashes(c, in.List, !fromReplica)
+		return nil, nil
 	}
 	var in wire.Follow
 	if err := wire.Decode(m.Body, &in); err != nil {
--- a/control/daemon/seeds_test.go
+++ b/control/daemon/seeds_test.go
@@ -268,3 +268,38 @@
 		is.Equal(got.List[0].Rate, limit.Rate)
 	}
 }
+
+// Guards against crashes that an entry which links later does not learn, and
+// against notices of the same crash that go around without end.
+func TestCrashesReachAllEntries(t *testing.T) {
+	is := is.New(t)
+	group := seedGroup(t, 3, 3, 1)
+	for _, r := range group {
+		r.run()
+	}
+	first, second := dialFollower(t, group[0].replica), dialFollower(t, group[2].replica)
+	report := func(target byte) wire.List[wire.Crash] {
+		return wire.List[wire.Crash]{List: []wire.Crash{{
+			Print: [16]byte{1}, Target: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, target}), 80), Start: 1,
+		}}}
+	}
+	target := byte(0)
+	waitUntil(t, "a crash reaches the entry of another replica", func() bool {
+		target++
+		is.NoErr(first.conn.Send(wire.KindCrashes, report(target)))
+		select {
+		case got := <-second.crashes:
+			return got.List[0].Target == report(target).List[0].Target
+		case <-time.After(50 * time.Millisecond): // the replicas may not be linked yet
+			return false
+		}
+	})
+	for range 5 {
+		is.NoErr(first.conn.Send(wire.KindCrashes, report(target)))
+	}
+	target++
+	is.NoErr(first.conn.Send(wire.KindCrashes, report(target)))
+	is.Equal((<-second.crashes).List[0].Target, report(target).List[0].Target) // the copies were not forwarded
+	late := dialFollower(t, group[1].replica)
+	is.True(len((<-late.crashes).List) >= 2)
+}
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -107,6 +107,7 @@
 	suspectTimer *time.Timer // runs while suspects wait
 	limits       *notices[limitSubject, wire.Limit]
 	demands      *notices[demandSubject, wire.Demand]
+	crashes      *notices[crashSubject, wire.Crash]
 	noticeTimer  *time.Timer // runs while notices wait
 	lastPush     time.Time
 	pushTimer    *time.Timer // runs while a change of the view waits
@@ -125,6 +126,7 @@
 		suspectTimer:   time.NewTimer(0),
 		limits:         newLimits(),
 		demands:        newDemands(),
+		crashes:        newCrashes(),
 		noticeTimer:    time.NewTimer(0),
 		pushTimer:      time.NewTimer(0),
 	}
--- a/control/fleet/notices.go
+++ b/control/fleet/notices.go
@@ -16,9 +16,13 @@
 	// that link later. Entries send them again more often than that.
 	limitLifetime  = 30 * time.Second
 	demandLifetime = 12 * time.Second
+	// crashLifetime covers the longest quarantine that is common.
+	crashLifetime = time.Hour
+	// maxCrashes bounds what an entry gets when it links.
+	maxCrashes = 512
 )
 
-// limitSubject and demandSubject are what a notice is about.
+// limitSubject, demandSubject and crashSubject are what a notice is about.
 type (
 	limitSubject struct {
 		target netip.AddrPort
@@ -28,6 +32,12 @@
 		service string
 		entry   uint64
 	}
+	crashSubject struct {
+		print    [16]byte
+		target   netip.AddrPort
+		start    int64
+		answered bool
+	}
 )
 
 // notices passes the notices of one kind on to all entries.
@@ -40,18 +50,29 @@
 func newLimits() *notices[limitSubject, wire.Limit] {
 	return &notices[limitSubject, wire.Limit]{
 		kind: wire.KindLimits, batch: batch.New[wire.Limit](),
-		board: board.New(limitLifetime,
+		board: board.New(
 			func(l wire.Limit) limitSubject { return limitSubject{l.Target, l.Start} },
-			func(l wire.Limit) time.Duration { return l.Age }),
+			func(l wire.Limit) time.Duration { return l.Age }, board.WithLifetime[limitSubject, wire.Limit](limitLifetime)),
 	}
 }
 
 func newDemands() *notices[demandSubject, wire.Demand] {
 	return &notices[demandSubject, wire.Demand]{
 		kind: wire.KindDemands, batch: batch.New[wire.Demand](),
-		board: board.New(demandLifetime,
+		board: board.New(
 			func(d wire.Demand) demandSubject { return demandSubject{d.Service, d.Entry} },
-			func(d wire.Demand) time.Duration { return d.Age }),
+			func(d wire.Demand) time.Duration { return d.Age }, board.WithLifetime[demandSubject, wire.Demand](demandLifetime)),
+	}
+}
+
+func newCrashes() *notices[crashSubject, wire.Crash] {
+	return &notices[crashSubject, wire.Crash]{
+		kind: wire.KindCrashes, batch: batch.New[wire.Crash](),
+		board: board.New(
+			func(c wire.Crash) crashSubject { return crashSubject{c.Print, c.Target, c.Start, c.Answered} },
+			func(c wire.Crash) time.Duration { return c.Age },
+			board.WithLifetime[crashSubject, wire.Crash](crashLifetime), board.WithCapacity[crashSubject, wire.Crash](maxCrashes),
+			board.WithOnce[crashSubject](func(c wire.Crash) bool { return !c.Answered })),
 	}
 }
 
@@ -74,11 +95,17 @@
 	f.postStats(func() { receiveNotices(f, f.demands, c, list, direct) })
 }
 
+// ReceiveCrashes forwards the crashes that an entry reports in the same way.
+func (f *Fleet) ReceiveCrashes(c *link.Conn, list []wire.Crash, direct bool) {
+	f.postStats(func() { receiveNotices(f, f.crashes, c, list, direct) })
+}
+
 func receiveNotices[K comparable, N batch.Notice[N]](f *Fleet, n *notices[K, N], c *link.Conn, list []N, direct bool) {
 	now := f.Clock()
-	n.board.Add(now, list)
-	n.batch.Add(now, c.Peer().Instance, "", list, direct)
-	f.scheduleNotices(now)
+	if fresh := n.board.Add(now, list); len(fresh) > 0 {
+		n.batch.Add(now, c.Peer().Instance, "", fresh, direct)
+		f.scheduleNotices(now)
+	}
 }
 
 // scheduleNotices flushes the notices that are due and starts the timer for the
@@ -97,7 +124,7 @@
 	}
 }
 
-func (f *Fleet) noticeRelays() []noticeRelay { return []noticeRelay{f.limits, f.demands} }
+func (f *Fleet) noticeRelays() []noticeRelay { return []noticeRelay{f.limits, f.demands, f.crashes} }
 
 // catchUpNotices sends what is known to an instance that has linked.
 func (f *Fleet) catchUpNotices(c *link.Conn) {
--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -25,6 +25,7 @@
 	Limited     Reason = "limited"     // the targets of the service are at the limits that they named
 	Connect     Reason = "connect"     // no connection to a target could be opened
 	Shed        Reason = "shed"        // the target declared that it did not run the request
+	Quarantined Reason = "quarantined" // the request crashed several targets
 	Broken      Reason = "broken"      // the target failed after the request was dispatched
 	NoQuorum    Reason = "noquorum"    // the claim could not be committed
 	Running     Reason = "running"     // an earlier request with the key is still running
@@ -58,6 +59,7 @@
 	Limited:     {http.StatusServiceUnavailable, "The targets of the service are at their limits"},
 	Connect:     {http.StatusBadGateway, "No target could be connected"},
 	Shed:        {http.StatusServiceUnavailable, "The target shed the request"},
+	Quarantined: {http.StatusServiceUnavailable, "The request has crashed several targets"},
 	Broken:      {http.StatusBadGateway, "The target failed while it handled the request"},
 	NoQuorum:    {http.StatusServiceUnavailable, "The claim for the request could not be committed"},
 	Running:     {http.StatusConflict, "An earlier request with the same key is still running"},
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -31,6 +31,7 @@
 	KindSuspects Kind = "suspects" // Suspects, sent to control, which forwards it to the entries of the region
 	KindLimits   Kind = "limits"   // List of Limit, sent to control, which forwards it to all entries
 	KindDemands  Kind = "demands"  // List of Demand, forwarded in the same way
+	KindCrashes  Kind = "crashes"  // List of Crash, forwarded in the same way
 )
 
 // Message is one frame on a link. Call is nonzero for a message that expects
--- a/core/wire/notice.go
+++ b/core/wire/notice.go
@@ -42,3 +42,20 @@
 	d.Age += by
 	return d
 }
+
+// Crash is a crash of a target while it ran a request, or an answer to a request
+// that had been running at targets when they crashed.
+type Crash struct {
+	_        struct{} `cbor:",toarray"`
+	Print    [16]byte // identifies the request
+	Target   netip.AddrPort
+	Start    int64 // Unix milliseconds, the incarnation
+	Answered bool  // the request was answered; without target
+	Age      time.Duration
+}
+
+// Aged returns the notice after some more time.
+func (c Crash) Aged(d time.Duration) Crash {
+	c.Age += d
+	return c
+}
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/galenalock/galenalock/core/gossip"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/mesh"
+	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/core/roster"
 	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/update"
@@ -68,6 +69,7 @@
 	controlLinks     atomic.Pointer[conns]
 	fleet            atomic.Pointer[Fleet]
 	rates            *rates
+	poisons          *poison.Table
 
 	suspectReports chan suspectReport // sent by traffic goroutines
 }
@@ -91,6 +93,7 @@
 		upstreams:      map[string]*upstream{},
 		drains:         value.NewSet[string](),
 		rates:          newRates(),
+		poisons:        poison.New(poison.WithHold(s.Quarantine), poison.WithSpread(quarantineSpread*rand.Float64())),
 		suspectReports: make(chan suspectReport, suspectQueueLength),
 		startupGate:    proxy.NewStartupGate(s.Start.Add(s.StartupWait)),
 	}
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -23,6 +23,7 @@
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/mesh"
+	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/wire"
@@ -83,21 +84,26 @@
 // startAgentWith runs an agent with the given settings and fills in the settings
 // of the instance.
 func startAgentWith(t testing.TB, s agent.Settings) *agent.Agent {
+	return startAgentWithHooks(t, s, agent.Hooks{})
+}
+
+// startAgentWithHooks is like startAgentWith and fills in the hooks as well.
+func startAgentWithHooks(t testing.TB, s agent.Settings, hooks agent.Hooks) *agent.Agent {
 	log, err := logs.New(io.Discard, "error", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.Fleet, s.Instance, s.Region, s.DataCentre = "f", "entry-1", "salish", "salish-1"
+	s.Quarantine = poison.DefaultHold
 	s.Peer, s.Start = netip.MustParseAddrPort("127.0.0.1:9"), time.Now()
-	a := agent.New(s, agent.Hooks{
-		OpenMesh:         func(opts ...mesh.Option) *mesh.Mesh { return mesh.New(opts...) },
-		SetDrained:       func(bool) {},
-		CountRetry:       func(string, string) {},
-		CountCrossRegion: func(int64, int64) {},
-		CountLimit:       func(quota.Event) {},
-		CountCrash:       func() {},
-		Inflight:         func() int { return 0 },
-	}, log)
+	hooks.OpenMesh = func(opts ...mesh.Option) *mesh.Mesh { return mesh.New(opts...) }
+	hooks.SetDrained = func(bool) {}
+	hooks.CountRetry = func(string, string) {}
+	hooks.CountCrossRegion = func(int64, int64) {}
+	hooks.CountLimit = func(quota.Event) {}
+	hooks.CountCrash = func() {}
+	hooks.Inflight = func() int { return 0 }
+	a := agent.New(s, hooks, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
--- a/entry/agent/crashes.go
+++ b/entry/agent/crashes.go
@@ -8,7 +8,9 @@
 	"syscall"
 	"time"
 
+	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/poison"
+	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -21,6 +23,9 @@
 	crashMemory = 15 * time.Second
 	// maxPossibleCrashes limits the lost connections that are remembered.
 	maxPossibleCrashes = 256
+	// quarantineSpread is the range of the random part of quarantines. The first
+	// entry whose quarantine of a request ends tries it for all.
+	quarantineSpread = 0.5
 )
 
 // possibleCrash is a request during which the connection to its target was lost.
@@ -105,9 +110,77 @@
 	a.crashes.possible = kept
 }
 
-// recordCrash records that a target crashed while it ran a request.
-func (a *Agent) recordCrash(_ time.Time, p *possibleCrash) {
+// recordCrash records that a target crashed while it ran a request, and tells the
+// other entries.
+func (a *Agent) recordCrash(now time.Time, p *possibleCrash) {
 	a.hooks.CountCrash()
-	a.log.WithField("service", p.target.Service).WithField("target", p.target.Name).WithField("request", p.request).
+	a.log.WithField("service", p.target.Service).WithField("target", p.target.Name).WithField(logs.FieldRequest, p.request).
 		WithField("print", p.print.String()).Warn("target crashed during request")
+	c := poison.Crash{Print: p.print, Victim: poison.Victim{Address: p.target.Address, Start: p.target.Start.UnixMilli()}, At: p.at}
+	if a.addCrash(now, c) {
+		a.sendNotice(wire.KindCrashes, wire.List[wire.Crash]{List: []wire.Crash{crashNotice(now, c)}})
+	}
+}
+
+// addCrash adds a crash to the table and reports whether it is new.
+func (a *Agent) addCrash(now time.Time, c poison.Crash) bool {
+	isNew, quarantined := a.poisons.Record(now, c)
+	if quarantined {
+		left, _ := a.poisons.Quarantined(now, c.Print)
+		a.log.WithField("print", c.Print.String()).WithField("hold", left.Round(time.Second).String()).Warn("request quarantined")
+	}
+	return isNew
+}
+
+func crashNotice(now time.Time, c poison.Crash) wire.Crash {
+	return wire.Crash{Print: c.Print, Target: c.Victim.Address, Start: c.Victim.Start, Age: now.Sub(c.At)}
+}
+
+// recordAnswer records that a target answered a request, which then does not crash
+// all targets, and tells the other entries if that makes a difference.
+func (a *Agent) recordAnswer(at proxy.Attempt, o proxy.Outcome) {
+	if a.poisons.Len() == 0 || at.Request.Print == nil {
+		return
+	}
+	p := at.Request.Print()
+	if !a.poisons.Answered(p, o.End) {
+		return
+	}
+	a.log.WithField(logs.FieldRequest, at.Request.ID).WithField("print", p.String()).Info("request answered after crashes")
+	a.tryPost(func(now time.Time) {
+		a.sendNotice(wire.KindCrashes, wire.List[wire.Crash]{List: []wire.Crash{{Print: p, Answered: true, Age: now.Sub(o.End)}}})
+	})
+}
+
+// receiveCrashes records the crashes and answers that other entries saw.
+func (a *Agent) receiveCrashes(now time.Time, list wire.List[wire.Crash]) {
+	for _, c := range list.List {
+		at := now.Add(-max(0, c.Age))
+		if c.Answered {
+			a.poisons.Answered(c.Print, at)
+			continue
+		}
+		a.addCrash(now, poison.Crash{Print: c.Print, Victim: poison.Victim{Address: c.Target, Start: c.Start}, At: at})
+	}
+}
+
+// sendHeldCrashes sends the crashes of quarantined requests to the primary control
+// replica, which may have started after they were reported.
+func (a *Agent) sendHeldCrashes(now time.Time) {
+	var list []wire.Crash
+	for _, c := range a.poisons.Held(now) {
+		list = append(list, crashNotice(now, c))
+	}
+	if len(list) > 0 {
+		a.sendNotice(wire.KindCrashes, wire.List[wire.Crash]{List: list})
+	}
+}
+
+// Quarantined returns the time until a request may be sent to a target again, and
+// false if it may be sent now.
+func (a *Agent) Quarantined(r proxy.Request, now time.Time) (time.Duration, bool) {
+	if a.poisons.Len() == 0 || r.Print == nil {
+		return 0, false
+	}
+	return a.poisons.Quarantined(now, r.Print())
 }
--- a/entry/agent/crashes_test.go
+++ b/entry/agent/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,9 +10,12 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/galenalock/galenalock/core/enrol"
+	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/agent"
 	"github.com/galenalock/galenalock/entry/proxy"
@@ -103,7 +107,7 @@
 // request so far.
 func startCrashFleet(t *testing.T, a *agent.Agent, targets []*fragileTarget) (send func(path string) (status, deadly int)) {
 	p := proxy.New(proxy.Hooks{
-		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Retry: a.Retry,
+		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Retry: a.Retry, Quarantined: a.Quarantined,
 	})
 	server := httptest.NewServer(p)
 	t.Cleanup(func() { server.Close(); p.Close() })
@@ -161,3 +165,83 @@
 	}
 	waitUntil(t, "other requests are answered", func() bool { status, _ := send("/harmless"); return status == http.StatusOK })
 }
+
+// loseConnection runs an attempt during which the connection to the target is lost.
+func loseConnection(t *testing.T, a *agent.Agent, p poison.Print) {
+	r := request(a, "s0")
+	r.Print = func() poison.Print { return p }
+	target, ok := a.Pick(r, nil, time.Now())
+	if !ok {
+		t.Fatal("no target")
+	}
+	at := proxy.Attempt{Request: r, Target: target, Start: time.Now()}
+	a.Begin(at)
+	a.End(at, proxy.Outcome{Class: proxy.Failed, Lost: true, End: time.Now()})
+}
+
+func isQuarantined(a *agent.Agent, p poison.Print) bool {
+	_, held := a.Quarantined(proxy.Request{Print: func() poison.Print { return p }}, time.Now())
+	return held
+}
+
+// Guards against entries that each need several crashes of their own to recognise
+// the same request, and against a quarantine that an answer does not end.
+func TestCrashesAreShared(t *testing.T) {
+	is := is.New(t)
+	near := startFakeRegistry(t, "near", "salish")
+	near.announce(1, 1, enrol.Ready, false)
+	a := startRegistryAgent(t, near.addr)
+	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByName(a)) == 1 })
+	print := poison.Print{1}
+	crashes := func(targets ...int) wire.List[wire.Crash] {
+		var out wire.List[wire.Crash]
+		for _, n := range targets {
+			out.List = append(out.List, wire.Crash{Print: print, Target: renewal("s0", n).Address, Start: 1, Age: time.Second})
+		}
+		return out
+	}
+	near.send(t, wire.KindCrashes, crashes(7, 8))
+	near.send(t, wire.KindCrashes, crashes(8))
+	is.True(!isQuarantined(a, print))
+	near.send(t, wire.KindCrashes, crashes(9))
+	waitUntil(t, "the request is quarantined", func() bool { return isQuarantined(a, print) })
+	is.True(!isQuarantined(a, poison.Print{2}))
+
+	r := request(a, "s0")
+	r.Print = func() poison.Print { return print }
+	target, _ := a.Pick(r, nil, time.Now())
+	at := proxy.Attempt{Request: r, Target: target, Start: time.Now()}
+	a.Begin(at) // sent before the quarantine
+	a.End(at, proxy.Outcome{Class: proxy.Answered, Status: http.StatusOK, HeaderLatency: time.Millisecond, End: time.Now()})
+	is.True(!isQuarantined(a, print))
+	answered := <-near.crashes
+	is.True(answered.List[0].Answered)
+	is.Equal(poison.Print(answered.List[0].Print), print)
+}
+
+// Guards against a target that restarts before its entry connects again, so that
+// the crash looks like a lost connection.
+func TestNewIncarnationConfirmsCrash(t *testing.T) {
+	is := is.New(t)
+	near := startFakeRegistry(t, "near", "salish")
+	near.announce(1, 1, enrol.Ready, false)
+	connected := make(chan struct{}, 16)
+	a := startAgentWithHooks(t, agent.Settings{ControlSeeds: []netip.AddrPort{near.addr}, ControlLinks: 3}, agent.Hooks{
+		Connect: func(context.Context, netip.AddrPort) error { connected <- struct{}{}; return nil },
+	})
+	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByName(a)) == 1 })
+	loseConnection(t, a, poison.Print{1})
+	<-connected
+	is.Equal(len(near.crashes), 0)
+	near.mu.Lock()
+	near.table.Announce(2, targetStart, enrol.Announcement{
+		Name: "t-new", Service: "s0", Address: renewal("s0", 1).Address, Region: "salish", DataCentre: "salish-1", Slots: 6,
+		Start: targetStart.Add(time.Second), Seq: 1, State: enrol.Ready,
+	})
+	view := near.table.View()
+	near.mu.Unlock()
+	near.send(t, wire.KindTargets, view.Since(1))
+	crash := <-near.crashes
+	is.Equal(crash.List[0].Target, renewal("s0", 1).Address)
+	is.Equal(crash.List[0].Start, targetStart.UnixMilli())
+}
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -51,6 +51,8 @@
 		})
 	case wire.KindDemands:
 		return deliver(m, func(d wire.List[wire.Demand]) { a.postToRegistry(func(now time.Time) { a.receiveDemands(now, d) }) })
+	case wire.KindCrashes:
+		return deliver(m, func(l wire.List[wire.Crash]) { a.postToRegistry(func(now time.Time) { a.receiveCrashes(now, l) }) })
 	case wire.KindOrders:
 		return deliver(m, func(o wire.Orders) {
 			a.post(func(now time.Time) { a.applyOrders(now, c, o) })
--- a/entry/agent/registry.go
+++ b/entry/agent/registry.go
@@ -136,6 +136,7 @@
 		_ = previous.Send(wire.KindFollow, wire.Follow{Have: r.mirror.AppliedIndex()})
 	}
 	_ = r.primary.Send(wire.KindFollow, wire.Follow{Primary: true, Have: r.mirror.AppliedIndex()})
+	a.sendHeldCrashes(now)
 	a.pullRevision(r.primary, a.update.Pull(now, r.primary.Peer().Instance))
 	a.reportDue = true
 	a.log.WithField("peer", r.primary.Peer().Instance).WithField("targets", r.mirror.AppliedIndex()).
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -30,6 +30,7 @@
 	suspects     chan wire.Suspects
 	limits       chan wire.List[wire.Limit]
 	demands      chan wire.List[wire.Demand]
+	crashes      chan wire.List[wire.Crash]
 
 	mu               sync.Mutex
 	table            *enrol.Table
@@ -41,7 +42,7 @@
 
 func startFakeRegistry(t *testing.T, name, region string) *fakeRegistry {
 	r := &fakeRegistry{name: name, region: region, table: enrol.New(), follows: map[*link.Conn]wire.Follow{}, suspects: make(chan wire.Suspects, 16),
-		limits: make(chan wire.List[wire.Limit], 16), demands: make(chan wire.List[wire.Demand], 16)}
+		limits: make(chan wire.List[wire.Limit], 16), demands: make(chan wire.List[wire.Demand], 16), crashes: make(chan wire.List[wire.Crash], 16)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -98,6 +99,8 @@
 		return receiveInto(m, r.limits)
 	case wire.KindDemands:
 		return receiveInto(m, r.demands)
+	case wire.KindCrashes:
+		return receiveInto(m, r.crashes)
 	}
 	return nil, nil
 }
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -25,6 +25,7 @@
 	StartupWait  time.Duration    // time after the start in which requests wait for the configuration
 	ControlSeeds []netip.AddrPort // peer addresses of a few control replicas; if set, targets come from control and there is no overlay
 	ControlLinks int              // number of links to control replicas, with ControlSeeds
+	Quarantine   time.Duration    // of a request that crashed targets, see package poison
 	Retry        RetryBudget
 	MinInflight  int       // concurrent requests of a service that are always admitted
 	Start        time.Time // start of the process, identifies its incarnation
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -100,6 +100,7 @@
 	}
 	latency := time.Duration(0)
 	if o.Class == proxy.Answered {
+		a.recordAnswer(at, o)
 		latency = o.HeaderLatency
 		d.upstream.budget.ObserveLatency(o.HeaderLatency)
 	}
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -89,7 +89,7 @@
 		Fleet: s.Fleet, Instance: s.Instance, Region: s.Region, DataCentre: s.DataCentre,
 		Peer: p.server.Addr(), Control: s.Control, OverlaySeeds: slices.Concat(s.Peers, s.Control),
 		DataDir: s.Data, SlowStart: s.Ramp, StartupWait: s.Wait, Start: d.start,
-		ControlSeeds: s.Seeds, ControlLinks: s.Links, MinInflight: s.Inflight,
+		ControlSeeds: s.Seeds, ControlLinks: s.Links, MinInflight: s.Inflight, Quarantine: s.Quarantine,
 		Retry: agent.RetryBudget{Window: s.RetryWindow, Share: s.RetryShare, Slack: s.RetrySlack},
 	}, agent.Hooks{
 		OpenMesh: func(opts ...mesh.Option) *mesh.Mesh {
@@ -113,7 +113,7 @@
 
 func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
-		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit, MayResend: a.MayResend, LimitWait: a.LimitWait,
+		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit, Quarantined: a.Quarantined, MayResend: a.MayResend, LimitWait: a.LimitWait,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, HedgeDelay: a.HedgeDelay, ProbeDelay: a.ProbeDelay,
 		Enter: proxy.TrackInflight(d.inflightCore),
 	}.WithMetrics(m)
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenalock/galenalock/core/conf"
 	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -36,6 +37,7 @@
 	Limit       time.Duration
 	Ramp        time.Duration
 	Wait        time.Duration
+	Quarantine  time.Duration
 	Connections int
 	Body        int
 	Cert        string
@@ -69,6 +71,7 @@
 	maxRetryWindow     = 10 * time.Minute
 	maxRetrySlack      = 1 << 20
 	maxInflight        = 1 << 16
+	maxQuarantine      = 24 * time.Hour
 )
 
 // Table returns the description of the settings.
@@ -92,6 +95,7 @@
 	t.Duration("limit", &s.Limit, defaultLimit, time.Second, maxLimit, "longest time that a stop waits for requests in flight")
 	t.Duration("ramp", &s.Ramp, defaultRamp, 0, maxGrace, "slow start of a target")
 	t.Duration("wait", &s.Wait, defaultWait, 0, maxWait, "time from the start of the entry for which requests wait for the first configuration instead of being refused")
+	t.Duration("quarantine", &s.Quarantine, poison.DefaultHold, 0, maxQuarantine, "time for which a request that crashed three targets is refused; it doubles if the request then crashes another one; 0: never")
 	t.Int("inflight", &s.Inflight, 0, 0, maxInflight, "requests", "requests of a service that this entry always admits, however few slots its share is")
 	t.Duration("retry.window", &s.RetryWindow, 0, 0, maxRetryWindow, "span in which further attempts are bounded over the whole fleet; 0: each entry has a budget of its own")
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -87,6 +87,9 @@
 }
 
 func (c *call) takeRetryBudget(reason Reason) bool {
+	if _, held := c.proxy.hooks.Quarantined(c.request, c.proxy.hooks.Now()); held {
+		return false
+	}
 	if !c.proxy.hooks.Retry(c.request, reason) {
 		return false
 	}
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -39,6 +39,9 @@
 	// none. Required.
 	Pick func(r Request, exclude []netip.AddrPort, now time.Time) (Target, bool)
 
+	// Quarantined returns the time until a request that crashes targets may be sent
+	// to one again, and false if it may be sent now.
+	Quarantined func(r Request, now time.Time) (time.Duration, bool)
 	// MayResend reports whether a target may get a request again on another
 	// connection.
 	MayResend func(target Target, now time.Time) bool
@@ -108,6 +111,9 @@
 	if h.Await == nil {
 		h.Await = func(context.Context) {}
 	}
+	if h.Quarantined == nil {
+		h.Quarantined = func(Request, time.Time) (time.Duration, bool) { return 0, false }
+	}
 	if h.MayResend == nil {
 		h.MayResend = func(Target, time.Time) bool { return true }
 	}
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -68,6 +68,9 @@
 		}}, nil},
 		{"connect", fmt.Sprintf(get, ""), proxy.Hooks{}, []netip.AddrPort{closedTarget}},
 		{"shed", fmt.Sprintf(change, ""), proxy.Hooks{}, []netip.AddrPort{respond(t, shed, nil)}},
+		{"quarantined", fmt.Sprintf(get, ""), proxy.Hooks{Quarantined: func(proxy.Request, time.Time) (time.Duration, bool) {
+			return 10 * time.Minute, true
+		}}, nil},
 		{"broken", fmt.Sprintf(change, ""), proxy.Hooks{}, []netip.AddrPort{silentTarget}},
 		{"deadline", fmt.Sprintf(get, "Galenalock-Deadline: 0\r\n"), proxy.Hooks{}, []netip.AddrPort{silentTarget}},
 		{"overload", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (proxy.Admission, error) {
