Limits: newer demands are kept, undefined shares are refused, unlimited targets cost no lock

Found by reading the change: a demand that a replica sent again on a new link replaced a newer one; infinite demands from the network made the distribution undefined (TestAbsurdDemands); choice took a lock for each target that names no limit.

--- a/core/quota/demand.go
+++ b/core/quota/demand.go
@@ -86,18 +86,21 @@
 
 type timedDemand struct {
 	Demand
-	receivedAt time.Time
+	sentAt time.Time
 }
 
-// Set records the demand of an entry.
-func (d *Demands) Set(now time.Time, demand Demand) {
+// Set records the demand that an entry sent at the given time, unless a newer one
+// is known.
+func (d *Demands) Set(sent time.Time, demand Demand) {
 	i, found := slices.BinarySearchFunc(d.list, demand.Entry, func(known timedDemand, entry uint64) int {
 		return cmp.Compare(known.Entry, entry)
 	})
 	if !found {
 		d.list = slices.Insert(d.list, i, timedDemand{})
 	}
-	d.list[i] = timedDemand{Demand: demand, receivedAt: now}
+	if !sent.Before(d.list[i].sentAt) {
+		d.list[i] = timedDemand{Demand: demand, sentAt: sent}
+	}
 }
 
 // Announce takes the current demand of this entry. It reports whether it is to be
@@ -122,7 +125,7 @@
 // were any.
 func (d *Demands) Expire(now time.Time) bool {
 	before := len(d.list)
-	d.list = slices.DeleteFunc(d.list, func(known timedDemand) bool { return now.Sub(known.receivedAt) >= demandLifetime })
+	d.list = slices.DeleteFunc(d.list, func(known timedDemand) bool { return now.Sub(known.sentAt) >= demandLifetime })
 	return len(d.list) < before
 }
 
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -44,7 +44,7 @@
 	for i := range demands {
 		total += demands[i].weight(target.Region)
 	}
-	if total == 0 {
+	if total == 0 || math.IsInf(total, 0) || math.IsNaN(total) {
 		return 0
 	}
 	offset, before := place01(target.Address), 0.0
--- a/core/quota/target.go
+++ b/core/quota/target.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 // Target tracks the limit of one incarnation of a target and is the token bucket
 // of this entry for it. The zero value is a target that has named no limit.
 type Target struct {
+	limited atomic.Bool // report.Limited, for a check without the lock
+
 	mu         sync.Mutex
 	report     Report
 	reportedAt time.Time // arrival of the last response that named the limit or lifted it
@@ -97,6 +100,7 @@
 	}
 	t.fill(at) // at the previous rate
 	t.report, t.reportedAt = r, at
+	t.limited.Store(r.Limited)
 	switch {
 	case !r.Limited:
 		t.share, t.burst = 0, 0
@@ -136,18 +140,24 @@
 
 // Available reports whether this entry may send a request now.
 func (t *Target) Available(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.report.Limited {
+	if !t.limited.Load() {
 		return true
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.fill(now)
-	return t.tokens >= 1
+	return !t.report.Limited || t.tokens >= 1
 }
 
+// Limited reports whether the target names a limit.
+func (t *Target) Limited() bool { return t.limited.Load() }
+
 // Take takes the token of a request that is sent. Requests that are sent at the
 // same moment may take more than there are, which later ones make up for.
 func (t *Target) Take(now time.Time) {
+	if !t.limited.Load() {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.report.Limited {
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -112,8 +112,11 @@
 
 // updateLimits applies a changed limit of a target.
 func (a *Agent) updateLimits(now time.Time, u *upstream) {
-	u.limits.computedAt = time.Time{}
-	u.limits.changed = true
+	l := &u.limits
+	if l.since.IsZero() {
+		l.since = now
+	}
+	l.computedAt, l.changed = time.Time{}, true
 	u.dirty = true // the targets that this entry may use
 	a.tickLimits(now, u)
 }
@@ -122,14 +125,14 @@
 // names a limit, and computes the shares of this entry.
 func (a *Agent) tickLimits(now time.Time, u *upstream) {
 	l := &u.limits
+	if l.since.IsZero() {
+		return
+	}
 	if !u.hasLimits() {
 		l.since = time.Time{}
 		l.demands.Reset()
 		return
 	}
-	if l.since.IsZero() {
-		l.since = now
-	}
 	if a.registry != nil && a.registry.primary != nil {
 		own := quota.Demand{Entry: a.entryID(), Region: a.settings.Region, Rate: u.meter.Rate(now)}
 		if l.demands.Announce(now, own) {
@@ -149,7 +152,7 @@
 
 func (u *upstream) hasLimits() bool {
 	for _, t := range u.targets {
-		if t.quota.Report().Limited {
+		if t.quota.Limited() {
 			return true
 		}
 	}
@@ -206,7 +209,7 @@
 	limited, least := false, maxLimitWait
 	shared := false
 	for _, t := range *u.snapshots.Load() {
-		if !t.quota.Report().Limited {
+		if !t.quota.Limited() {
 			continue
 		}
 		limited = true
