Replicas pass each limit on once instead of once for each entry that sees it

At the size of the large site some sixteen entries of a region see a limit before the first notice of it arrives, and each of their notices went to all entries. A notice that says the same as the one that is known is now new after 2 s only, one of a crash never again. TestRepeatsAreNotNew; the former code passed on each of the 100 notices that it plays.

--- a/control/board/board.go
+++ b/control/board/board.go
@@ -11,7 +11,8 @@
 type Board[K comparable, N batch.Notice[N]] struct {
 	subject  func(N) K
 	age      func(N) time.Duration
-	once     func(N) bool
+	isRepeat func(known, n N) bool
+	interval time.Duration // after which a repeat is new
 	lifetime time.Duration
 	capacity int
 	notices  map[K]entry[N]
@@ -31,10 +32,11 @@
 	return func(b *Board[K, N]) { b.capacity = notices }
 }
 
-// WithOnce sets which notices are about an event that happens once. Several
-// instances may report it, each with another age; only the first notice is new.
-func WithOnce[K comparable, N batch.Notice[N]](once func(N) bool) Option[K, N] {
-	return func(b *Board[K, N]) { b.once = once }
+// WithRepeats sets which notices say the same as the one that is known of the
+// subject. Many instances may report the same event, each with another age. A
+// repeat is new only if it is newer by the interval. By default, there are none.
+func WithRepeats[K comparable, N batch.Notice[N]](interval time.Duration, isRepeat func(known, n N) bool) Option[K, N] {
+	return func(b *Board[K, N]) { b.interval, b.isRepeat = interval, isRepeat }
 }
 
 // entry is a notice and when it was received.
@@ -48,7 +50,7 @@
 func New[K comparable, N batch.Notice[N]](subject func(N) K, age func(N) time.Duration, opts ...Option[K, N]) *Board[K, N] {
 	b := &Board[K, N]{
 		subject: subject, age: age, notices: map[K]entry[N]{},
-		once: func(N) bool { return false }, lifetime: 30 * time.Second, capacity: 4096,
+		isRepeat: func(_, _ N) bool { return false }, lifetime: 30 * time.Second, capacity: 4096,
 	}
 	for _, opt := range opts {
 		opt(b)
@@ -66,7 +68,7 @@
 	for _, n := range list {
 		key, added := b.subject(n), entry[N]{n, now}
 		known, ok := b.notices[key]
-		if ok && (b.once(n) || b.at(added).Before(b.at(known))) {
+		if ok && !b.isNewer(known, added) {
 			continue
 		}
 		if !ok && len(b.notices) >= b.capacity {
@@ -78,6 +80,15 @@
 	return fresh
 }
 
+// isNewer reports whether a notice replaces the one that is known of its subject.
+func (b *Board[K, N]) isNewer(known, added entry[N]) bool {
+	difference := b.at(added).Sub(b.at(known))
+	if b.isRepeat(known.notice, added.notice) {
+		return difference >= b.interval
+	}
+	return difference >= 0
+}
+
 // at returns when a notice was made.
 func (b *Board[K, N]) at(e entry[N]) time.Time { return e.received.Add(-b.age(e.notice)) }
 
--- a/control/board/board_test.go
+++ b/control/board/board_test.go
@@ -45,15 +45,21 @@
 	is.Equal(len(b.List(start.Add(20*time.Second))), 1)
 }
 
-// Guards against notices that go around without end, because each instance that
-// reports the same event measures another age.
-func TestSameEventIsNewOnce(t *testing.T) {
+// Guards against notices of one event that each of many instances makes all
+// others receive, and against changes and renewals that are lost among them.
+func TestRepeatsAreNotNew(t *testing.T) {
 	is := is.New(t)
-	b := newBoard(board.WithOnce[uint64](func(d wire.Demand) bool { return d.Entry == 1 }))
-	for entry, newAgain := range map[uint64]int{1: 0, 2: 1} {
-		is.Equal(len(b.Add(start, []wire.Demand{{Entry: entry}})), 1)
-		is.Equal(len(b.Add(start.Add(time.Second), []wire.Demand{{Entry: entry}})), newAgain)
+	b := newBoard(board.WithRepeats[uint64](2*time.Second, func(known, d wire.Demand) bool { return known.Rate == d.Rate }))
+	add := func(after time.Duration, rate float64) int {
+		return len(b.Add(start.Add(after), []wire.Demand{{Entry: 1, Rate: rate}}))
 	}
+	is.Equal(add(0, 5), 1)
+	for n := range 100 {
+		is.Equal(add(time.Duration(n)*10*time.Millisecond, 5), 0)
+	}
+	is.Equal(add(time.Second, 6), 1)
+	is.Equal(add(time.Second, 6), 0)
+	is.Equal(add(3*time.Second, 6), 1)
 }
 
 func newBoard(opts ...board.Option[uint64, wire.Demand]) *board.Board[uint64, wire.Demand] {
--- a/control/fleet/notices.go
+++ b/control/fleet/notices.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -16,6 +17,11 @@
 	// that link later. Entries send them again more often than that.
 	limitLifetime  = 30 * time.Second
 	demandLifetime = 12 * time.Second
+	// limitInterval is the interval after which a limit that has not changed is
+	// passed on again.
+	limitInterval = 2 * time.Second
+	// limitTolerance is the relative difference up to which two limits are the same.
+	limitTolerance = 0.1
 	// crashLifetime covers the longest quarantine that is common.
 	crashLifetime = time.Hour
 	// maxCrashes bounds what an entry gets when it links.
@@ -52,10 +58,15 @@
 		kind: wire.KindLimits, batch: batch.New[wire.Limit](),
 		board: board.New(
 			func(l wire.Limit) limitSubject { return limitSubject{l.Target, l.Start} },
-			func(l wire.Limit) time.Duration { return l.Age }, board.WithLifetime[limitSubject, wire.Limit](limitLifetime)),
+			func(l wire.Limit) time.Duration { return l.Age }, board.WithLifetime[limitSubject, wire.Limit](limitLifetime),
+			board.WithRepeats[limitSubject](limitInterval, isSameLimit)),
 	}
 }
 
+func isSameLimit(known, l wire.Limit) bool {
+	return known.Limited == l.Limited && math.Abs(known.Rate-l.Rate) <= limitTolerance*known.Rate
+}
+
 func newDemands() *notices[demandSubject, wire.Demand] {
 	return &notices[demandSubject, wire.Demand]{
 		kind: wire.KindDemands, batch: batch.New[wire.Demand](),
@@ -72,7 +83,7 @@
 			func(c wire.Crash) crashSubject { return crashSubject{c.Print, c.Target, c.Start, c.Answered} },
 			func(c wire.Crash) time.Duration { return c.Age },
 			board.WithLifetime[crashSubject, wire.Crash](crashLifetime), board.WithCapacity[crashSubject, wire.Crash](maxCrashes),
-			board.WithOnce[crashSubject](func(c wire.Crash) bool { return !c.Answered })),
+			board.WithRepeats[crashSubject](crashLifetime, func(_, c wire.Crash) bool { return !c.Answered })),
 	}
 }
 
