A quarantine no longer hides that an order has run

A caller that sent an order again with its key while the request was quarantined was told that it had not run, although an earlier attempt had run it or its outcome was unknown: the quarantine was checked before the claim. Requests with a key are now checked when their claim is granted; the claim is released. The check before each dispatch also covers requests that waited for admission meanwhile.

TestQuarantineDoesNotHideEarlierRun failed before: 503 with run no in place of the recorded answer. Found by reading the change.

--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -111,8 +111,9 @@
 	}
 	defer c.upload.stop()
 	c.request.Print = c.print
-	if wait, held := c.proxy.hooks.Quarantined(c.request, c.proxy.hooks.Now()); held {
-		return &refuse.Error{Reason: refuse.Quarantined, Run: refuse.NotRun, RetryAfter: wait}
+	// A request with a key may have run earlier, which its claim tells.
+	if err := c.quarantine(); err != nil && c.key == "" {
+		return c.dispatchRefusal(ctx, err)
 	}
 	admitted, err := c.proxy.hooks.Admit(ctx, c.request)
 	if err != nil {
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
 
 	"github.com/galenalock/galenalock/core/pool"
 	"github.com/galenalock/galenalock/core/refuse"
@@ -14,6 +15,9 @@
 // dispatch sends the request to targets until one responds and returns that
 // attempt.
 func (c *call) dispatch(ctx context.Context) (*attempt, error) {
+	if err := c.quarantine(); err != nil {
+		return nil, err
+	}
 	if !c.atMostOnce && !c.streaming {
 		return newRace(ctx, c).run()
 	}
@@ -86,8 +90,26 @@
 	return previous-c.unsent < limit
 }
 
+// quarantineError means that a request must not be sent to a target because it
+// crashed several ones.
+type quarantineError struct{ left time.Duration }
+
+// Error returns how long the quarantine lasts.
+func (e *quarantineError) Error() string {
+	return "the request crashed several targets and is quarantined for " + e.left.Round(time.Second).String()
+}
+
+// quarantine returns a *quarantineError if the request must not be sent to a
+// target now.
+func (c *call) quarantine() error {
+	if left, held := c.proxy.hooks.Quarantined(c.request, c.proxy.hooks.Now()); held {
+		return &quarantineError{left: left}
+	}
+	return nil
+}
+
 func (c *call) takeRetryBudget(reason Reason) bool {
-	if _, held := c.proxy.hooks.Quarantined(c.request, c.proxy.hooks.Now()); held {
+	if c.quarantine() != nil {
 		return false
 	}
 	if !c.proxy.hooks.Retry(c.request, reason) {
@@ -125,7 +147,10 @@
 	var bodyErr *pool.RequestBodyError
 	var malformed *pool.RequestError
 	var dial *pool.DialError
+	var quarantined *quarantineError
 	switch {
+	case errors.As(err, &quarantined):
+		out.Reason, out.RetryAfter = refuse.Quarantined, quarantined.left
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		out.Reason = refuse.Deadline
 	case ctx.Err() != nil:
--- a/entry/proxy/print_test.go
+++ b/entry/proxy/print_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/galenalock/galenalock/core/poison"
+	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -97,3 +99,34 @@
 		is.Equal(status == http.StatusOK, allowed)
 	}
 }
+
+// Guards against an order that is refused as not run because its request is
+// quarantined, although an earlier attempt with its key has run.
+func TestQuarantineDoesNotHideEarlierRun(t *testing.T) {
+	for _, c := range []struct {
+		state  wire.ClaimState
+		status string
+		reason string
+	}{
+		{wire.ClaimDone, "200 OK", ""},
+		{wire.ClaimUnknown, "409 Conflict", `"lost"`},
+		{wire.ClaimGranted, "503 Service Unavailable", `"quarantined"`},
+	} {
+		is := is.New(t)
+		closed := make(chan wire.Close, 1)
+		e := startEntry(t, false, proxy.Hooks{
+			Claim: claimResult(c.state, &wire.Answer{Status: http.StatusOK, Stored: true}),
+			Close: func(_ context.Context, c wire.Close) (wire.Claimed, error) {
+				closed <- c
+				return wire.Claimed{}, nil
+			},
+			Quarantined: func(proxy.Request, time.Time) (time.Duration, bool) { return time.Minute, true },
+		}, proxy.Rules{}, respond(t, printedResponse, func(*http.Request, string) { t.Error("the request reached a target") }))
+		response := e.sendRaw(t, orderRequest)
+		is.True(strings.HasPrefix(response, "HTTP/1.1 "+c.status))
+		is.True(strings.Contains(response, c.reason))
+		if c.state == wire.ClaimGranted {
+			is.Equal((<-closed).Outcome, wire.OutcomeReleased)
+		}
+	}
+}
