A change of a limit is applied also if the event queue of the entry is full

Traffic goroutines queue events without blocking and drop them when the queue is full. A dropped one left the entry without a share of the new limit, and so without the target, until the limit changed again. A flag that the tick reads replaces the event. Entries with an overlay compute their shares again when their peers change. Found by reading the change; no test overflows the queue.

--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -41,19 +41,17 @@
 	}
 	event, share := t.quota.Observe(o.End, at.Start, o.Limit)
 	a.logLimitEvent(t, event, "")
-	if event == quota.Unchanged && !share {
+	if event != quota.Unchanged {
+		u.limitEvents.Store(true)
+	}
+	if !share {
 		return
 	}
 	a.tryPost(func(now time.Time) {
-		if event != quota.Unchanged {
-			a.updateLimits(now, u)
-		}
-		if share {
-			a.sendNotice(wire.KindLimits, wire.List[wire.Limit]{List: []wire.Limit{{
-				Service: t.Service, Target: t.Address, Start: t.Start.UnixMilli(),
-				Limited: o.Limit.Limited, Rate: o.Limit.Rate, Age: now.Sub(o.End),
-			}}})
-		}
+		a.sendNotice(wire.KindLimits, wire.List[wire.Limit]{List: []wire.Limit{{
+			Service: t.Service, Target: t.Address, Start: t.Start.UnixMilli(),
+			Limited: o.Limit.Limited, Rate: o.Limit.Rate, Age: now.Sub(o.End),
+		}}})
 	})
 }
 
@@ -92,7 +90,7 @@
 		}
 		if event := t.quota.ObserveRemote(now, quota.Report{Limited: l.Limited, Rate: l.Rate}, l.Age); event != quota.Unchanged {
 			a.logLimitEvent(t, event, from)
-			a.updateLimits(now, u)
+			u.limitEvents.Store(true)
 		}
 	}
 }
@@ -110,21 +108,17 @@
 // entryID identifies this entry in demands.
 func (a *Agent) entryID() uint64 { return xxhash.Sum64String(a.settings.Instance) }
 
-// updateLimits applies a changed limit of a target.
-func (a *Agent) updateLimits(now time.Time, u *upstream) {
-	l := &u.limits
-	if l.since.IsZero() {
-		l.since = now
-	}
-	l.computedAt, l.changed = time.Time{}, true
-	u.dirty = true // the targets that this entry may use
-	a.tickLimits(now, u)
-}
-
 // tickLimits announces the demand of this entry while a target of the service
 // names a limit, and computes the shares of this entry.
 func (a *Agent) tickLimits(now time.Time, u *upstream) {
 	l := &u.limits
+	if u.limitEvents.Swap(false) {
+		if l.since.IsZero() {
+			l.since = now
+		}
+		l.computedAt, l.changed = time.Time{}, true
+		u.dirty = true // the targets that this entry may use
+	}
 	if l.since.IsZero() {
 		return
 	}
@@ -144,6 +138,9 @@
 		// Without a link, the demands of others do not arrive, but last on.
 		l.changed = l.demands.Expire(now) || l.changed
 	}
+	if a.registry == nil {
+		l.changed = true // the peers may have changed
+	}
 	if l.changed && now.Sub(l.computedAt) >= sharesInterval && now.Sub(l.since) >= sharesDelay {
 		l.changed, l.computedAt = false, now
 		a.computeShares(now, u)
