--- a/core/quota/demand.go
+++ b/core/quota/demand.go
@@ -10,7 +10,7 @@
 
 const (
 	// meterTime is the time constant of a Meter.
-	meterTime = 4 * time.Second
+	meterTime = 8 * time.Second
 	// demandLifetime is the age at which the demand of an entry no longer counts.
 	demandLifetime = 12 * time.Second
 	// RenewInterval is the interval at which what is known about limits and demands
@@ -18,7 +18,7 @@
 	RenewInterval = 5 * time.Second
 	// demandFactor is the ratio by which a demand must change to be sent before
 	// that.
-	demandFactor = 1.5
+	demandFactor = 2
 	// minDemand is the demand below which an entry has none, in requests a second.
 	minDemand = 0.05
 )
