--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -138,26 +138,11 @@
 		p.fleet.ReceiveSuspects(c, in, !fromReplica)
 		return nil, nil
 	case wire.KindLimits:
-		var in wire.List[wire.Limit]
-		if err := wire.Decode(m.Body, &in); err != nil {
-			return nil, err
-		}
-		p.fleet.ReceiveLimits(c, in.List, !fromReplica)
-		return nil, nil
+		return nil, decodeList(m, func(list []wire.Limit) { p.fleet.ReceiveLimits(c, list, !fromReplica) })
 	case wire.KindDemands:
-		var in wire.List[wire.Demand]
-		if err := wire.Decode(m.Body, &in); err != nil {
-			return nil, err
-		}
-		p.fleet.ReceiveDemands(c, in.List, !fromReplica)
-		return nil, nil
+		return nil, decodeList(m, func(list []wire.Demand) { p.fleet.ReceiveDemands(c, list, !fromReplica) })
 	case wire.KindCrashes:
-		var in wire.List[wire.Crash]
-		if err := wire.Decode(m.Body, &in); err != nil {
-			return nil, err
-		}
-		p.fleet.ReceiveCrashes(c, in.List, !fromReplica)
-		return nil, nil
+		return nil, decodeList(m, func(list []wire.Crash) { p.fleet.ReceiveCrashes(c, list, !fromReplica) })
 	}
 	var in wire.Follow
 	if err := wire.Decode(m.Body, &in); err != nil {
@@ -170,3 +155,13 @@
 	p.fleet.ReceiveFollow(c, in)
 	return nil, nil
 }
+
+// decodeList decodes a message that carries a list of notices and passes them on.
+func decodeList[N any](m wire.Message, receive func(list []N)) error {
+	var in wire.List[N]
+	if err := wire.Decode(m.Body, &in); err != nil {
+		return err
+	}
+	receive(in.List)
+	return nil
+}
--- a/core/quota/target.go
+++ b/core/quota/target.go
@@ -28,19 +28,16 @@
 	Lifted    Event = "lifted"  // the target no longer names a limit
 )
 
-// Events returns all events that change something.
-func Events() []Event { return []Event{Named, Changed, Lifted} }
-
 // Target tracks the limit of one incarnation of a target and is the token bucket
 // of this entry for it. The zero value is a target that has named no limit.
 type Target struct {
 	limited atomic.Bool // report.Limited, for a check without the lock
 
-	mu         sync.Mutex
-	report     Report
-	reportedAt time.Time // arrival of the last response that named the limit or lifted it
-	shared     Report    // last report known to the other entries
-	sharedAt   time.Time
+	mu          sync.Mutex
+	report      Report
+	reportedAt  time.Time // arrival of the last response that named the limit or lifted it
+	announced   Report    // last report known to the other entries
+	announcedAt time.Time
 
 	share    int // tokens of the burst that this entry gets
 	burst    int // tokens of all entries
@@ -50,17 +47,17 @@
 
 // Observe takes the report of a response to a request that this entry sent at the
 // given time. It also tells whether the report is to be sent to the other entries.
-func (t *Target) Observe(now, sent time.Time, r Report) (event Event, share bool) {
+func (t *Target) Observe(now, sent time.Time, r Report) (event Event, announce bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !r.Limited && t.report.Limited && !sent.After(t.reportedAt) {
 		return Unchanged, false // the response may be older than the one that named the limit
 	}
 	event = t.update(now, r)
-	if event == Unchanged && !r.Limited || !t.shareDue(now, r) {
+	if event == Unchanged && !r.Limited || !t.announcementDue(now, r) {
 		return event, false
 	}
-	t.shared, t.sharedAt = r, now
+	t.announced, t.announcedAt = r, now
 	return event, true
 }
 
@@ -72,17 +69,17 @@
 	if age < 0 || at.Before(t.reportedAt) {
 		return Unchanged
 	}
-	t.shared, t.sharedAt = r, at
+	t.announced, t.announcedAt = r, at
 	return t.update(at, r)
 }
 
-// shareDue reports whether the other entries need the report. The caller holds
+// announcementDue reports whether the other entries need the report. The caller holds
 // t.mu.
-func (t *Target) shareDue(now time.Time, r Report) bool {
-	if r.Limited != t.shared.Limited || now.Sub(t.sharedAt) >= RenewInterval {
+func (t *Target) announcementDue(now time.Time, r Report) bool {
+	if r.Limited != t.announced.Limited || now.Sub(t.announcedAt) >= RenewInterval {
 		return true
 	}
-	return r.Rate > t.shared.Rate*renewFactor || r.Rate*renewFactor < t.shared.Rate
+	return r.Rate > t.announced.Rate*renewFactor || r.Rate*renewFactor < t.announced.Rate
 }
 
 // Report returns the last known report.
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -39,12 +39,12 @@
 	if !o.Limit.Limited && o.Class != proxy.Answered {
 		return
 	}
-	event, share := t.quota.Observe(o.End, at.Start, o.Limit)
+	event, announce := t.quota.Observe(o.End, at.Start, o.Limit)
 	a.logLimitEvent(t, event, "")
 	if event != quota.Unchanged {
 		u.limitEvents.Store(true)
 	}
-	if !share {
+	if !announce {
 		return
 	}
 	a.tryPost(func(now time.Time) {
