Entries with an overlay share limits, demands and crashes as well

Fleets whose targets announce themselves to entries had the same two faults for the whole fleet: limits and crashes went only to entries that follow a control replica. Replicas now send notices to all entries, those that follow a replica get them from their primary; an entry without a primary reports to its first control link. Without any link and any known demand, all live entries are assumed to have the same one.

--- a/control/daemon/fleet_test.go
+++ b/control/daemon/fleet_test.go
@@ -70,3 +70,27 @@
 		}
 	}
 }
+
+// Guards against entries with an overlay, which do not follow a replica, that learn
+// no limits of targets from others.
+func TestLimitsReachEntriesWithOverlay(t *testing.T) {
+	group := startGroup(t, 3)
+	first, second := dialEntry(t, group[0]), dialEntry(t, group[2])
+	list := wire.List[wire.Limit]{List: []wire.Limit{{
+		Service: "ledger", Target: netip.MustParseAddrPort("10.0.0.1:80"), Start: 1, Limited: true, Rate: 2.5,
+	}}}
+	waitUntil(t, "the limit reaches the entry of another replica", func() bool {
+		if err := first.conn.Send(wire.KindLimits, list); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case got := <-second.limits:
+			return got.List[0].Rate == 2.5
+		case <-time.After(50 * time.Millisecond): // the replicas may not be linked yet
+			return false
+		}
+	})
+	if got := <-dialEntry(t, group[1]).limits; got.List[0].Rate != 2.5 {
+		t.Fatalf("an entry that links later gets %v", got)
+	}
+}
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -68,6 +68,15 @@
 	sentIndex    uint64    // index of the targets sent last
 }
 
+// takesNotices reports whether this replica sends notices to the peer. An entry that
+// receives its targets from control gets them from its primary only.
+func (s *session) takesNotices() bool {
+	if s.wantsTargets {
+		return s.isPrimary
+	}
+	return s.isEntry
+}
+
 // relayedReport is the last report of a linked instance that was sent to the
 // other replicas.
 type relayedReport struct {
@@ -237,6 +246,7 @@
 		f.installRevisions()
 		f.send(c, wire.KindRevision, f.revisions.Digest())
 		f.send(c, wire.KindOrders, f.currentOrders())
+		f.catchUpNotices(c)
 	})
 }
 
--- a/control/fleet/notices.go
+++ b/control/fleet/notices.go
@@ -157,7 +157,7 @@
 		}
 		for c, s := range f.sessions {
 			switch {
-			case !s.wantsTargets || !s.isPrimary:
+			case !s.takesNotices():
 			case !group.Reported(c.Peer().Instance):
 				f.logSendError(c, c.SendEncoded(shared))
 			default:
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -41,6 +41,7 @@
 	claim  func(wire.Claim) (wire.Claimed, error)
 	conns  chan *link.Conn
 	addr   netip.AddrPort
+	stop   func()
 }
 
 func startFakeReplica(t testing.TB, r *fakeReplica) *fakeReplica {
@@ -56,7 +57,8 @@
 		}),
 		link.WithHandler(r.handle))
 	server := httptest.NewServer(s)
-	t.Cleanup(func() { s.Close(); server.Close() })
+	r.stop = sync.OnceFunc(func() { s.Close(); server.Close() })
+	t.Cleanup(r.stop)
 	r.addr = server.Listener.Addr().(*net.TCPAddr).AddrPort()
 	return r
 }
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
@@ -70,10 +71,21 @@
 	log.Info("target limit")
 }
 
-// sendNotice sends a notice for all entries to the primary control replica.
+// noticeLink returns the link to the replica that passes notices on, or nil.
+func (a *Agent) noticeLink() *link.Conn {
+	if a.registry != nil {
+		return a.registry.primary
+	}
+	if links := *a.controlLinks.Load(); len(links) > 0 {
+		return links[0]
+	}
+	return nil
+}
+
+// sendNotice sends a notice for all entries to control.
 func (a *Agent) sendNotice(kind wire.Kind, body any) {
-	if r := a.registry; r != nil && r.primary != nil {
-		_ = r.primary.Send(kind, body) // a failed send closes the link
+	if c := a.noticeLink(); c != nil {
+		_ = c.Send(kind, body) // a failed send closes the link
 	}
 }
 
@@ -127,7 +139,7 @@
 		l.demands.Reset()
 		return
 	}
-	if a.registry != nil && a.registry.primary != nil {
+	if a.noticeLink() != nil {
 		own := quota.Demand{Entry: a.entryID(), Region: a.settings.Region, Rate: u.meter.Rate(now)}
 		if l.demands.Announce(now, own) {
 			l.changed = true
@@ -138,9 +150,6 @@
 		// Without a link, the demands of others do not arrive, but last on.
 		l.changed = l.demands.Expire(now) || l.changed
 	}
-	if a.registry == nil {
-		l.changed = true // the peers may have changed
-	}
 	if l.changed && now.Sub(l.computedAt) >= sharesInterval && now.Sub(l.since) >= sharesDelay {
 		l.changed, l.computedAt = false, now
 		a.computeShares(now, u)
@@ -172,20 +181,18 @@
 	}
 }
 
-// listDemands returns the demands of all entries. Without control, which passes
-// them on, all entries are assumed to have the same demand.
+// listDemands returns the demands of all entries. If none are known because control
+// is out of reach, all live entries are assumed to have the same demand.
 func (a *Agent) listDemands(u *upstream) []quota.Demand {
-	if a.registry != nil {
-		return u.limits.demands.List()
+	if known := u.limits.demands.List(); len(known) > 0 {
+		return known
 	}
-	var out []quota.Demand
-	self := false
+	own := quota.Demand{Entry: a.entryID(), Region: a.settings.Region, Rate: 1}
+	out := []quota.Demand{own}
 	for _, p := range a.peers {
-		self = self || p.Instance == a.settings.Instance
-		out = append(out, quota.Demand{Entry: xxhash.Sum64String(p.Instance), Region: p.Region, Rate: 1})
-	}
-	if !self {
-		out = append(out, quota.Demand{Entry: a.entryID(), Region: a.settings.Region, Rate: 1})
+		if p.Instance != a.settings.Instance {
+			out = append(out, quota.Demand{Entry: xxhash.Sum64String(p.Instance), Region: p.Region, Rate: 1})
+		}
 	}
 	return quota.SortDemands(out)
 }
--- a/entry/agent/limits_test.go
+++ b/entry/agent/limits_test.go
@@ -56,11 +56,26 @@
 
 // Guards against an entry that sends a target more requests than the target
 // accepts, and against one that no longer uses it after that.
-func TestLimitOfTargetIsKept(t *testing.T) {
+func TestLimitOfTargetIsKept(t *testing.T) { checkLimitIsKept(t, true) }
+
+// Guards against an entry that does not use limited targets while control is out
+// of reach, because it knows no demands.
+func TestLimitIsKeptWithoutControl(t *testing.T) { checkLimitIsKept(t, false) }
+
+func checkLimitIsKept(t *testing.T, control bool) {
 	is := is.New(t)
-	r := startFakeReplica(t, &fakeReplica{text: serviceText(1), number: 1})
+	r := startFakeReplica(t, &fakeReplica{text: serviceText(1), number: 1, claim: func(wire.Claim) (wire.Claimed, error) {
+		return wire.Claimed{State: wire.ClaimGranted}, nil
+	}})
 	a := startAgent(t, r.addr)
 	waitUntil(t, "ready", func() bool { return a.View().Ready })
+	if !control {
+		r.stop()
+		waitUntil(t, "the link has ended", func() bool {
+			_, err := a.Claim(t.Context(), wire.Claim{Service: "s0", Key: "k"})
+			return err != nil
+		})
+	}
 	for n := range 2 {
 		is.Equal(announce(t, a, renewal("s0", n)), http.StatusOK)
 	}
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -47,12 +47,12 @@
 		return deliver(m, func(s wire.Suspects) { a.postToRegistry(func(now time.Time) { a.receiveSuspects(now, s) }) })
 	case wire.KindLimits:
 		return deliver(m, func(l wire.List[wire.Limit]) {
-			a.postToRegistry(func(now time.Time) { a.receiveLimits(now, c.Peer().Instance, l) })
+			a.post(func(now time.Time) { a.receiveLimits(now, c.Peer().Instance, l) })
 		})
 	case wire.KindDemands:
-		return deliver(m, func(d wire.List[wire.Demand]) { a.postToRegistry(func(now time.Time) { a.receiveDemands(now, d) }) })
+		return deliver(m, func(d wire.List[wire.Demand]) { a.post(func(now time.Time) { a.receiveDemands(now, d) }) })
 	case wire.KindCrashes:
-		return deliver(m, func(l wire.List[wire.Crash]) { a.postToRegistry(func(now time.Time) { a.receiveCrashes(now, l) }) })
+		return deliver(m, func(l wire.List[wire.Crash]) { a.post(func(now time.Time) { a.receiveCrashes(now, l) }) })
 	case wire.KindOrders:
 		return deliver(m, func(o wire.Orders) {
 			a.post(func(now time.Time) { a.applyOrders(now, c, o) })
