Many lost connections hide no crash, and one crash sends one notice

An entry that had 256 lost connections to remember ignored further ones until the next update of a service, so a request that crashed targets beside resets was not counted (TestManyLostConnectionsHideNoCrash failed before). The oldest one now gives way. The crashes that one refused connection confirms go out in one message instead of one for each request. Found by reading the change.

--- a/entry/agent/crashes.go
+++ b/entry/agent/crashes.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -64,7 +65,7 @@
 	a.tryPost(func(now time.Time) {
 		c := &a.crashes
 		if len(c.possible) >= maxPossibleCrashes {
-			return
+			c.possible = slices.Delete(c.possible, 0, 1) // the oldest one
 		}
 		c.possible = append(c.possible, loss)
 		if c.probing[t] {
@@ -93,33 +94,37 @@
 	})
 }
 
-// confirmCrashes records the possible crashes for which crashed reports true, and
-// forgets old ones.
+// confirmCrashes records the possible crashes for which crashed reports true, tells
+// the other entries, and forgets old ones.
 func (a *Agent) confirmCrashes(now time.Time, crashed func(p *possibleCrash) bool) {
+	var notices []wire.Crash
 	kept := a.crashes.possible[:0]
 	for i := range a.crashes.possible {
 		p := a.crashes.possible[i]
 		switch {
 		case crashed(&p):
-			a.recordCrash(now, &p)
+			if c, isNew := a.recordCrash(now, &p); isNew {
+				notices = append(notices, crashNotice(now, c))
+			}
 		case now.Sub(p.at) < crashMemory:
 			kept = append(kept, p)
 		}
 	}
 	clear(a.crashes.possible[len(kept):])
 	a.crashes.possible = kept
+	if len(notices) > 0 {
+		a.sendNotice(wire.KindCrashes, wire.List[wire.Crash]{List: notices})
+	}
 }
 
-// recordCrash records that a target crashed while it ran a request, and tells the
-// other entries.
-func (a *Agent) recordCrash(now time.Time, p *possibleCrash) {
+// recordCrash records that a target crashed while it ran a request, and reports
+// whether that was not known.
+func (a *Agent) recordCrash(now time.Time, p *possibleCrash) (c poison.Crash, isNew bool) {
 	a.hooks.CountCrash()
 	a.log.WithField("service", p.target.Service).WithField("target", p.target.Name).WithField(logs.FieldRequest, p.request).
 		WithField("print", p.print.String()).Warn("target crashed during request")
-	c := poison.Crash{Print: p.print, Victim: poison.Victim{Address: p.target.Address, Start: p.target.Start.UnixMilli()}, At: p.at}
-	if a.addCrash(now, c) {
-		a.sendNotice(wire.KindCrashes, wire.List[wire.Crash]{List: []wire.Crash{crashNotice(now, c)}})
-	}
+	c = poison.Crash{Print: p.print, Victim: poison.Victim{Address: p.target.Address, Start: p.target.Start.UnixMilli()}, At: p.at}
+	return c, a.addCrash(now, c)
 }
 
 // addCrash adds a crash to the table and reports whether it is new.
--- a/entry/agent/crashes_test.go
+++ b/entry/agent/crashes_test.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -245,3 +248,44 @@
 	is.Equal(crash.List[0].Target, renewal("s0", 1).Address)
 	is.Equal(crash.List[0].Start, targetStart.UnixMilli())
 }
+
+// Guards against crashes that are missed after many lost connections that were
+// none.
+func TestManyLostConnectionsHideNoCrash(t *testing.T) {
+	near := startFakeRegistry(t, "near", "salish")
+	near.announce(1, 1, enrol.Ready, false)
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for { // a full channel would block the link
+			select {
+			case <-near.suspects:
+			case <-done:
+				return
+			}
+		}
+	}()
+	var refused atomic.Bool
+	a := startAgentWithHooks(t, agent.Settings{ControlSeeds: []netip.AddrPort{near.addr}, ControlLinks: 3}, agent.Hooks{
+		Connect: func(context.Context, netip.AddrPort) error {
+			if refused.Load() {
+				return syscall.ECONNREFUSED
+			}
+			return nil
+		},
+	})
+	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByName(a)) == 1 })
+	for n := range 600 {
+		loseConnection(t, a, poison.Print{2, byte(n >> 8), byte(n)})
+	}
+	refused.Store(true)
+	waitUntil(t, "the crash is reported", func() bool {
+		loseConnection(t, a, poison.Print{1})
+		select {
+		case crash := <-near.crashes:
+			return slices.ContainsFunc(crash.List, func(c wire.Crash) bool { return c.Print == poison.Print{1} })
+		default:
+			return false
+		}
+	})
+}
