--- a/control/fleet/notices.go
+++ b/control/fleet/notices.go
@@ -22,13 +22,13 @@
 	limitInterval = 2 * time.Second
 	// limitTolerance is the relative difference up to which two limits are the same.
 	limitTolerance = 0.1
-	// crashLifetime covers the longest quarantine that is common.
+	// crashLifetime covers the first quarantines of a request.
 	crashLifetime = time.Hour
 	// maxCrashes bounds what an entry gets when it links.
 	maxCrashes = 512
 )
 
-// limitSubject, demandSubject and crashSubject are what a notice is about.
+// Subjects of notices, of which a board keeps the newest one each.
 type (
 	limitSubject struct {
 		target netip.AddrPort
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -27,4 +27,9 @@
 // targets. It compares all of them by expected cost. When so many targets are
 // avoided that the floor of the service would be violated, it uses a share of
 // the first attempts to test avoided targets.
+//
+// Target.Quota holds the limit that a target names. All ways of choosing pass over
+// a target for which this instance has no token; the caller takes the token when it
+// sends the request. A target that is not in the subset of this instance is used
+// nevertheless if the instance has a share of its limit.
 package route
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,7 +58,7 @@
 }
 
 // logLimitEvent logs and counts a change of the limit of a target. from is the
-// instance that reported it, empty for this one.
+// replica that passed it on, empty if this entry saw it.
 func (a *Agent) logLimitEvent(t *target, event quota.Event, from string) {
 	if event == quota.Unchanged {
 		return
@@ -97,7 +98,7 @@
 			continue
 		}
 		t := u.targets[l.Target]
-		if t == nil || t.Start.UnixMilli() != l.Start || !(l.Rate >= 0) {
+		if t == nil || t.Start.UnixMilli() != l.Start || l.Rate < 0 || math.IsNaN(l.Rate) {
 			continue
 		}
 		if event := t.quota.ObserveRemote(now, quota.Report{Limited: l.Limited, Rate: l.Rate}, l.Age); event != quota.Unchanged {
--- a/entry/proxy/doc.go
+++ b/entry/proxy/doc.go
@@ -20,7 +20,8 @@
 // Galenalock-Request the identifier of the request, which consists of the trace
 // and parent identifiers of Traceparent.
 //
-// From targets: Galenalock-Load reports load. Galenalock-Run: no on a 503
+// From targets: Galenalock-Load reports load. Galenalock-Limit names the requests a
+// second that the target accepts from the whole fleet. Galenalock-Run: no on a 503
 // declares that the request was not run; Galenalock-Shed: service adds that the
 // other targets of the service are full too, so the request is not retried.
 //
