A request with many crashes is quarantined again by the next one

After 16 crashes further ones were not recorded, so the quarantine did not start again when it was over, and the request could crash targets without end. The oldest crash now gives way. TestQuarantineStartsAgainAfterManyCrashes failed before.

--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -90,10 +90,13 @@
 		t.size.Store(int64(len(t.records)))
 	}
 	known := slices.ContainsFunc(r.crashes, func(o Crash) bool { return o.Victim == c.Victim })
-	if known || !c.At.After(r.answered) || len(r.crashes) >= maxCrashes {
+	if known || !c.At.After(r.answered) {
 		return false, false
 	}
 	before := t.countUnexplained(c.Print, r)
+	if len(r.crashes) >= maxCrashes {
+		t.forgetOldest(c.Print, r)
+	}
 	r.crashes = append(r.crashes, c)
 	if c.At.After(r.lastCrash) {
 		r.lastCrash = c.At
@@ -137,6 +140,7 @@
 	return t.quarantined(now, p, t.records[p])
 }
 
+// quarantined is Quarantined for a known record. The caller holds t.mu.
 func (t *Table) quarantined(now time.Time, p Print, r *record) (time.Duration, bool) {
 	if r == nil || t.hold <= 0 {
 		return 0, false
@@ -183,6 +187,14 @@
 	return n
 }
 
+// forgetOldest removes the first crash of a record. The caller holds t.mu.
+func (t *Table) forgetOldest(p Print, r *record) {
+	if victim := r.crashes[0].Victim; t.causes[victim] == p {
+		delete(t.causes, victim)
+	}
+	r.crashes = slices.Delete(r.crashes, 0, 1)
+}
+
 // explain marks the request as the cause of its crashes. The caller holds t.mu.
 func (t *Table) explain(p Print, r *record) {
 	for _, c := range r.crashes {
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -149,3 +149,17 @@
 	_, held := table.Quarantined(start, poison.Print{1})
 	is.True(!held)
 }
+
+// Guards against a request whose quarantine no longer starts again after so many
+// crashes that not all of them are kept.
+func TestQuarantineStartsAgainAfterManyCrashes(t *testing.T) {
+	is := is.New(t)
+	table := poison.New(poison.WithHold(time.Minute))
+	now := start
+	for target := range 40 {
+		table.Record(now, crash(1, target, now))
+		left, held := table.Quarantined(now, poison.Print{1})
+		is.Equal(held, target >= 2)
+		now = now.Add(max(0, left))
+	}
+}
