Suspects and notices go through one relay

Suspects had their own flush, timer and path to the other replicas beside those of limits, demands and crashes, line for line the same but for the region and the missing board. A notice now has a region, empty for the whole fleet, and one timer serves all kinds; it is set to the shortest wait, where the last kind set it before, so that a notice could wait up to twice the delay. A suspect without a region, which reached nobody, is dropped.

--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -137,8 +137,7 @@
 		IsLeader:         func() bool { status := p.group.Status(); return status.Leader == status.ID },
 		Propose:          p.relay.Propose,
 		ReplicaAddresses: d.replicaAddresses,
-		SendSuspects:     func(w wire.Suspects) { p.links.SendToRegion(w.Region, wire.KindSuspects, w) },
-		SendNotices:      p.links.Broadcast,
+		SendNotices:      p.sendNotices,
 		SendReport:       func(r wire.Report) { p.links.Broadcast(wire.KindReport, r) },
 		SendWatchList:    func(o wire.Orders) { p.links.Broadcast(wire.KindOrders, o) },
 		CountDropped:     func() { in.Dropped.Add(1, "reports") },
@@ -158,6 +157,16 @@
 	return p.registerGauges()
 }
 
+// sendNotices sends notices to the other replicas of a region, or to all if it is
+// empty.
+func (p *parts) sendNotices(region string, kind wire.Kind, body any) {
+	if region == "" {
+		p.links.Broadcast(kind, body)
+		return
+	}
+	p.links.SendToRegion(region, kind, body)
+}
+
 func (p *parts) registerGauges() error {
 	err := p.meter.Gauge(meter.ActiveRevision, func() float64 { return float64(p.machine.view.Load().Newest().Number) })
 	if err != nil {
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/galenalock/galenalock/control/batch"
 	"github.com/galenalock/galenalock/core/delta"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
@@ -49,10 +48,9 @@
 	SendReport       func(r wire.Report)     // sends a report to the other replicas
 	SendWatchList    func(o wire.Orders)     // sends the leader's watch list to the other replicas; may be nil
 	ReplicaAddresses func() []netip.AddrPort // returns the addresses of the control replicas
-	// SendSuspects sends suspects to the other replicas of their region.
-	SendSuspects func(s wire.Suspects)
-	// SendNotices sends notices to the other replicas.
-	SendNotices  func(kind wire.Kind, body any)
+	// SendNotices sends notices to the other replicas of a region, or to all if it
+	// is empty.
+	SendNotices  func(region string, kind wire.Kind, body any)
 	CountDropped func() // counts an event dropped from the full queue of reports, evidence and suspects
 	Clock        func() time.Time
 	Log          *logrus.Entry
@@ -68,13 +66,14 @@
 	sentIndex    uint64    // index of the targets sent last
 }
 
-// takesNotices reports whether this replica sends notices to the peer. An entry that
-// receives its targets from control gets them from its primary only.
-func (s *session) takesNotices() bool {
-	if s.wantsTargets {
-		return s.isPrimary
+// takesNotices reports whether this replica sends the notices for a region, or for
+// all if it is empty, to the peer. An entry that receives its targets from control
+// gets them from its primary only. Others get none for a region.
+func (s *session) takesNotices(peer wire.Hello, region string) bool {
+	if !s.wantsTargets {
+		return s.isEntry && region == ""
 	}
-	return s.isEntry
+	return s.isPrimary && (region == "" || region == peer.Region)
 }
 
 // relayedReport is the last report of a linked instance that was sent to the
@@ -112,11 +111,10 @@
 	lastCount    time.Time
 	lastReplicas wire.Replicas
 	lastEntries  wire.Entries
-	suspects     *batch.Batch[wire.Suspect]
-	suspectTimer *time.Timer // runs while suspects wait
-	limits       *notices[limitSubject, wire.Limit]
-	demands      *notices[demandSubject, wire.Demand]
-	crashes      *notices[crashSubject, wire.Crash]
+	suspects     *notices[wire.Suspect]
+	limits       *notices[wire.Limit]
+	demands      *notices[wire.Demand]
+	crashes      *notices[wire.Crash]
 	noticeTimer  *time.Timer // runs while notices wait
 	lastPush     time.Time
 	pushTimer    *time.Timer // runs while a change of the view waits
@@ -131,15 +129,13 @@
 		instances:      map[string]*Instance{},
 		relayedReports: map[string]relayedReport{},
 		observedLeases: map[leaseKey]observedLease{},
-		suspects:       batch.New[wire.Suspect](),
-		suspectTimer:   time.NewTimer(0),
+		suspects:       newSuspects(),
 		limits:         newLimits(),
 		demands:        newDemands(),
 		crashes:        newCrashes(),
 		noticeTimer:    time.NewTimer(0),
 		pushTimer:      time.NewTimer(0),
 	}
-	f.suspectTimer.Stop()
 	f.noticeTimer.Stop()
 	f.pushTimer.Stop()
 	f.published.Store(&[]Instance{})
@@ -169,8 +165,6 @@
 			f.pushChanges()
 		case <-ticker.C:
 			f.tick(ctx)
-		case <-f.suspectTimer.C:
-			f.flushSuspects(f.Clock())
 		case <-f.noticeTimer.C:
 			f.scheduleNotices(f.Clock())
 		case event := <-f.statsEvents:
--- a/control/fleet/notices.go
+++ b/control/fleet/notices.go
@@ -46,75 +46,101 @@
 	}
 )
 
-// notices passes the notices of one kind on to all entries.
-type notices[K comparable, N batch.Notice[N]] struct {
+// notices passes the notices of one kind on to entries. A notice for a region goes
+// to the entries and replicas there, one without a region to all.
+type notices[N batch.Notice[N]] struct {
 	kind  wire.Kind
 	batch *batch.Batch[N]
-	board *board.Board[K, N]
+	board noticeBoard[N] // for instances that link later; nil: notices are not kept
+	body  func(region string, list []N) any
 }
 
-func newLimits() *notices[limitSubject, wire.Limit] {
-	return &notices[limitSubject, wire.Limit]{
-		kind: wire.KindLimits, batch: batch.New[wire.Limit](),
-		board: board.New(
-			func(l wire.Limit) limitSubject { return limitSubject{l.Target, l.Start} },
-			func(l wire.Limit) time.Duration { return l.Age }, board.WithLifetime[limitSubject, wire.Limit](limitLifetime),
-			board.WithRepeats[limitSubject](limitInterval, isSameLimit)),
+// noticeBoard is a board.Board with any type of subject.
+type noticeBoard[N any] interface {
+	Add(now time.Time, list []N) []N
+	List(now time.Time) []N
+}
+
+// noticeRelay is a notices of any kind.
+type noticeRelay interface {
+	next() (time.Time, bool)
+	flush(f *Fleet, now time.Time)
+	catchUp(f *Fleet, c *link.Conn, now time.Time)
+}
+
+func newNotices[N batch.Notice[N]](kind wire.Kind, b noticeBoard[N]) *notices[N] {
+	return &notices[N]{
+		kind: kind, batch: batch.New[N](), board: b,
+		body: func(_ string, list []N) any { return wire.List[N]{List: list} },
 	}
 }
 
+func newSuspects() *notices[wire.Suspect] {
+	n := newNotices[wire.Suspect](wire.KindSuspects, nil)
+	n.body = func(region string, list []wire.Suspect) any { return wire.Suspects{Region: region, List: list} }
+	return n
+}
+
+func newLimits() *notices[wire.Limit] {
+	return newNotices(wire.KindLimits, board.New(
+		func(l wire.Limit) limitSubject { return limitSubject{l.Target, l.Start} },
+		func(l wire.Limit) time.Duration { return l.Age },
+		board.WithLifetime[limitSubject, wire.Limit](limitLifetime),
+		board.WithRepeats[limitSubject](limitInterval, isSameLimit)))
+}
+
 func isSameLimit(known, l wire.Limit) bool {
 	return known.Limited == l.Limited && math.Abs(known.Rate-l.Rate) <= limitTolerance*known.Rate
 }
 
-func newDemands() *notices[demandSubject, wire.Demand] {
-	return &notices[demandSubject, wire.Demand]{
-		kind: wire.KindDemands, batch: batch.New[wire.Demand](),
-		board: board.New(
-			func(d wire.Demand) demandSubject { return demandSubject{d.Service, d.Entry} },
-			func(d wire.Demand) time.Duration { return d.Age }, board.WithLifetime[demandSubject, wire.Demand](demandLifetime)),
-	}
+func newDemands() *notices[wire.Demand] {
+	return newNotices(wire.KindDemands, board.New(
+		func(d wire.Demand) demandSubject { return demandSubject{d.Service, d.Entry} },
+		func(d wire.Demand) time.Duration { return d.Age },
+		board.WithLifetime[demandSubject, wire.Demand](demandLifetime)))
 }
 
-func newCrashes() *notices[crashSubject, wire.Crash] {
-	return &notices[crashSubject, wire.Crash]{
-		kind: wire.KindCrashes, batch: batch.New[wire.Crash](),
-		board: board.New(
-			func(c wire.Crash) crashSubject { return crashSubject{c.Print, c.Target, c.Start, c.Answered} },
-			func(c wire.Crash) time.Duration { return c.Age },
-			board.WithLifetime[crashSubject, wire.Crash](crashLifetime), board.WithCapacity[crashSubject, wire.Crash](maxCrashes),
-			board.WithRepeats[crashSubject](crashLifetime, func(_, c wire.Crash) bool { return !c.Answered })),
-	}
+func newCrashes() *notices[wire.Crash] {
+	return newNotices(wire.KindCrashes, board.New(
+		func(c wire.Crash) crashSubject { return crashSubject{c.Print, c.Target, c.Start, c.Answered} },
+		func(c wire.Crash) time.Duration { return c.Age },
+		board.WithLifetime[crashSubject, wire.Crash](crashLifetime), board.WithCapacity[crashSubject, wire.Crash](maxCrashes),
+		board.WithRepeats[crashSubject](crashLifetime, func(_, c wire.Crash) bool { return !c.Answered })))
 }
 
-// noticeRelay is a notices of any kind.
-type noticeRelay interface {
-	next() (time.Time, bool)
-	flush(f *Fleet, now time.Time)
-	catchUp(f *Fleet, c *link.Conn, now time.Time)
+// ReceiveSuspects forwards the suspects that an entry reports to the entries of its
+// region, together with others that arrive shortly after. Direct notices, received
+// from the entry itself, are also sent to the other replicas.
+func (f *Fleet) ReceiveSuspects(c *link.Conn, s wire.Suspects, direct bool) {
+	if s.Region == "" {
+		return // would reach all regions
+	}
+	f.postStats(func() { receiveNotices(f, f.suspects, c, s.Region, s.List, direct) })
 }
 
-// ReceiveLimits forwards the limits of targets that an entry reports to all
-// entries. Direct notices, received from the entry itself, are also sent to the
-// other replicas.
+// ReceiveLimits forwards the limits of targets that an entry reports to all entries
+// in the same way.
 func (f *Fleet) ReceiveLimits(c *link.Conn, list []wire.Limit, direct bool) {
-	f.postStats(func() { receiveNotices(f, f.limits, c, list, direct) })
+	f.postStats(func() { receiveNotices(f, f.limits, c, "", list, direct) })
 }
 
 // ReceiveDemands forwards the demands of entries in the same way.
 func (f *Fleet) ReceiveDemands(c *link.Conn, list []wire.Demand, direct bool) {
-	f.postStats(func() { receiveNotices(f, f.demands, c, list, direct) })
+	f.postStats(func() { receiveNotices(f, f.demands, c, "", list, direct) })
 }
 
 // ReceiveCrashes forwards the crashes that an entry reports in the same way.
 func (f *Fleet) ReceiveCrashes(c *link.Conn, list []wire.Crash, direct bool) {
-	f.postStats(func() { receiveNotices(f, f.crashes, c, list, direct) })
+	f.postStats(func() { receiveNotices(f, f.crashes, c, "", list, direct) })
 }
 
-func receiveNotices[K comparable, N batch.Notice[N]](f *Fleet, n *notices[K, N], c *link.Conn, list []N, direct bool) {
+func receiveNotices[N batch.Notice[N]](f *Fleet, n *notices[N], c *link.Conn, region string, list []N, direct bool) {
 	now := f.Clock()
-	if fresh := n.board.Add(now, list); len(fresh) > 0 {
-		n.batch.Add(now, c.Peer().Instance, "", fresh, direct)
+	if n.board != nil {
+		list = n.board.Add(now, list)
+	}
+	if len(list) > 0 {
+		n.batch.Add(now, c.Peer().Instance, region, list, direct)
 		f.scheduleNotices(now)
 	}
 }
@@ -122,20 +148,36 @@
 // scheduleNotices flushes the notices that are due and starts the timer for the
 // others.
 func (f *Fleet) scheduleNotices(now time.Time) {
+	least := time.Duration(0)
 	for _, n := range f.noticeRelays() {
 		due, ok := n.next()
 		if !ok {
 			continue
 		}
-		if wait := due.Sub(now); wait > 0 && wait <= batch.Delay { // a longer one means that the clock was set back
-			f.noticeTimer.Reset(wait)
-			continue
+		wait := waitUntil(now, due, batch.Delay)
+		if wait == 0 {
+			n.flush(f, now)
+		} else if least == 0 || wait < least {
+			least = wait
 		}
-		n.flush(f, now)
+	}
+	if least > 0 {
+		f.noticeTimer.Reset(least)
 	}
 }
 
-func (f *Fleet) noticeRelays() []noticeRelay { return []noticeRelay{f.limits, f.demands, f.crashes} }
+// waitUntil returns the time until due, or 0 if it is due. A time longer than limit
+// means that the clock was set back.
+func waitUntil(now, due time.Time, limit time.Duration) time.Duration {
+	if wait := due.Sub(now); wait <= limit {
+		return max(0, wait)
+	}
+	return 0
+}
+
+func (f *Fleet) noticeRelays() []noticeRelay {
+	return []noticeRelay{f.suspects, f.limits, f.demands, f.crashes}
+}
 
 // catchUpNotices sends what is known to an instance that has linked.
 func (f *Fleet) catchUpNotices(c *link.Conn) {
@@ -144,36 +186,39 @@
 	}
 }
 
-func (n *notices[K, N]) next() (time.Time, bool) { return n.batch.Next() }
+func (n *notices[N]) next() (time.Time, bool) { return n.batch.Next() }
 
 // flush sends the collected notices to the linked entries, and the direct ones to
 // the other replicas.
-func (n *notices[K, N]) flush(f *Fleet, now time.Time) {
-	for _, group := range n.batch.Flush(now) {
-		shared, err := link.Encode(n.kind, wire.List[N]{List: group.All()})
+func (n *notices[N]) flush(f *Fleet, now time.Time) {
+	for region, group := range n.batch.Flush(now) {
+		shared, err := link.Encode(n.kind, n.body(region, group.All()))
 		if err != nil {
 			f.Log.WithField(logs.FieldError, err.Error()).WithField("kind", n.kind).Error("notices not encoded")
 			continue
 		}
 		for c, s := range f.sessions {
 			switch {
-			case !s.takesNotices():
+			case !s.takesNotices(c.Peer(), region):
 			case !group.Reported(c.Peer().Instance):
 				f.logSendError(c, c.SendEncoded(shared))
 			default:
 				if list := group.Except(c.Peer().Instance); len(list) > 0 {
-					f.send(c, n.kind, wire.List[N]{List: list})
+					f.send(c, n.kind, n.body(region, list))
 				}
 			}
 		}
 		if list := group.Direct(); len(list) > 0 {
-			f.SendNotices(n.kind, wire.List[N]{List: list})
+			f.SendNotices(region, n.kind, n.body(region, list))
 		}
 	}
 }
 
-func (n *notices[K, N]) catchUp(f *Fleet, c *link.Conn, now time.Time) {
+func (n *notices[N]) catchUp(f *Fleet, c *link.Conn, now time.Time) {
+	if n.board == nil {
+		return
+	}
 	if list := n.board.List(now); len(list) > 0 {
-		f.send(c, n.kind, wire.List[N]{List: list})
+		f.send(c, n.kind, n.body("", list))
 	}
 }
--- a/control/fleet/push.go
+++ b/control/fleet/push.go
@@ -33,8 +33,7 @@
 // schedulePush pushes the changes of the view now, or later if the last push was
 // less than pushInterval ago.
 func (f *Fleet) schedulePush() {
-	wait := f.lastPush.Add(pushInterval).Sub(f.Clock())
-	if wait > 0 && wait <= pushInterval { // a longer one means that the clock was set back
+	if wait := waitUntil(f.Clock(), f.lastPush.Add(pushInterval), pushInterval); wait > 0 {
 		f.pushTimer.Reset(wait)
 		return
 	}
