One lifetime of demands and one rule for equal limits

The lifetime of a demand stood in core/quota and in control/fleet. Whether a limit has changed was decided twice, by a ratio of 1.1 in the entry and by a difference of 0.1 in the replica, so a decrease of 9 to 10 in 100 was announced and then not passed on for up to 2 s. Both now ask quota.Report.IsClose (TestCloseReports).

--- a/control/fleet/notices.go
+++ b/control/fleet/notices.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"net/netip"
 	"time"
 
@@ -9,19 +8,17 @@
 	"github.com/galenalock/galenalock/control/board"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
 const (
-	// limitLifetime and demandLifetime are how long notices are kept for instances
-	// that link later. Entries send them again more often than that.
-	limitLifetime  = 30 * time.Second
-	demandLifetime = 12 * time.Second
+	// limitLifetime is how long the limit of a target is kept for instances that link
+	// later. Entries send it again more often than that.
+	limitLifetime = 30 * time.Second
 	// limitInterval is the interval after which a limit that has not changed is
 	// passed on again.
 	limitInterval = 2 * time.Second
-	// limitTolerance is the relative difference up to which two limits are the same.
-	limitTolerance = 0.1
 	// crashLifetime covers the first quarantines of a request.
 	crashLifetime = time.Hour
 	// maxCrashes bounds what an entry gets when it links.
@@ -90,14 +87,14 @@
 }
 
 func isSameLimit(known, l wire.Limit) bool {
-	return known.Limited == l.Limited && math.Abs(known.Rate-l.Rate) <= limitTolerance*known.Rate
+	return quota.Report{Limited: known.Limited, Rate: known.Rate}.IsClose(quota.Report{Limited: l.Limited, Rate: l.Rate})
 }
 
 func newDemands() *notices[wire.Demand] {
 	return newNotices(wire.KindDemands, board.New(
 		func(d wire.Demand) demandSubject { return demandSubject{d.Service, d.Entry} },
 		func(d wire.Demand) time.Duration { return d.Age },
-		board.WithLifetime[demandSubject, wire.Demand](demandLifetime)))
+		board.WithLifetime[demandSubject, wire.Demand](quota.DemandLifetime)))
 }
 
 func newCrashes() *notices[wire.Crash] {
--- a/core/quota/demand.go
+++ b/core/quota/demand.go
@@ -11,8 +11,8 @@
 const (
 	// meterTime is the time constant of a Meter.
 	meterTime = 8 * time.Second
-	// demandLifetime is the age at which the demand of an entry no longer counts.
-	demandLifetime = 12 * time.Second
+	// DemandLifetime is the age at which the demand of an entry no longer counts.
+	DemandLifetime = 12 * time.Second
 	// RenewInterval is the interval at which what is known about limits and demands
 	// is sent again to other entries, some of which may have started meanwhile.
 	RenewInterval = 5 * time.Second
@@ -125,7 +125,7 @@
 // were any.
 func (d *Demands) Expire(now time.Time) bool {
 	before := len(d.list)
-	d.list = slices.DeleteFunc(d.list, func(known timedDemand) bool { return now.Sub(known.sentAt) >= demandLifetime })
+	d.list = slices.DeleteFunc(d.list, func(known timedDemand) bool { return now.Sub(known.sentAt) >= DemandLifetime })
 	return len(d.list) < before
 }
 
--- a/core/quota/report.go
+++ b/core/quota/report.go
@@ -13,6 +13,15 @@
 	Rate    float64 // requests a second that the target accepts from the whole fleet
 }
 
+// closeFactor is the ratio up to which two rates are close.
+const closeFactor = 1.1
+
+// IsClose reports whether the reports differ so little that other entries need not
+// learn of the change before it is renewed.
+func (r Report) IsClose(o Report) bool {
+	return r.Limited == o.Limited && r.Rate <= o.Rate*closeFactor && o.Rate <= r.Rate*closeFactor
+}
+
 // ParseRate parses a rate in requests a second. It reports false unless the value
 // is a decimal number of at least zero.
 func ParseRate(value string) (float64, bool) {
--- a/core/quota/target.go
+++ b/core/quota/target.go
@@ -11,9 +11,6 @@
 	// minRate is the lowest rate in requests a second that is observed. Without any
 	// request, it would not become known that a limit has been lifted.
 	minRate = 0.1
-	// renewFactor is the ratio by which a limit must change to be sent to other
-	// entries before RenewInterval has passed.
-	renewFactor = 1.1
 )
 
 // Event is a change of what is known about the limit of a target. The values are
@@ -76,10 +73,7 @@
 // announcementDue reports whether the other entries need the report. The caller holds
 // t.mu.
 func (t *Target) announcementDue(now time.Time, r Report) bool {
-	if r.Limited != t.announced.Limited || now.Sub(t.announcedAt) >= RenewInterval {
-		return true
-	}
-	return r.Rate > t.announced.Rate*renewFactor || r.Rate*renewFactor < t.announced.Rate
+	return !r.IsClose(t.announced) || now.Sub(t.announcedAt) >= RenewInterval
 }
 
 // Report returns the last known report.
--- a/core/quota/target_test.go
+++ b/core/quota/target_test.go
@@ -111,3 +111,15 @@
 	is.True(d.Expire(start.Add(14 * time.Second)))
 	is.Equal(d.List(), []quota.Demand{{Entry: 3, Rate: 3}})
 }
+
+// Guards against changes that an entry announces and a replica does not pass on,
+// because each has its own idea of a change.
+func TestCloseReports(t *testing.T) {
+	is := is.New(t)
+	known := quota.Report{Limited: true, Rate: 10}
+	for rate, expected := range map[float64]bool{10: true, 10.9: true, 11.1: false, 9.2: true, 9.05: false, 0: false} {
+		is.Equal(known.IsClose(quota.Report{Limited: true, Rate: rate}), expected) // rate
+	}
+	is.True(!known.IsClose(quota.Report{}))
+	is.True(quota.Report{}.IsClose(quota.Report{}))
+}
