Notices are decoded, sent and matched with targets in one place each

The check for an empty table of crashes stood in the table and in its caller, and requests with a key were checked before their claim for nothing. Lines wrapped.

--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -131,18 +131,13 @@
 		d.registry.mu.Unlock()
 		return nil, nil
 	case wire.KindSuspects:
-		var in wire.Suspects
-		if err := wire.Decode(m.Body, &in); err != nil {
-			return nil, err
-		}
-		p.fleet.ReceiveSuspects(c, in, !fromReplica)
-		return nil, nil
+		return wire.Deliver(m, func(in wire.Suspects) { p.fleet.ReceiveSuspects(c, in, !fromReplica) })
 	case wire.KindLimits:
-		return nil, decodeList(m, func(list []wire.Limit) { p.fleet.ReceiveLimits(c, list, !fromReplica) })
+		return wire.Deliver(m, func(in wire.List[wire.Limit]) { p.fleet.ReceiveLimits(c, in.List, !fromReplica) })
 	case wire.KindDemands:
-		return nil, decodeList(m, func(list []wire.Demand) { p.fleet.ReceiveDemands(c, list, !fromReplica) })
+		return wire.Deliver(m, func(in wire.List[wire.Demand]) { p.fleet.ReceiveDemands(c, in.List, !fromReplica) })
 	case wire.KindCrashes:
-		return nil, decodeList(m, func(list []wire.Crash) { p.fleet.ReceiveCrashes(c, list, !fromReplica) })
+		return wire.Deliver(m, func(in wire.List[wire.Crash]) { p.fleet.ReceiveCrashes(c, in.List, !fromReplica) })
 	}
 	var in wire.Follow
 	if err := wire.Decode(m.Body, &in); err != nil {
@@ -155,13 +150,3 @@
 	p.fleet.ReceiveFollow(c, in)
 	return nil, nil
 }
-
-// decodeList decodes a message that carries a list of notices and passes them on.
-func decodeList[N any](m wire.Message, receive func(list []N)) error {
-	var in wire.List[N]
-	if err := wire.Decode(m.Body, &in); err != nil {
-		return err
-	}
-	receive(in.List)
-	return nil
-}
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -132,9 +132,6 @@
 // Quarantined returns the time until a request may be sent to a target again, and
 // false if it may be sent now.
 func (t *Table) Quarantined(now time.Time, p Print) (time.Duration, bool) {
-	if t.Len() == 0 {
-		return 0, false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.quarantined(now, p, t.records[p])
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -94,8 +94,8 @@
 }
 
 // PickProbation returns a random endpoint in probation, or nil if there is none
-// or the chosen one has an attempt in flight or is at its limit. It is meant for repeatable
-// requests; the caller limits how often it is used.
+// or the chosen one has an attempt in flight or is at its limit. It is meant for
+// repeatable requests; the caller limits how often it is used.
 func (r *Router) PickProbation(now time.Time, draw uint64) *Endpoint {
 	s := r.current.Load()
 	if len(s.probes) == 0 {
--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -74,3 +74,14 @@
 	}
 	return nil
 }
+
+// Deliver decodes the body of a message without an answer and passes it on. Its
+// results are those of a handler.
+func Deliver[T any](m Message, receive func(body T)) (any, error) {
+	var body T
+	if err := Decode(m.Body, &body); err != nil {
+		return nil, err
+	}
+	receive(body)
+	return nil, nil
+}
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
@@ -72,33 +71,11 @@
 	log.Info("target limit")
 }
 
-// noticeLink returns the link to the replica that passes notices on, or nil.
-func (a *Agent) noticeLink() *link.Conn {
-	if a.registry != nil {
-		return a.registry.primary
-	}
-	if links := *a.controlLinks.Load(); len(links) > 0 {
-		return links[0]
-	}
-	return nil
-}
-
-// sendNotice sends a notice for all entries to control.
-func (a *Agent) sendNotice(kind wire.Kind, body any) {
-	if c := a.noticeLink(); c != nil {
-		_ = c.Send(kind, body) // a failed send closes the link
-	}
-}
-
 // receiveLimits records the limits that other entries were told.
 func (a *Agent) receiveLimits(now time.Time, from string, list wire.List[wire.Limit]) {
 	for _, l := range list.List {
-		u := a.upstreams[l.Service]
-		if u == nil {
-			continue
-		}
-		t := u.targets[l.Target]
-		if t == nil || t.Start.UnixMilli() != l.Start || l.Rate < 0 || math.IsNaN(l.Rate) {
+		u, t := a.knownTarget(l.Service, l.Target, l.Start)
+		if t == nil || l.Rate < 0 || math.IsNaN(l.Rate) {
 			continue
 		}
 		if event := t.quota.ObserveRemote(now, quota.Report{Limited: l.Limited, Rate: l.Rate}, l.Age); event != quota.Unchanged {
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -18,7 +18,7 @@
 func (a *Agent) handle(c *link.Conn, m wire.Message) (any, error) {
 	switch m.Kind {
 	case wire.KindRevision:
-		return deliver(m, func(r wire.Revision) {
+		return wire.Deliver(m, func(r wire.Revision) {
 			a.post(func(now time.Time) { a.receiveRevision(now, c, r) })
 		})
 	case wire.KindPull:
@@ -34,27 +34,27 @@
 		if m.Call != 0 {
 			return a.handleOwnerQuery(m)
 		}
-		return deliver(m, func(r wire.Renew) {
+		return wire.Deliver(m, func(r wire.Renew) {
 			a.post(func(now time.Time) { a.performRoster(now, a.roster.Renew(now, r)) })
 		})
 	case wire.KindTargets:
-		return deliver(m, func(u enrol.Update) { a.postToRegistry(func(now time.Time) { a.receiveTargets(now, c, u) }) })
+		return wire.Deliver(m, func(u enrol.Update) { a.postToRegistry(func(now time.Time) { a.receiveTargets(now, c, u) }) })
 	case wire.KindReplicas:
-		return deliver(m, func(r wire.Replicas) { a.postToRegistry(func(now time.Time) { a.receiveReplicas(now, r) }) })
+		return wire.Deliver(m, func(r wire.Replicas) { a.postToRegistry(func(now time.Time) { a.receiveReplicas(now, r) }) })
 	case wire.KindEntries:
-		return deliver(m, func(e wire.Entries) { a.postToRegistry(func(time.Time) { a.receiveEntryCounts(e) }) })
+		return wire.Deliver(m, func(e wire.Entries) { a.postToRegistry(func(time.Time) { a.receiveEntryCounts(e) }) })
 	case wire.KindSuspects:
-		return deliver(m, func(s wire.Suspects) { a.postToRegistry(func(now time.Time) { a.receiveSuspects(now, s) }) })
+		return wire.Deliver(m, func(s wire.Suspects) { a.postToRegistry(func(now time.Time) { a.receiveSuspects(now, s) }) })
 	case wire.KindLimits:
-		return deliver(m, func(l wire.List[wire.Limit]) {
+		return wire.Deliver(m, func(l wire.List[wire.Limit]) {
 			a.post(func(now time.Time) { a.receiveLimits(now, c.Peer().Instance, l) })
 		})
 	case wire.KindDemands:
-		return deliver(m, func(d wire.List[wire.Demand]) { a.post(func(now time.Time) { a.receiveDemands(now, d) }) })
+		return wire.Deliver(m, func(d wire.List[wire.Demand]) { a.post(func(now time.Time) { a.receiveDemands(now, d) }) })
 	case wire.KindCrashes:
-		return deliver(m, func(l wire.List[wire.Crash]) { a.post(func(now time.Time) { a.receiveCrashes(now, l) }) })
+		return wire.Deliver(m, func(l wire.List[wire.Crash]) { a.post(func(now time.Time) { a.receiveCrashes(now, l) }) })
 	case wire.KindOrders:
-		return deliver(m, func(o wire.Orders) {
+		return wire.Deliver(m, func(o wire.Orders) {
 			a.post(func(now time.Time) { a.applyOrders(now, c, o) })
 		})
 	}
@@ -72,15 +72,6 @@
 	}
 }
 
-func deliver[T any](m wire.Message, apply func(T)) (any, error) {
-	var body T
-	if err := wire.Decode(m.Body, &body); err != nil {
-		return nil, err
-	}
-	apply(body)
-	return nil, nil
-}
-
 func (a *Agent) handlePull(m wire.Message) (any, error) {
 	var request wire.Pull
 	if err := wire.Decode(m.Body, &request); err != nil {
--- a/entry/agent/suspects.go
+++ b/entry/agent/suspects.go
@@ -83,20 +83,14 @@
 			ok = false
 		}
 	}
-	if r := a.registry; r != nil && r.primary != nil {
-		_ = r.primary.Send(wire.KindSuspects, out) // a failed send closes the link
-	}
+	a.sendNotice(wire.KindSuspects, out)
 }
 
 // receiveSuspects records the observations of other entries.
 func (a *Agent) receiveSuspects(now time.Time, w wire.Suspects) {
 	for _, s := range w.List {
-		u := a.upstreams[s.Service]
-		if u == nil {
-			continue
-		}
-		t := u.targets[s.Target]
-		if t == nil || t.Start.UnixMilli() != s.Start {
+		_, t := a.knownTarget(s.Service, s.Target, s.Start)
+		if t == nil {
 			continue
 		}
 		observation := susp.Observation(s.Observation)
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -113,7 +113,8 @@
 
 func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
-		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit, Quarantined: a.Quarantined, MayResend: a.MayResend, LimitWait: a.LimitWait,
+		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
+		Quarantined: a.Quarantined, MayResend: a.MayResend, LimitWait: a.LimitWait,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, HedgeDelay: a.HedgeDelay, ProbeDelay: a.ProbeDelay,
 		Enter: proxy.TrackInflight(d.inflightCore),
 	}.WithMetrics(m)
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -22,7 +22,8 @@
 		into **meter.Counter
 	}{
 		{meter.RetryDecisions, &c.retryDecisions}, {meter.CrossRegionBytes, &c.crossRegionBytes},
-		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut}, {meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
+		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut},
+		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -112,8 +112,10 @@
 	defer c.upload.stop()
 	c.request.Print = c.print
 	// A request with a key may have run earlier, which its claim tells.
-	if err := c.quarantine(); err != nil && c.key == "" {
-		return c.dispatchRefusal(ctx, err)
+	if c.key == "" {
+		if err := c.quarantine(); err != nil {
+			return c.dispatchRefusal(ctx, err)
+		}
 	}
 	admitted, err := c.proxy.hooks.Admit(ctx, c.request)
 	if err != nil {
