An entry that follows a replica gets the known notices once

An entry was sent the known notices when its link opened and again when it followed the replica as its primary, with those that it had been sent in between. Notices are now sent on a follow only if the entry was not getting them already (TestNewPrimarySendsKnownNotices: fails if they are not sent at all).

--- a/control/daemon/seeds_test.go
+++ b/control/daemon/seeds_test.go
@@ -303,3 +303,26 @@
 	late := dialFollower(t, group[1].replica)
 	is.True(len((<-late.crashes).List) >= 2)
 }
+
+// Guards against an entry that changes its primary and does not learn what the new
+// one passed on before.
+func TestNewPrimarySendsKnownNotices(t *testing.T) {
+	is := is.New(t)
+	group := seedGroup(t, 1, 1, 0)
+	group[0].run()
+	reporter := dialFollower(t, group[0].replica)
+	e := dialEntry(t, group[0].replica)
+	follow := func(primary bool) {
+		is.NoErr(e.conn.Send(wire.KindFollow, wire.Follow{Primary: primary}))
+		// The answer to a call tells that the replica has handled the messages before it.
+		var targets enrol.Update
+		is.NoErr(e.conn.Call(t.Context(), wire.KindTargets, wire.Follow{}, &targets))
+	}
+	follow(false)
+	crash := wire.Crash{Print: [16]byte{1}, Target: netip.MustParseAddrPort("10.0.0.1:80"), Start: 1}
+	is.NoErr(reporter.conn.Send(wire.KindCrashes, wire.List[wire.Crash]{List: []wire.Crash{crash}}))
+	var targets enrol.Update
+	is.NoErr(reporter.conn.Call(t.Context(), wire.KindTargets, wire.Follow{}, &targets))
+	follow(true)
+	is.Equal((<-e.crashes).List[0].Target, crash.Target)
+}
--- a/control/fleet/registry.go
+++ b/control/fleet/registry.go
@@ -30,10 +30,13 @@
 		if s == nil {
 			return
 		}
+		hasNotices := s.takesNotices(c.Peer(), "")
 		s.wantsTargets, s.isPrimary, s.sentIndex = true, w.Primary, w.Have
 		f.send(c, wire.KindReplicas, f.replicaList())
 		if s.isPrimary {
 			f.send(c, wire.KindEntries, f.entryCounts())
+		}
+		if s.isPrimary && !hasNotices {
 			f.catchUpNotices(c)
 		}
 		f.pushTargets(c, s)
