Entries log and count whether they reach any target

The lines of an entry name one target and one failure each. They did not tell an entry that has lost its path to all targets from targets that are down. Entries now check it when connections fail: four connections to targets of all services and, if none succeeds, a question to entries near and far, which control names.

Asking near entries only took a data centre that was cut as a whole for targets that are down.

--- a/control/daemon/handle.go
+++ b/control/daemon/handle.go
@@ -45,6 +45,10 @@
 		ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
 		defer cancel()
 		return p.fleet.Pull(ctx, c, in)
+	case wire.KindHelpers:
+		ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
+		defer cancel()
+		return p.fleet.Helpers(ctx, c)
 	case wire.KindClaim:
 		var in wire.Claim
 		if err := wire.Decode(m.Body, &in); err != nil {
--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -22,6 +22,8 @@
 	Ejections           Name = "ejections"
 	TargetLimits        Name = "limits"
 	TargetCrashes       Name = "crashes"
+	PathStates          Name = "paths"
+	RelayedRequests     Name = "relays"
 	Claims              Name = "claims"
 	CrossRegionBytes    Name = "crossing"
 	Commits             Name = "commits"
@@ -55,6 +57,8 @@
 	Ejections:           {"counter", "{event}", "event", "Events in the ejection of targets"},
 	TargetLimits:        {"counter", "{event}", "event", "Changes of the limits that targets name: named, changed or lifted"},
 	TargetCrashes:       {"counter", "{request}", "", "Requests during which their target crashed"},
+	PathStates:          {"counter", "{check}", "state", "Checks of the path to the targets, by the state that they found: connected, stranded or isolated"},
+	RelayedRequests:     {"counter", "{request}", "result", "Requests passed to another entry because this one has no path, by result: answered, declined, refused or failed"},
 	Claims:              {"counter", "{claim}", "state", "Claims, by answer"},
 	CrossRegionBytes:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
--- /dev/null
+++ b/core/reach/tracker.go
@@ -0,0 +1,231 @@
+package reach
+
+import (
+	_ "embed" // path.chart
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenalock/galenalock/core/chart"
+)
+
+//go:embed path.chart
+var pathChart string
+
+// State is the state of the path. Its values are the states of the chart.
+type State string
+
+// The states.
+const (
+	Connected State = "connected" // targets are reached
+	Stranded  State = "stranded"  // no target is reached, but another entry reaches one
+	Isolated  State = "isolated"  // neither this entry nor another one reaches a target
+)
+
+// Action is an action of the chart.
+type Action string
+
+// The actions.
+const (
+	Forgive  Action = "forgive"  // forget failures of targets that the lost path explains
+	Announce Action = "announce" // tell control of the new state
+)
+
+const (
+	// SampleSize is the number of targets of which a check opens a connection.
+	SampleSize = 4
+	// minSample is the least number of targets that are evidence of a lost path.
+	minSample = 3
+	// maxUnreached is the number of targets that may be out of reach, with none
+	// reached on a new connection since, before a check is due.
+	maxUnreached = 2
+	// quietTime is the time without any contact after which one target out of reach
+	// makes a check due.
+	quietTime = 500 * time.Millisecond
+	// checkGap is the least time between two checks while the path is not lost.
+	checkGap = time.Second
+	// minInterval and maxInterval bound the random time between two checks of a lost
+	// path. The spread keeps entries that lost it together from returning together.
+	minInterval = 300 * time.Millisecond
+	maxInterval = 600 * time.Millisecond
+)
+
+// Tracker tracks the path of one entry to the targets.
+type Tracker struct {
+	state atomic.Pointer[State]
+
+	mu          sync.Mutex
+	machine     *chart.Machine
+	unreached   map[netip.AddrPort]struct{} // since the last new connection that worked
+	lastContact time.Time
+	checking    bool
+	nextCheck   time.Time
+}
+
+// Chart returns the chart of the path after its checks.
+func Chart() (*chart.Chart, error) {
+	return chart.Parse(pathChart, string(Announce), string(Forgive))
+}
+
+// New returns a tracker in the state Connected. The error is one of the chart.
+func New() (*Tracker, error) {
+	c, err := Chart()
+	if err != nil {
+		return nil, err
+	}
+	t := &Tracker{machine: c.NewMachine(), unreached: map[netip.AddrPort]struct{}{}}
+	connected := Connected
+	t.state.Store(&connected)
+	return t, nil
+}
+
+// State returns the current state.
+func (t *Tracker) State() State { return *t.state.Load() }
+
+// InDoubt reports whether failures to reach a target may be due to the path.
+func (t *Tracker) InDoubt() bool {
+	if t.State() != Connected {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.checking || len(t.unreached) >= maxUnreached
+}
+
+// Contact records bytes received from a target; opened tells that they arrived on a
+// new connection.
+func (t *Tracker) Contact(now time.Time, opened bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.After(t.lastContact) {
+		t.lastContact = now
+	}
+	if opened {
+		clear(t.unreached)
+	}
+}
+
+// Unreached records that no connection to a target could be opened, or that one was
+// lost or stayed silent. It reports whether a check is due.
+func (t *Tracker) Unreached(now time.Time, target netip.AddrPort) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unreached[target] = struct{}{}
+	return t.due(now) && (len(t.unreached) >= maxUnreached || now.Sub(t.lastContact) >= quietTime)
+}
+
+// Due reports whether a lost path is to be checked again.
+func (t *Tracker) Due(now time.Time) bool {
+	if t.State() == Connected {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.due(now)
+}
+
+// due reports whether a check may begin. The caller holds t.mu. A clock that was
+// set back does not delay the check.
+func (t *Tracker) due(now time.Time) bool {
+	return !t.checking && (!now.Before(t.nextCheck) || t.nextCheck.Sub(now) > checkGap)
+}
+
+// Begin begins a check and reports whether none was running.
+func (t *Tracker) Begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.checking {
+		return false
+	}
+	t.checking = true
+	return true
+}
+
+// Result is the result of a check.
+type Result struct {
+	Sampled int  // targets to which a connection was tried
+	Reached int  // of these, targets to which one could be opened
+	Helped  bool // another entry reaches a target of the sample, or answers for this one
+}
+
+// event returns the event that a result stands for in a state, or "" if it proves
+// nothing.
+func (r Result) event(s State) string {
+	switch {
+	case s == Connected && r.Reached > 0, s != Connected && r.Sampled > 0 && 2*r.Reached >= r.Sampled:
+		return "reached"
+	case s == Connected && r.Sampled < minSample, r.Sampled == 0:
+		return ""
+	case r.Helped:
+		return "helped"
+	}
+	return "lost"
+}
+
+// Finish ends a check. It returns the new state and the actions of the transition.
+func (t *Tracker) Finish(now time.Time, r Result) (State, []Action) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.checking = false
+	t.nextCheck = now.Add(checkGap)
+	before := t.State()
+	event := r.event(before)
+	if event == "" {
+		return before, nil
+	}
+	names, err := t.machine.Fire(event)
+	if err != nil {
+		return before, nil // the chart handles or ignores every event in every state
+	}
+	after := State(t.machine.State())
+	t.state.Store(&after)
+	if after == Connected {
+		clear(t.unreached)
+		t.lastContact = now
+	} else {
+		t.nextCheck = now.Add(minInterval + rand.N(maxInterval-minInterval))
+	}
+	actions := make([]Action, 0, len(names))
+	for _, name := range names {
+		actions = append(actions, Action(name))
+	}
+	return after, actions
+}
+
+// Sample chooses up to SampleSize targets: one of each service in turn, in random
+// order.
+func Sample(services [][]netip.AddrPort, intN func(n int) int) []netip.AddrPort {
+	lists := make([][]netip.AddrPort, 0, len(services))
+	for _, list := range services {
+		if len(list) > 0 {
+			lists = append(lists, slices.Clone(list))
+		}
+	}
+	shuffle(lists, intN)
+	var out []netip.AddrPort
+	for len(lists) > 0 && len(out) < SampleSize {
+		next := lists[:0]
+		for _, list := range lists {
+			if len(out) == SampleSize {
+				break
+			}
+			i := intN(len(list))
+			out = append(out, list[i])
+			if list = slices.Delete(list, i, i+1); len(list) > 0 {
+				next = append(next, list)
+			}
+		}
+		lists = next
+	}
+	return out
+}
+
+func shuffle[T any](list []T, intN func(n int) int) {
+	for i := len(list) - 1; i > 0; i-- {
+		j := intN(i + 1)
+		list[i], list[j] = list[j], list[i]
+	}
+}
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -32,6 +32,8 @@
 	KindLimits   Kind = "limits"   // List of Limit, sent to control, which forwards it to all entries
 	KindDemands  Kind = "demands"  // List of Demand, forwarded in the same way
 	KindCrashes  Kind = "crashes"  // List of Crash, forwarded in the same way
+	KindHelpers  Kind = "helpers"  // empty, from an entry to control, answered by Helpers
+	KindReach    Kind = "reach"    // Reach, from an entry to another one, answered by Reached
 )
 
 // Message is one frame on a link. Call is nonzero for a message that expects
--- a/core/wire/revision.go
+++ b/core/wire/revision.go
@@ -39,7 +39,7 @@
 	Instance  string        `cbor:"instance"`
 	Start     time.Time     `cbor:"start"`
 	Number    uint64        `cbor:"number"` // active revision
-	State     string        `cbor:"state"`  // "starting", "ready" or "draining"
+	State     string        `cbor:"state"`  // StateStarting, StateReady, StateDraining or StateNoPath
 	Inflight  int           `cbor:"inflight"`
 	Confirmed time.Duration `cbor:"confirmed"` // age of the last confirmation by control or a peer
 }
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/update"
 	"github.com/galenalock/galenalock/core/value"
+	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -70,6 +71,7 @@
 	fleet            atomic.Pointer[Fleet]
 	rates            *rates
 	poisons          *poison.Table
+	path             path
 
 	suspectReports chan suspectReport // sent by traffic goroutines
 }
@@ -108,6 +110,8 @@
 	a.view.Store(&proxy.View{})
 	a.upstreamSnapshot.Store(&map[string]*upstream{})
 	a.controlLinks.Store(&conns{})
+	a.path.tracker = s.Path
+	a.path.helpers.Store(&wire.Helpers{})
 	a.fleet.Store(&Fleet{})
 	a.mesh = hooks.OpenMesh(
 		mesh.WithHello(a.settings.hello),
@@ -224,6 +228,7 @@
 	}
 	a.confirm(now)
 	a.tickUpstreams(now)
+	a.tickPath(now)
 	a.report(now)
 	a.publish(now)
 	if now.Sub(a.lastFleetCount) >= time.Second {
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -25,6 +25,7 @@
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/poison"
 	"github.com/galenalock/galenalock/core/quota"
+	"github.com/galenalock/galenalock/core/reach"
 	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/agent"
@@ -104,7 +105,13 @@
 	hooks.CountCrossRegion = func(int64, int64) {}
 	hooks.CountLimit = func(quota.Event) {}
 	hooks.CountCrash = func() {}
+	hooks.CountPath = func(reach.State) {}
 	hooks.Inflight = func() int { return 0 }
+	if s.Path == nil {
+		if s.Path, err = reach.New(); err != nil {
+			t.Fatal(err)
+		}
+	}
 	a := agent.New(s, hooks, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -162,12 +162,12 @@
 		return
 	}
 	a.lastReport, a.reportDue = now, false
-	state := "starting"
+	state := wire.StateStarting
 	switch {
 	case a.draining || a.leaving:
-		state = "draining"
+		state = wire.StateDraining
 	case a.update.Ready(now):
-		state = "ready"
+		state = wire.StateReady
 	}
 	r := wire.Report{
 		Instance: a.settings.Instance, Start: a.settings.Start, Number: a.update.Number(),
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -37,6 +37,8 @@
 		return wire.Deliver(m, func(r wire.Renew) {
 			a.post(func(now time.Time) { a.performRoster(now, a.roster.Renew(now, r)) })
 		})
+	case wire.KindReach:
+		return a.handleReach(m)
 	case wire.KindTargets:
 		return wire.Deliver(m, func(u enrol.Update) { a.postToRegistry(func(now time.Time) { a.receiveTargets(now, c, u) }) })
 	case wire.KindReplicas:
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -8,6 +8,7 @@
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/quota"
+	"github.com/galenalock/galenalock/core/reach"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -27,8 +28,9 @@
 	ControlLinks int              // number of links to control replicas, with ControlSeeds
 	Quarantine   time.Duration    // of a request that crashed targets, see package poison
 	Retry        RetryBudget
-	MinInflight  int       // concurrent requests of a service that are always admitted
-	Start        time.Time // start of the process, identifies its incarnation
+	MinInflight  int            // concurrent requests of a service that are always admitted
+	Start        time.Time      // start of the process, identifies its incarnation
+	Path         *reach.Tracker // state of the path to the targets
 }
 
 func (s *Settings) hello() wire.Hello {
@@ -54,6 +56,7 @@
 	CountCrossRegion func(sent, received int64)           // counts bytes exchanged with targets in other regions
 	CountLimit       func(event quota.Event)              // counts a change of the limit of a target
 	CountCrash       func()                               // counts a request during which its target crashed
+	CountPath        func(state reach.State)              // counts a check of the path to the targets
 	Inflight         func() int                           // returns the number of requests in flight
 	// Connect opens a connection to a target and closes it. The default is a TCP
 	// connection.
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -81,7 +81,11 @@
 	d.upstream.pending.Add(1)
 	d.upstream.active.Store(true)
 	if overdue := d.upstream.overdueDelay(at.Request.Kind); a.registry != nil && overdue > 0 {
-		d.overdueTimer = time.AfterFunc(overdue, func() { a.recordObservation(d.target, susp.Overdue, time.Now()) })
+		d.overdueTimer = time.AfterFunc(overdue, func() {
+			now := time.Now()
+			a.recordUnreached(d.target, now)
+			a.recordObservation(d.target, susp.Overdue, now)
+		})
 	}
 	// The duration of an upload depends on the caller, not on the target.
 	if !at.Request.Kind.Upload {
@@ -104,6 +108,7 @@
 		latency = o.HeaderLatency
 		d.upstream.budget.ObserveLatency(o.HeaderLatency)
 	}
+	a.observePath(d.target, o)
 	d.upstream.pending.Add(-1)
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -13,6 +13,7 @@
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/meter"
+	"github.com/galenalock/galenalock/core/reach"
 	"github.com/galenalock/galenalock/core/serve"
 	"github.com/galenalock/galenalock/entry/agent"
 	"github.com/galenalock/galenalock/entry/proxy"
@@ -22,7 +23,7 @@
 func (d *Daemon) assemble() error {
 	container := dig.New()
 	for _, provider := range []any{
-		d.newLog, meter.New, newCounters, d.newCerts, d.newPeer, d.newAgent, d.newProxy,
+		d.newLog, meter.New, newCounters, reach.New, d.newCerts, d.newPeer, d.newAgent, d.newProxy,
 	} {
 		if err := container.Provide(provider); err != nil {
 			return eris.Wrap(err, "assemble entry")
@@ -83,13 +84,14 @@
 	return peerServer{server: server, handler: handler}, server.Listen(d.settings.Peer)
 }
 
-func (d *Daemon) newAgent(log *logrus.Entry, c *counters, k certSet, p peerServer) *agent.Agent {
+func (d *Daemon) newAgent(log *logrus.Entry, c *counters, path *reach.Tracker, k certSet, p peerServer) *agent.Agent {
 	s := &d.settings
 	return agent.New(agent.Settings{
 		Fleet: s.Fleet, Instance: s.Instance, Region: s.Region, DataCentre: s.DataCentre,
 		Peer: p.server.Addr(), Control: s.Control, OverlaySeeds: slices.Concat(s.Peers, s.Control),
 		DataDir: s.Data, SlowStart: s.Ramp, StartupWait: s.Wait, Start: d.start,
 		ControlSeeds: s.Seeds, ControlLinks: s.Links, MinInflight: s.Inflight, Quarantine: s.Quarantine,
+		Path:  path,
 		Retry: agent.RetryBudget{Window: s.RetryWindow, Share: s.RetryShare, Slack: s.RetrySlack},
 	}, agent.Hooks{
 		OpenMesh: func(opts ...mesh.Option) *mesh.Mesh {
@@ -107,6 +109,7 @@
 		CountCrossRegion: c.addCrossRegion,
 		CountLimit:       c.addLimitEvent,
 		CountCrash:       c.addCrash,
+		CountPath:        c.addPath,
 		Inflight:         d.inflight,
 	}, log)
 }
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/galenalock/galenalock/core/meter"
 	"github.com/galenalock/galenalock/core/quota"
+	"github.com/galenalock/galenalock/core/reach"
 )
 
 // counters are the metrics of an entry that the data path does not count itself.
@@ -13,6 +14,7 @@
 	requestsCut      *meter.Counter
 	targetLimits     *meter.Counter
 	targetCrashes    *meter.Counter
+	pathStates       *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -24,6 +26,7 @@
 		{meter.RetryDecisions, &c.retryDecisions}, {meter.CrossRegionBytes, &c.crossRegionBytes},
 		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut},
 		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
+		{meter.PathStates, &c.pathStates},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -47,4 +50,6 @@
 
 func (c *counters) addLimitEvent(event quota.Event) { c.targetLimits.Add(1, string(event)) }
 
+func (c *counters) addPath(state reach.State) { c.pathStates.Add(1, string(state)) }
+
 func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
