TestEntryWithoutPathServesThroughOthers fails: entries without a path serve nobody

The entry runs in the process of the test, which cuts its connections to all targets in three ways. All three fail on this code: hang and reset serve nothing within 30 s.

Dial in the settings of an entry opens connections to targets, also those of the checks of its path.

--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +16,7 @@
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/meter"
+	"github.com/galenalock/galenalock/core/pool"
 	"github.com/galenalock/galenalock/core/reach"
 	"github.com/galenalock/galenalock/core/serve"
 	"github.com/galenalock/galenalock/entry/agent"
@@ -111,9 +115,25 @@
 		CountCrash:       c.addCrash,
 		CountPath:        c.addPath,
 		Inflight:         d.inflight,
+		Connect:          connectWith(s.Dial),
 	}, log)
 }
 
+// connectWith returns a function that opens a connection with dial and closes it, or
+// nil without one.
+func connectWith(dial func(context.Context, netip.AddrPort) (net.Conn, error)) func(context.Context, netip.AddrPort) error {
+	if dial == nil {
+		return nil
+	}
+	return func(ctx context.Context, target netip.AddrPort) error {
+		c, err := dial(ctx, target)
+		if err != nil {
+			return err
+		}
+		return c.Close()
+	}
+}
+
 func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
 		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
@@ -124,7 +144,11 @@
 	if err != nil {
 		return nil, err
 	}
-	opts := append([]proxy.Option{proxy.WithOwner(d.settings.Instance, d.start)}, d.settings.Proxy...)
+	opts := []proxy.Option{proxy.WithOwner(d.settings.Instance, d.start)}
+	if dial := d.settings.Dial; dial != nil {
+		opts = append(opts, proxy.WithPool(pool.New(pool.WithDial(dial))))
+	}
+	opts = append(opts, d.settings.Proxy...)
 	return proxy.New(hooks, opts...), nil
 }
 
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"context"
 	"io"
+	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -51,6 +53,10 @@
 	Log io.Writer // destination of log lines, standard output by default
 
 	Proxy []proxy.Option // additional options of the data path
+
+	// Dial opens a connection to a target, TCP by default. A connection pool in Proxy
+	// must use it as well.
+	Dial func(ctx context.Context, target netip.AddrPort) (net.Conn, error)
 }
 
 // Defaults and limits of the settings.
