Entries without a path pass requests on to entries that have one

Cause: reachability was held for a property of the target. Each target that could not be reached was avoided by itself and the next one was tried, up to five times 300 ms, and nothing ever told that none is reached from here.

An entry whose check finds its path lost now passes requests on, once, to an entry that reaches targets: near, little loaded, named by control. The other entry serves them as those of its own callers, with the time that is left, its own retries, limits, quarantines and claims. A request that may have run is not sent again; one that was declined before it was sent to a target is. The path is checked again at random intervals, and half of a sample brings the entry back.

The failures that the lost path explains are neither shared nor kept: suspicions are forgotten, evidence is withheld, a refused connection is a crash only if another target is reached (a test of the naive code got targets ejected by the entry that had lost its path). Idle connections to targets are closed.

Ruled out: readiness alone, which moves nobody where most of a data centre is cut.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -148,6 +148,23 @@
 	return dropped
 }
 
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeAllIdle()
+}
+
+// closeAllIdle closes all idle connections. The caller holds p.mu.
+func (p *Pool) closeAllIdle() {
+	for target, list := range p.idle {
+		for _, c := range list {
+			c.netConn.Close()
+		}
+		delete(p.idle, target)
+	}
+}
+
 // IdleCount returns the number of idle connections to a target.
 func (p *Pool) IdleCount(target netip.AddrPort) int {
 	p.mu.Lock()
@@ -165,12 +182,7 @@
 		p.sweep.Stop()
 		p.sweep = nil
 	}
-	for target, list := range p.idle {
-		for _, c := range list {
-			c.netConn.Close()
-		}
-		delete(p.idle, target)
-	}
+	p.closeAllIdle()
 }
 
 // Response is the final response to a request.
--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -31,6 +31,7 @@
 // The actions.
 const (
 	Forgive  Action = "forgive"  // forget failures of targets that the lost path explains
+	Abandon  Action = "abandon"  // close idle connections, which may stay silent after the path is back
 	Announce Action = "announce" // tell control of the new state
 )
 
@@ -42,9 +43,9 @@
 	// maxUnreached is the number of targets that may be out of reach, with none
 	// reached on a new connection since, before a check is due.
 	maxUnreached = 2
-	// quietTime is the time without any contact after which one target out of reach
+	// QuietTime is the time without any contact after which one target out of reach
 	// makes a check due.
-	quietTime = 500 * time.Millisecond
+	QuietTime = 500 * time.Millisecond
 	// checkGap is the least time between two checks while the path is not lost.
 	checkGap = time.Second
 	// minInterval and maxInterval bound the random time between two checks of a lost
@@ -67,7 +68,7 @@
 
 // Chart returns the chart of the path after its checks.
 func Chart() (*chart.Chart, error) {
-	return chart.Parse(pathChart, string(Announce), string(Forgive))
+	return chart.Parse(pathChart, string(Abandon), string(Announce), string(Forgive))
 }
 
 // New returns a tracker in the state Connected. The error is one of the chart.
@@ -114,7 +115,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.unreached[target] = struct{}{}
-	return t.due(now) && (len(t.unreached) >= maxUnreached || now.Sub(t.lastContact) >= quietTime)
+	return t.due(now) && (len(t.unreached) >= maxUnreached || now.Sub(t.lastContact) >= QuietTime)
 }
 
 // Due reports whether a lost path is to be checked again.
--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -35,7 +35,7 @@
 	fmt.Println(state)
 	// Output:
 	// true true
-	// stranded [forgive announce]
+	// stranded [forgive abandon announce]
 	// connected
 }
 
--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -22,6 +22,7 @@
 	Overload    Reason = "overload"    // the request was shed before dispatch
 	Deadline    Reason = "deadline"    // the request cannot finish, or did not finish, by the deadline
 	NoTarget    Reason = "notarget"    // no target of the service is available
+	NoPath      Reason = "nopath"      // the instance reaches no target, and no other instance that does
 	Limited     Reason = "limited"     // the targets of the service are at the limits that they named
 	Connect     Reason = "connect"     // no connection to a target could be opened
 	Shed        Reason = "shed"        // the target declared that it did not run the request
@@ -56,6 +57,7 @@
 	Overload:    {http.StatusServiceUnavailable, "The service is overloaded"},
 	Deadline:    {http.StatusGatewayTimeout, "The deadline has passed"},
 	NoTarget:    {http.StatusServiceUnavailable, "No target of the service is available"},
+	NoPath:      {http.StatusServiceUnavailable, "The instance reaches no target"},
 	Limited:     {http.StatusServiceUnavailable, "The targets of the service are at their limits"},
 	Connect:     {http.StatusBadGateway, "No target could be connected"},
 	Shed:        {http.StatusServiceUnavailable, "The target shed the request"},
--- a/core/susp/sign.go
+++ b/core/susp/sign.go
@@ -44,6 +44,10 @@
 // valid reports whether this version of the program defines the observation.
 func (o Observation) valid() bool { return o > 0 && o < numObservations }
 
+// IsOfPath reports whether a fault of the path to the target explains the
+// observation as well.
+func (o Observation) IsOfPath() bool { return o == Broken || o == Overdue || o == Unreachable }
+
 // ShouldShare reports whether other entries are to be sent the observation, given
 // the probability of the failing state before it. An answer is sent only when
 // that probability was at least suspectProbability.
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// Forgive forgets all observations.
+func (t *Target) Forgive() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.excess, t.streak = 0, 0
+}
+
 // SetSilent sets whether control no longer receives messages from the target.
 func (t *Target) SetSilent(silent bool) {
 	t.mu.Lock()
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -105,6 +105,8 @@
 	hooks.CountCrossRegion = func(int64, int64) {}
 	hooks.CountLimit = func(quota.Event) {}
 	hooks.CountCrash = func() {}
+	hooks.CloseIdle = func() {}
+	hooks.CountRelay = func(string) {}
 	hooks.CountPath = func(reach.State) {}
 	hooks.Inflight = func() int { return 0 }
 	if s.Path == nil {
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -166,6 +166,8 @@
 	switch {
 	case a.draining || a.leaving:
 		state = wire.StateDraining
+	case a.update.Ready(now) && a.PathLost():
+		state = wire.StateNoPath
 	case a.update.Ready(now):
 		state = wire.StateReady
 	}
--- a/entry/agent/crashes.go
+++ b/entry/agent/crashes.go
@@ -55,8 +55,9 @@
 }
 
 // examineLoss finds out whether a target crashed while it ran a request. The
-// connections of a process that has ended are lost and new ones are refused. A
-// target that is up again by then has a new incarnation.
+// connections of a process that has ended are lost and new ones are refused, while
+// other targets can be reached. A target that is up again by then has a new
+// incarnation.
 func (a *Agent) examineLoss(t *target, at proxy.Attempt, o proxy.Outcome) {
 	if at.Request.Print == nil {
 		return
@@ -72,13 +73,15 @@
 			return
 		}
 		c.probing[t] = true
+		others := a.sampleTargets(t.Address)
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 			defer cancel()
 			err := a.hooks.Connect(ctx, t.Address)
+			refused := errors.Is(err, syscall.ECONNREFUSED) && (len(others) == 0 || a.countReachable(others) > 0)
 			a.post(func(now time.Time) {
 				delete(c.probing, t)
-				if errors.Is(err, syscall.ECONNREFUSED) {
+				if refused {
 					a.confirmCrashes(now, func(p *possibleCrash) bool { return p.target == t })
 				}
 			})
--- /dev/null
+++ b/entry/agent/helper.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenalock/galenalock/core/reach"
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/wire"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+const (
+	// helperPause is how long an entry that declined a request or could not be reached
+	// gets no further one if there are others.
+	helperPause = 500 * time.Millisecond
+	// noTargetRetryAfter is the time after which a caller may retry a request for which
+	// no target was available.
+	noTargetRetryAfter = time.Second
+	// pathRetryAfter is the time after which a caller may retry a request that was
+	// refused because no entry reaches a target. By then the path has been checked
+	// again.
+	pathRetryAfter = 500 * time.Millisecond
+)
+
+// helperState is what this entry knows of one helper from the requests that it
+// passed on.
+type helperState struct {
+	inflight    atomic.Int64
+	pausedUntil atomic.Int64 // Unix nanoseconds
+}
+
+// helperHandle connects an attempt through another entry to the state of that entry.
+type helperHandle struct{ state *helperState }
+
+// helperStates holds the states of helpers by address. It is safe for concurrent
+// use.
+type helperStates struct{ byAddress sync.Map }
+
+func (s *helperStates) get(address netip.AddrPort) *helperState {
+	if known, ok := s.byAddress.Load(address); ok {
+		return known.(*helperState)
+	}
+	known, _ := s.byAddress.LoadOrStore(address, &helperState{})
+	return known.(*helperState)
+}
+
+// PathLost reports whether this entry reaches no target itself.
+func (a *Agent) PathLost() bool { return a.path.tracker.State() != reach.Connected }
+
+// pickHelper selects an entry to which a request is passed on: one of two near ones
+// with fewer requests of this entry, or another one if they cannot be used.
+func (a *Agent) pickHelper(exclude []netip.AddrPort, now time.Time) (proxy.Target, bool) {
+	helpers := a.path.helpers.Load()
+	for _, list := range [][]wire.Helper{helpers.List[:helpers.Near], helpers.List[helpers.Near:]} {
+		if target, ok := a.pickAmong(list, exclude, now.UnixNano()); ok {
+			return target, true
+		}
+	}
+	return a.pickAmong(helpers.List, exclude, 0)
+}
+
+// pickAmong selects among the helpers that are not paused at a time, which is 0 to
+// select among all.
+func (a *Agent) pickAmong(list []wire.Helper, exclude []netip.AddrPort, nanos int64) (proxy.Target, bool) {
+	usable := make([]wire.Helper, 0, len(list))
+	for _, h := range list {
+		if !slices.Contains(exclude, h.Address) && (nanos == 0 || a.path.states.get(h.Address).pausedUntil.Load() <= nanos) {
+			usable = append(usable, h)
+		}
+	}
+	if len(usable) == 0 {
+		return proxy.Target{}, false
+	}
+	best := usable[rand.IntN(len(usable))]
+	if other := usable[rand.IntN(len(usable))]; a.path.states.get(other.Address).inflight.Load() < a.path.states.get(best.Address).inflight.Load() {
+		best = other
+	}
+	return proxy.Target{
+		Name: best.Instance, Address: best.Address, Region: best.Region, DataCentre: best.DataCentre,
+		Relay: true, Handle: &helperHandle{state: a.path.states.get(best.Address)},
+	}, true
+}
+
+// endRelay records the outcome of an attempt through another entry.
+func (a *Agent) endRelay(h *helperHandle, o proxy.Outcome) {
+	h.state.inflight.Add(-1)
+	result := "failed"
+	switch o.Class {
+	case proxy.Answered, proxy.Faulty:
+		result = "answered"
+		a.path.lastRelayed.Store(o.End.UnixNano())
+	case proxy.Declined:
+		result = "declined"
+	case proxy.Refused:
+		result = "refused"
+	case proxy.Cancelled, proxy.Overdue:
+		result = "cancelled"
+	}
+	if o.Class == proxy.Declined || o.Class == proxy.Dial || o.Class == proxy.Failed {
+		h.state.pausedUntil.Store(o.End.Add(helperPause).UnixNano())
+	}
+	a.hooks.CountRelay(result)
+}
+
+// Unavailable returns why no target of a service can take a request, and the time
+// after which one may.
+func (a *Agent) Unavailable(r proxy.Request, now time.Time) (refuse.Reason, time.Duration) {
+	if a.PathLost() {
+		return refuse.NoPath, pathRetryAfter
+	}
+	if wait, limited := a.limitWait(r, now); limited {
+		return refuse.Limited, wait
+	}
+	return refuse.NoTarget, noTargetRetryAfter
+}
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -181,9 +181,9 @@
 	return !ok || d.target.quota.Available(now)
 }
 
-// LimitWait returns the time until a limited target of the service may get a
+// limitWait returns the time until a limited target of the service may get a
 // request from this entry, and false if no target of the service is limited.
-func (a *Agent) LimitWait(r proxy.Request, now time.Time) (time.Duration, bool) {
+func (a *Agent) limitWait(r proxy.Request, now time.Time) (time.Duration, bool) {
 	u := a.upstream(r.Service.Name)
 	if u == nil {
 		return 0, false
--- a/entry/agent/limits_test.go
+++ b/entry/agent/limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/quota"
+	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/agent"
 	"github.com/galenalock/galenalock/entry/proxy"
@@ -85,7 +86,8 @@
 
 	waitUntil(t, "the entry uses its share of the limit", func() bool {
 		exchange(a, time.Now(), reports)
-		wait, ok := a.LimitWait(request(a, "s0"), time.Now())
+		reason, wait := a.Unavailable(request(a, "s0"), time.Now())
+		ok := reason == refuse.Limited
 		return ok && wait < time.Second
 	})
 	now, begin := time.Now(), time.Now()
@@ -157,6 +159,7 @@
 		_, ok := a.Pick(request(a, "s0"), nil, time.Now())
 		return !ok
 	})
-	wait, limited := a.LimitWait(request(a, "s0"), time.Now())
+	reason, wait := a.Unavailable(request(a, "s0"), time.Now())
+	limited := reason == refuse.Limited
 	is.True(limited && wait > 0 && wait <= 5*time.Second)
 }
--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -27,6 +27,11 @@
 	// helpersInterval is the interval at which the list of helpers is renewed while
 	// the path is not lost, so that it is known when control is out of reach.
 	helpersInterval = 20 * time.Second
+	// lostHelpersInterval replaces helpersInterval while the path is lost.
+	lostHelpersInterval = time.Second
+	// relayedRecently is how long an answer through another entry shows that entries
+	// reach targets.
+	relayedRecently = 2 * time.Second
 	// askedAtOnce is the number of entries that are asked at the same time, half of
 	// them near and half of them far.
 	askedAtOnce = 4
@@ -37,6 +42,10 @@
 type path struct {
 	tracker *reach.Tracker
 	helpers atomic.Pointer[wire.Helpers]
+	states  helperStates
+	// lastRelayed is when another entry last answered a request of this one, in Unix
+	// nanoseconds.
+	lastRelayed atomic.Int64
 
 	// Accessed only by the control goroutine.
 	helpersAsked time.Time
@@ -64,25 +73,34 @@
 	if a.path.tracker.Due(now) {
 		a.checkPath(now)
 	}
-	if now.Sub(a.path.helpersAsked) >= helpersInterval && len(*a.controlLinks.Load()) > 0 {
+	interval := helpersInterval
+	if a.PathLost() {
+		interval = lostHelpersInterval
+	}
+	if now.Sub(a.path.helpersAsked) >= interval && len(*a.controlLinks.Load()) > 0 {
 		a.path.helpersAsked = now
 		go a.fetchHelpers()
 	}
 }
 
-// checkPath checks whether this entry reaches targets.
-func (a *Agent) checkPath(time.Time) {
+// sampleTargets returns random targets of all services, except for one.
+func (a *Agent) sampleTargets(except netip.AddrPort) []netip.AddrPort {
 	var services [][]netip.AddrPort
 	for _, u := range a.upstreams {
 		var list []netip.AddrPort
 		for address, t := range u.targets {
-			if isInService(t.Target) {
+			if isInService(t.Target) && address != except {
 				list = append(list, address)
 			}
 		}
 		services = append(services, list)
 	}
-	sample := reach.Sample(services, rand.IntN)
+	return reach.Sample(services, rand.IntN)
+}
+
+// checkPath checks whether this entry reaches targets.
+func (a *Agent) checkPath(time.Time) {
+	sample := a.sampleTargets(netip.AddrPort{})
 	if len(sample) == 0 || !a.path.tracker.Begin() {
 		return
 	}
@@ -108,7 +126,8 @@
 		}
 	}
 	if 2*result.Reached < result.Sampled {
-		result.Helped = a.isReachedByOthers(sample)
+		relayed := time.Since(time.Unix(0, a.path.lastRelayed.Load()))
+		result.Helped = relayed < relayedRecently || a.isReachedByOthers(sample)
 	}
 	return result
 }
@@ -200,6 +219,7 @@
 	for _, c := range *a.controlLinks.Load() {
 		var helpers wire.Helpers
 		if err := c.Call(ctx, wire.KindHelpers, struct{}{}, &helpers); err == nil {
+			helpers.Near = min(max(0, helpers.Near), len(helpers.List))
 			a.path.helpers.Store(&helpers)
 			return helpers
 		}
@@ -210,8 +230,18 @@
 // finishPathCheck applies the result of a check.
 func (a *Agent) finishPathCheck(now time.Time, r reach.Result) {
 	before := a.path.tracker.State()
-	state, _ := a.path.tracker.Finish(now, r)
+	state, actions := a.path.tracker.Finish(now, r)
 	a.hooks.CountPath(state)
+	for _, action := range actions {
+		switch action {
+		case reach.Forgive:
+			a.forgiveTargets()
+		case reach.Abandon:
+			a.hooks.CloseIdle()
+		case reach.Announce:
+			a.reportDue = true
+		}
+	}
 	log := a.log.WithField("before", string(before)).WithField("state", string(state)).
 		WithField("sampled", r.Sampled).WithField("reached", r.Reached).WithField("helped", r.Helped)
 	if state == before {
@@ -221,6 +251,15 @@
 	log.WithField("helpers", len(a.path.helpers.Load().List)).Warn("path changed")
 }
 
+// forgiveTargets forgets the failures of targets, which the lost path explains.
+func (a *Agent) forgiveTargets() {
+	for _, u := range a.upstreams {
+		for _, t := range u.targets {
+			t.suspicion.Forgive()
+		}
+	}
+}
+
 // isInService reports whether a target is announced as able to take requests.
 func isInService(t roster.Target) bool {
 	return t.State == gossip.StateReady || t.State == gossip.StateCold
--- a/entry/agent/suspects.go
+++ b/entry/agent/suspects.go
@@ -59,7 +59,7 @@
 		a.log.WithField("service", t.Service).WithField("target", t.Name).WithField("sign", observation.String()).
 			WithField("before", before).WithField("after", after).Info("suspicion")
 	}
-	if !observation.ShouldShare(before) {
+	if !observation.ShouldShare(before) || observation.IsOfPath() && a.path.tracker.InDoubt() {
 		return
 	}
 	select {
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -98,7 +98,7 @@
 
 func (a *Agent) sendEvidence(now time.Time, u *upstream) {
 	rows := u.monitor.Evidence(now)
-	if len(rows) == 0 {
+	if len(rows) == 0 || a.path.tracker.InDoubt() {
 		return
 	}
 	e := wire.Evidence{
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenalock/galenalock/core/health"
 	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/reach"
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/retry"
 	"github.com/galenalock/galenalock/core/route"
@@ -28,6 +29,7 @@
 	call         health.Call
 	measured     bool
 	overdueTimer *time.Timer // records that the response is overdue, may be nil
+	silenceTimer *time.Timer // records that the target does not respond
 }
 
 func (a *Agent) upstream(service string) *upstream { return (*a.upstreamSnapshot.Load())[service] }
@@ -38,6 +40,12 @@
 	if u == nil {
 		return proxy.Target{}, false
 	}
+	switch state := a.path.tracker.State(); {
+	case r.Path == proxy.RelayPath, r.Path == proxy.AnyPath && state == reach.Stranded:
+		return a.pickHelper(exclude, now)
+	case state != reach.Connected:
+		return proxy.Target{}, false
+	}
 	if len(exclude) == 0 {
 		u.meter.Record(now)
 	}
@@ -63,6 +71,10 @@
 
 // Begin records the start of an attempt.
 func (a *Agent) Begin(at proxy.Attempt) {
+	if h, ok := at.Target.Handle.(*helperHandle); ok {
+		h.state.inflight.Add(1)
+		return
+	}
 	d, ok := at.Target.Handle.(*attemptHandle)
 	if !ok {
 		return
@@ -80,13 +92,15 @@
 	d.target.quota.Take(at.Start)
 	d.upstream.pending.Add(1)
 	d.upstream.active.Store(true)
-	if overdue := d.upstream.overdueDelay(at.Request.Kind); a.registry != nil && overdue > 0 {
-		d.overdueTimer = time.AfterFunc(overdue, func() {
-			now := time.Now()
-			a.recordUnreached(d.target, now)
-			a.recordObservation(d.target, susp.Overdue, now)
-		})
+	overdue := d.upstream.overdueDelay(at.Request.Kind)
+	if a.registry != nil && overdue > 0 {
+		d.overdueTimer = time.AfterFunc(overdue, func() { a.recordObservation(d.target, susp.Overdue, time.Now()) })
 	}
+	silence := maxSilence
+	if overdue > 0 {
+		silence = min(max(overdue, reach.QuietTime), maxSilence)
+	}
+	d.silenceTimer = time.AfterFunc(silence, func() { a.recordUnreached(d.target, time.Now()) })
 	// The duration of an upload depends on the caller, not on the target.
 	if !at.Request.Kind.Upload {
 		d.call, d.measured = d.target.health.Start(at.Start), true
@@ -95,6 +109,10 @@
 
 // End records the outcome of an attempt.
 func (a *Agent) End(at proxy.Attempt, o proxy.Outcome) {
+	if h, ok := at.Target.Handle.(*helperHandle); ok {
+		a.endRelay(h, o)
+		return
+	}
 	d, ok := at.Target.Handle.(*attemptHandle)
 	if !ok {
 		return
@@ -102,6 +120,7 @@
 	if d.overdueTimer != nil {
 		d.overdueTimer.Stop()
 	}
+	d.silenceTimer.Stop()
 	latency := time.Duration(0)
 	if o.Class == proxy.Answered {
 		a.recordAnswer(at, o)
@@ -147,6 +166,9 @@
 	// overdueFactor applies to kinds without a goal. It is a multiple of the 95th
 	// percentile of the latency.
 	overdueFactor = 3
+	// maxSilence is the longest time without a response after which the path to the
+	// target is in doubt.
+	maxSilence = 1500 * time.Millisecond
 )
 
 // overdueDelay returns the time after which a pending attempt is overdue, or 0 if
@@ -200,7 +222,8 @@
 // Admit checks the rate limit of the workspace and waits for the admission of a
 // request.
 func (a *Agent) Admit(ctx context.Context, r proxy.Request) (proxy.Admission, error) {
-	if !a.rates.allow(r.Workspace) {
+	// The entry that passed a request on has taken it out of its own rate.
+	if r.RelayedFrom == "" && !a.rates.allow(r.Workspace) {
 		return proxy.Admission{}, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, RetryAfter: overloadRetryAfter}
 	}
 	u := a.upstream(r.Service.Name)
@@ -249,7 +272,7 @@
 		return false
 	}
 	now := time.Now()
-	if reason == proxy.RetryConnect && a.registry != nil {
+	if (reason == proxy.RetryConnect || reason == proxy.RetryRelay) && a.registry != nil {
 		return true // no target has received anything
 	}
 	// The data path limits the attempts of a single request.
@@ -259,6 +282,7 @@
 var retryReasons = map[proxy.Reason]retry.Reason{
 	proxy.RetryConnect: retry.ConnectFailed,
 	proxy.RetryFailed:  retry.TargetFailed,
+	proxy.RetryRelay:   retry.ConnectFailed,
 	proxy.RetryShed:    retry.Shed,
 	proxy.RetryHedge:   retry.Hedging,
 	proxy.RetrySilent:  retry.ConnectionSilent,
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -78,7 +80,9 @@
 
 func (d *Daemon) newPeer(k certSet) (peerServer, error) {
 	handler := &deferredHandler{}
-	opts := []serve.Option{serve.WithHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	limits := serve.DefaultLimits()
+	limits.MaxRequestBodyBytes = int64(d.settings.Body) << 20 // of relayed requests
+	opts := []serve.Option{serve.WithLimits(limits), serve.WithHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handler.ServeHTTP(w, r)
 	}))}
 	if k.peer != nil {
@@ -114,7 +118,9 @@
 		CountLimit:       c.addLimitEvent,
 		CountCrash:       c.addCrash,
 		CountPath:        c.addPath,
+		CountRelay:       c.addRelay,
 		Inflight:         d.inflight,
+		CloseIdle:        func() { d.proxy.CloseIdle() },
 		Connect:          connectWith(s.Dial),
 	}, log)
 }
@@ -134,17 +140,33 @@
 	}
 }
 
-func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter) (*proxy.Proxy, error) {
+// relayDialTimeout limits opening a connection to another entry.
+const relayDialTimeout = 300 * time.Millisecond
+
+// newRelayPool returns the pool of connections to the peer addresses of other
+// entries.
+func newRelayPool(k certSet) *pool.Pool {
+	dialer := &net.Dialer{Timeout: relayDialTimeout}
+	if k.peer == nil {
+		return pool.New(pool.WithDialTimeout(relayDialTimeout))
+	}
+	secure := &tls.Dialer{NetDialer: dialer, Config: k.peer.ClientConfig()}
+	return pool.New(pool.WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		return secure.DialContext(ctx, "tcp", to.String())
+	}))
+}
+
+func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter, k certSet) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
 		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
-		Quarantined: a.Quarantined, MayResend: a.MayResend, LimitWait: a.LimitWait,
+		Quarantined: a.Quarantined, MayResend: a.MayResend, Unavailable: a.Unavailable, PathLost: a.PathLost,
 		Claim: a.Claim, Close: a.Close, Retry: a.Retry, HedgeDelay: a.HedgeDelay, ProbeDelay: a.ProbeDelay,
 		Enter: proxy.TrackInflight(d.inflightCore),
 	}.WithMetrics(m)
 	if err != nil {
 		return nil, err
 	}
-	opts := []proxy.Option{proxy.WithOwner(d.settings.Instance, d.start)}
+	opts := []proxy.Option{proxy.WithOwner(d.settings.Instance, d.start), proxy.WithRelayPool(newRelayPool(k))}
 	if dial := d.settings.Dial; dial != nil {
 		opts = append(opts, proxy.WithPool(pool.New(pool.WithDial(dial))))
 	}
@@ -172,7 +194,13 @@
 	peers := serve.NewRouter(in.Log)
 	peers.Handle(link.Path, in.Agent.Mesh().Handler())
 	peers.Post(agent.AnnouncePath, in.Agent.Announce)
-	in.Peer.handler.Handler = peers
+	in.Peer.handler.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if proxy.IsRelayed(r) {
+			in.Proxy.ServeRelayed(w, r)
+			return
+		}
+		peers.ServeHTTP(w, r)
+	})
 
 	s := &d.settings
 	limits := serve.DefaultLimits()
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -15,6 +15,7 @@
 	targetLimits     *meter.Counter
 	targetCrashes    *meter.Counter
 	pathStates       *meter.Counter
+	relays           *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -26,7 +27,7 @@
 		{meter.RetryDecisions, &c.retryDecisions}, {meter.CrossRegionBytes, &c.crossRegionBytes},
 		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut},
 		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
-		{meter.PathStates, &c.pathStates},
+		{meter.PathStates, &c.pathStates}, {meter.RelayedRequests, &c.relays},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -52,4 +53,6 @@
 
 func (c *counters) addPath(state reach.State) { c.pathStates.Add(1, string(state)) }
 
+func (c *counters) addRelay(result string) { c.relays.Add(1, result) }
+
 func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -153,8 +153,10 @@
 	ctx, cancel = context.WithTimeout(context.Background(), min(flushTimeout, d.settings.Limit/flushDivisor))
 	defer cancel()
 	if len(d.inflightCore.Interrupted()) == 0 {
-		if err := d.traffic.Shutdown(ctx); err != nil {
-			d.log.WithField(logs.FieldError, err.Error()).Warn("connections closed before shutdown was complete")
+		for _, s := range []*serve.Server{d.traffic, d.peer} { // the peer server takes relayed requests
+			if err := s.Shutdown(ctx); err != nil {
+				d.log.WithField(logs.FieldError, err.Error()).Warn("connections closed before shutdown was complete")
+			}
 		}
 	}
 	for _, a := range d.proxy.Settle(ctx) {
--- a/entry/daemon/record.go
+++ b/entry/daemon/record.go
@@ -17,6 +17,9 @@
 			logs.FieldRequest: f.Request.ID, "route": f.Route, "attempts": f.Attempts, "target": f.Target,
 			"duration": f.Duration.Round(time.Millisecond).String(),
 		}
+		if f.Request.RelayedFrom != "" {
+			fields["from"] = f.Request.RelayedFrom
+		}
 		if v := f.Request.View; v != nil {
 			fields["revision"] = v.Revision
 		}
@@ -48,7 +51,7 @@
 func logAttempt(log *logrus.Entry, end func(proxy.Attempt, proxy.Outcome)) func(proxy.Attempt, proxy.Outcome) {
 	return func(at proxy.Attempt, o proxy.Outcome) {
 		end(at, o)
-		if at.Number == 0 && o.Class == proxy.Answered {
+		if at.Number == 0 && o.Class == proxy.Answered && !at.Target.Relay {
 			return
 		}
 		fields := logrus.Fields{
@@ -56,6 +59,9 @@
 			"attempt": at.Number, "class": string(o.Class), "left": at.Request.Deadline.Sub(at.Start).Round(time.Millisecond).String(),
 			"took": o.End.Sub(at.Start).Round(time.Millisecond).String(), "reused": o.Reused,
 		}
+		if at.Target.Relay {
+			fields["relay"] = true
+		}
 		if o.Status != 0 {
 			fields["status"] = o.Status
 		}
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -20,6 +20,7 @@
 	call            *call
 	info            Attempt
 	newConnection   bool // requires a new connection
+	allowance       int  // of an attempt through another entry, targets that may receive the request
 	ctx             context.Context
 	cancel          context.CancelFunc
 	onInformational func(status int, header http.Header)
@@ -48,8 +49,11 @@
 }
 
 func (c *call) attempt(ctx context.Context, target Target, number int) *attempt {
-	a := &attempt{call: c, info: Attempt{Request: c.request, Target: target, Number: number}}
+	a := &attempt{call: c, info: Attempt{Request: c.request, Target: target, Number: c.earlierAttempts + number}}
 	a.ctx, a.cancel = context.WithCancel(ctx)
+	if target.Relay {
+		a.allowance, c.passedOn = c.remainingAttempts(), true
+	}
 	c.attempts, c.target = c.attempts+1, target
 	a.onInformational = c.forwardInformational
 	return a
@@ -62,7 +66,11 @@
 	hooks := &c.proxy.hooks
 	a.info.Start = hooks.Now()
 	hooks.Begin(a.info)
-	response, err := c.proxy.pool.Do(a.ctx, a.poolRequest())
+	connections := c.proxy.pool
+	if a.info.Target.Relay {
+		connections = c.proxy.relays
+	}
+	response, err := connections.Do(a.ctx, a.poolRequest())
 	if err != nil {
 		a.end(a.failureClass(err), err)
 		return err
@@ -70,6 +78,9 @@
 	a.response = response
 	a.outcome.HeaderLatency = hooks.Now().Sub(a.info.Start)
 	a.outcome.Status = response.StatusCode
+	if a.info.Target.Relay {
+		return a.receiveRelayed()
+	}
 	d := &c.proxy.dialect
 	a.outcome.Load, a.outcome.HasLoad = d.Load(response.Header)
 	if notRun, full := d.NotRun(response.StatusCode, response.Header); notRun && a.checkDeclaration(response) == nil {
@@ -94,6 +105,29 @@
 	return nil
 }
 
+// receiveRelayed receives the response of another entry up to the part of the body
+// that is read in advance.
+func (a *attempt) receiveRelayed() error {
+	err := a.checkRelay(a.response.Header)
+	var refused *relayError
+	if errors.As(err, &refused) {
+		a.discardBody()
+		a.end(refused.class(), err)
+		return err
+	}
+	if err == nil {
+		err = a.checkIdentity(a.response.Response)
+	}
+	if err == nil {
+		err = a.prefetch()
+	}
+	if err != nil {
+		a.response.Body.Close()
+		a.end(a.failureClass(err), err)
+	}
+	return err
+}
+
 // recordLimit records what the response says about the limit of its target.
 func (a *attempt) recordLimit() {
 	if limit := a.call.proxy.dialect.Limit; limit != nil {
@@ -152,7 +186,7 @@
 	if d.Deadline != "" {
 		header[d.Deadline] = []string{deadlineValue(c.request.Deadline, a.info.Start)}
 	}
-	if d.Target != "" && a.info.Target.Name != "" {
+	if d.Target != "" && a.info.Target.Name != "" && !a.info.Target.Relay {
 		header[d.Target] = []string{a.info.Target.Name}
 	}
 	m := &pool.Request{
@@ -167,6 +201,9 @@
 	case len(c.r.Trailer) > 0:
 		m.Body, m.Length, m.Trailer = bytes.NewReader(c.bufferedBody), -1, c.r.Trailer
 	}
+	if a.info.Target.Relay {
+		return a.relayRequest(m)
+	}
 	return m
 }
 
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -33,10 +33,15 @@
 	route        string       // name of the route
 	attempts     int          // number of attempts
 	target       Target       // target of the last attempt
-	unsent       int          // number of attempts that sent no byte
+	unsent       int          // number of attempts that reached no target
+	passedOn     bool         // another entry may have sent the request to a target
 	wroteHeader  bool         // the response header was sent to the caller
 	status       int
 
+	relayed         bool // another entry passed the request on
+	attemptsLeft    int  // of a relayed request, targets that may receive it
+	earlierAttempts int  // of a relayed request, attempts of the entry that passed it on
+
 	printOnce  sync.Once
 	printValue poison.Print
 }
@@ -69,7 +74,7 @@
 	if err := c.match(); err != nil {
 		return err
 	}
-	c.atMostOnce = c.proxy.rules.AtMostOnce(c.request.Kind)
+	c.atMostOnce = c.atMostOnce || c.proxy.rules.AtMostOnce(c.request.Kind)
 	if err := c.readKey(); err != nil {
 		return err
 	}
@@ -80,7 +85,7 @@
 	}
 	defer leave()
 	err := c.serveMatched()
-	if err == nil {
+	if err == nil && !c.relayed {
 		hooks.Answered(c.request, c.status, hooks.Now().Sub(c.request.Start))
 	}
 	return err
@@ -93,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), left)
 	defer cancel()
 	detached := ctx
-	if c.proxy.rules.Detach(c.request.Kind) {
+	if c.detaches() {
 		var cancelDetached context.CancelFunc
 		detached, cancelDetached = context.WithTimeout(context.WithoutCancel(c.r.Context()), left)
 		defer cancelDetached()
@@ -129,11 +134,19 @@
 	return err
 }
 
+// detaches reports whether the request continues at its target after its caller has
+// left.
+func (c *call) detaches() bool {
+	return c.proxy.rules.Detach(c.request.Kind) || c.relayed && c.atMostOnce
+}
+
 // serveAdmitted dispatches an admitted request, with a claim if it has a key, and
 // forwards the response.
 func (c *call) serveAdmitted(ctx, detached context.Context) error {
 	c.header = c.targetHeader()
-	if c.key != "" {
+	if c.key != "" && !c.relayed && c.proxy.hooks.PathLost() {
+		c.request.Path = RelayPath // the other entry makes the claim
+	} else if c.key != "" {
 		return c.serveKeyed(ctx, detached)
 	}
 	a, err := c.dispatch(detached)
--- a/entry/proxy/claim.go
+++ b/entry/proxy/claim.go
@@ -71,6 +71,7 @@
 		return nil
 	}
 	c.onUnsent = func() { recorder.undoDispatch(number) }
+	c.request.Path = DirectPath // the claim permits this entry to dispatch
 	a, err := c.dispatch(detached)
 	switch {
 	case err != nil && c.mayHaveRun.Load():
@@ -141,6 +142,7 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
 	c.closeWhenDraining(h)
+	c.markRelayed(h)
 	c.wroteHeader, c.status = true, answer.Status
 	c.w.WriteHeader(answer.Status)
 	// A failed write needs no handling: the caller can resend the request.
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -33,7 +33,7 @@
 		if err == nil {
 			return a, nil
 		}
-		c.recordFailure(err)
+		c.recordFailure(a, err)
 		cause = err
 		if ctx.Err() != nil || !c.shouldRetry(err, number) {
 			return nil, cause
@@ -43,14 +43,17 @@
 }
 
 // recordFailure notes whether a failed attempt may have run the request.
-func (c *call) recordFailure(err error) {
+func (c *call) recordFailure(a *attempt, err error) {
 	var shed *shedError
+	var relay *relayError
 	switch {
 	case errors.As(err, &shed):
-	case !c.proxy.rules.Unsent(err):
+	case errors.As(err, &relay) && relay.run == refuse.NotRun && !relay.declined:
+	case !isDeclined(err) && !c.proxy.rules.Unsent(err):
 		c.mayHaveRun.Store(true)
 	default:
 		c.unsent++
+		c.passedOn = c.passedOn && !a.info.Target.Relay
 		if c.onUnsent != nil {
 			c.onUnsent()
 		}
@@ -82,6 +85,8 @@
 func (c *call) mayAttempt(previous int) bool {
 	limit := c.request.Kind.MaxAttempts
 	switch {
+	case c.passedOn, c.relayed && previous-c.unsent >= c.attemptsLeft:
+		return false
 	case limit == 0:
 		return previous <= defaultRetries
 	case previous > maxRetries:
@@ -129,6 +134,8 @@
 		return "", false
 	case c.proxy.rules.Unsent(err):
 		return RetryConnect, resend
+	case isDeclined(err):
+		return RetryRelay, resend
 	case errors.As(err, &shed):
 		return RetryShed, resend && c.proxy.rules.RetryAfterShed(c.request.Kind) && !shed.serviceFull
 	}
@@ -148,6 +155,7 @@
 	var malformed *pool.RequestError
 	var dial *pool.DialError
 	var quarantined *quarantineError
+	var relay *relayError
 	switch {
 	case errors.As(err, &quarantined):
 		out.Reason, out.RetryAfter = refuse.Quarantined, quarantined.left
@@ -156,9 +164,11 @@
 	case ctx.Err() != nil:
 		return errCallerGone
 	case errors.Is(err, errNoTarget):
-		out.Reason, out.RetryAfter = refuse.NoTarget, retryAfter
-		if wait, limited := c.proxy.hooks.LimitWait(c.request, c.proxy.hooks.Now()); limited {
-			out.Reason, out.RetryAfter = refuse.Limited, wait
+		out.Reason, out.RetryAfter = c.proxy.hooks.Unavailable(c.request, c.proxy.hooks.Now())
+	case errors.As(err, &relay):
+		out.Reason, out.RetryAfter = relay.reason, relay.retryAfter
+		if run == refuse.NotRun {
+			out.Run = relay.run
 		}
 	case errors.As(err, &shed):
 		out.Reason, out.RetryAfter = refuse.Shed, retryShed
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -22,11 +22,12 @@
 	RetryHedge   Reason = "hedge"   // the previous attempt is slow
 	RetrySilent  Reason = "silent"  // a reused connection does not respond
 	RetryFaulty  Reason = "faulty"  // the previous target answered with a 5xx status
+	RetryRelay   Reason = "relay"   // the previous entry declined to pass the request on
 )
 
 // Reasons returns all reasons of further attempts.
 func Reasons() []Reason {
-	return []Reason{RetryConnect, RetryFailed, RetryShed, RetryHedge, RetrySilent, RetryFaulty}
+	return []Reason{RetryConnect, RetryFailed, RetryShed, RetryHedge, RetrySilent, RetryFaulty, RetryRelay}
 }
 
 // Hooks connect the data path to the rest of the entry. The functions are called
@@ -45,9 +46,12 @@
 	// MayResend reports whether a target may get a request again on another
 	// connection.
 	MayResend func(target Target, now time.Time) bool
-	// LimitWait is called if there is no target. It returns the time until a target
-	// with a limit may get a request, and false if limits are not the reason.
-	LimitWait func(r Request, now time.Time) (time.Duration, bool)
+	// Unavailable is called if there is no target. It returns the reason, and the
+	// time after which there may be one.
+	Unavailable func(r Request, now time.Time) (refuse.Reason, time.Duration)
+	// PathLost reports whether this entry reaches no target, so that requests are
+	// passed on to other entries or refused.
+	PathLost func() bool
 
 	// Await is called for a request that arrives before there is a usable view.
 	// It may wait for the first configuration.
@@ -117,8 +121,11 @@
 	if h.MayResend == nil {
 		h.MayResend = func(Target, time.Time) bool { return true }
 	}
-	if h.LimitWait == nil {
-		h.LimitWait = func(Request, time.Time) (time.Duration, bool) { return 0, false }
+	if h.Unavailable == nil {
+		h.Unavailable = func(Request, time.Time) (refuse.Reason, time.Duration) { return refuse.NoTarget, retryAfter }
+	}
+	if h.PathLost == nil {
+		h.PathLost = func() bool { return false }
 	}
 	if h.Begin == nil {
 		h.Begin = func(Attempt) {}
--- a/entry/proxy/option.go
+++ b/entry/proxy/option.go
@@ -45,6 +45,9 @@
 // WithPool sets the connection pool for targets; the default is pool.New().
 func WithPool(c *pool.Pool) Option { return func(p *Proxy) { p.pool = c } }
 
+// WithRelayPool sets the connection pool for other entries; the default is pool.New().
+func WithRelayPool(c *pool.Pool) Option { return func(p *Proxy) { p.relays = c } }
+
 // WithRules replaces the rules; nil fields keep their default.
 func WithRules(r Rules) Option { return func(p *Proxy) { p.rules = r.withDefaults() } }
 
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -17,6 +17,7 @@
 	rules  Rules
 	limits Limits
 	pool   *pool.Pool
+	relays *pool.Pool // connections to other entries
 
 	dialect Dialect
 
@@ -44,6 +45,9 @@
 	if p.pool == nil {
 		p.pool = pool.New()
 	}
+	if p.relays == nil {
+		p.relays = pool.New()
+	}
 	if p.incarnation.IsZero() {
 		p.incarnation = p.hooks.Now()
 	}
@@ -57,7 +61,11 @@
 
 // ServeHTTP proxies one request or answers it with a refusal.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := newCall(p, w, r)
+	r.Header.Del(headerRelay)
+	newCall(p, w, r).run()
+}
+
+func (c *call) run() {
 	err := c.serve()
 	c.reportFinish(err)
 	if errors.Is(err, errAborted) {
@@ -86,8 +94,12 @@
 // the last request has ended.
 func (p *Proxy) Settle(ctx context.Context) []claim.Attempt { return p.recorder.settle(ctx) }
 
+// CloseIdle closes the idle connections to targets.
+func (p *Proxy) CloseIdle() { p.pool.CloseIdle() }
+
 // Close closes the idle connections to targets and stops recording outcomes.
 func (p *Proxy) Close() {
 	p.recorder.cancel()
 	p.pool.Close()
+	p.relays.Close()
 }
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -83,7 +83,7 @@
 				r.closeSilent(result.attempt)
 				return result.attempt, nil
 			}
-			c.recordFailure(result.err)
+			c.recordFailure(result.attempt, result.err)
 			if result.attempt == r.probe && c.proxy.rules.Unsent(result.err) {
 				r.nonRetries-- // counted as unsent
 			}
--- a/entry/proxy/refusal.go
+++ b/entry/proxy/refusal.go
@@ -48,7 +48,9 @@
 	if !errors.As(err, &refusal) {
 		refusal = &refuse.Error{Reason: refuse.Broken, Run: refuse.Unknown, Err: err}
 	}
-	c.proxy.hooks.Refused(refusal.Reason)
+	if !c.relayed {
+		c.proxy.hooks.Refused(refusal.Reason)
+	}
 	if c.wroteHeader {
 		panic(http.ErrAbortHandler)
 	}
@@ -59,6 +61,7 @@
 		h[d.RefusalID] = []string{c.request.ID}
 	}
 	c.closeWhenDraining(h)
+	c.markRefused(h, refusal)
 	style := d.Style
 	if d.NotRunAs503 && refusal.Run == refuse.NotRun && refusal.Reason.Status() >= http.StatusBadGateway {
 		style.StatusOverride = http.StatusServiceUnavailable
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -63,8 +63,11 @@
 		{"bigheader", fmt.Sprintf(get, "X-Long: "+strings.Repeat("x", 200)+"\r\n"), proxy.Hooks{View: shortHeaderView(t)}, nil},
 		{"upgrade", "GET /tables/x HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, close\r\nUpgrade: websocket\r\n\r\n", proxy.Hooks{}, nil},
 		{"notarget", fmt.Sprintf(get, ""), proxy.Hooks{}, nil},
-		{"limited", fmt.Sprintf(get, ""), proxy.Hooks{LimitWait: func(proxy.Request, time.Time) (time.Duration, bool) {
-			return 1500 * time.Millisecond, true
+		{"limited", fmt.Sprintf(get, ""), proxy.Hooks{Unavailable: func(proxy.Request, time.Time) (refuse.Reason, time.Duration) {
+			return refuse.Limited, 1500 * time.Millisecond
+		}}, nil},
+		{"nopath", fmt.Sprintf(get, ""), proxy.Hooks{Unavailable: func(proxy.Request, time.Time) (refuse.Reason, time.Duration) {
+			return refuse.NoPath, 500 * time.Millisecond
 		}}, nil},
 		{"connect", fmt.Sprintf(get, ""), proxy.Hooks{}, []netip.AddrPort{closedTarget}},
 		{"shed", fmt.Sprintf(change, ""), proxy.Hooks{}, []netip.AddrPort{respond(t, shed, nil)}},
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -49,6 +49,7 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(a.prefetched))}
 	}
 	c.closeWhenDraining(h)
+	c.markRelayed(h)
 	c.wroteHeader, c.status = true, a.response.StatusCode
 	c.w.WriteHeader(a.response.StatusCode)
 	if a.response.ContentLength < 0 && !a.prefetchComplete && allowsBody(c.r.Method, a.response.StatusCode) {
@@ -99,7 +100,7 @@
 		}
 		if n > 0 && !gone && !c.writeChunk(a, (*buffer)[:n], err != nil) {
 			gone = true
-			if !c.proxy.rules.Detach(c.request.Kind) {
+			if !c.detaches() {
 				a.abandon(Cancelled)
 				return errCallerGone
 			}
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -31,7 +31,8 @@
 	Slots       int
 	Connections int
 	Incarnation time.Time
-	Handle      any // opaque to the proxy, passed back to the Begin and End hooks
+	Relay       bool // another entry, to which the request is passed on
+	Handle      any  // opaque to the proxy, passed back to the Begin and End hooks
 }
 
 // String returns the name of the target, or its address if it has no name.
@@ -56,6 +57,9 @@
 	Deadline  time.Time
 	Admission Admission
 	Print     func() poison.Print // identifies the request for targets; nil before the body is known
+
+	Path        Path   // the way that the request may take
+	RelayedFrom string // entry that passed the request on, empty if the caller sent it
 }
 
 // Admission is the permission to run a request.
@@ -98,6 +102,8 @@
 	Answered Class = "answered" // complete response with a status below 500
 	Faulty   Class = "faulty"   // complete response with a status of 500 or above
 	Refused  Class = "refused"  // the target declared that it did not run the request
+	// Declined means that another entry refused to pass the request on to a target.
+	Declined Class = "declined"
 	// Misdirected means that a different target answered at the address.
 	Misdirected Class = "misdirected"
 	Dial        Class = "dial"      // no connection could be opened
