A request that was passed to another entry is not probed on a second connection

A request through a reused connection that got no response for a while was sent to the same entry again on a new connection, as it is for a target. The same holds for a hedge, which was already excluded.

TestRelayedRequestIsPassedOnOnce failed before (3 arrivals instead of 2).

--- a/bench/procs/path_test.go
+++ b/bench/procs/path_test.go
@@ -83,7 +83,7 @@
 	for {
 		mode, changed := c.cutter.get()
 		if mode == hang || mode == reset {
-			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+			_ = c.SetReadDeadline(time.Unix(1, 0))
 		}
 		select {
 		case <-changed:
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -234,11 +234,12 @@
 }
 
 // probeSilent sends a request again that got no response on a reused connection:
-// to the same target, on a new connection.
+// to the same target, on a new connection. Another entry would send it to further
+// targets.
 func (r *race) probeSilent() {
 	hooks := &r.call.proxy.hooks
 	for _, a := range r.pending {
-		if a.reused.Load() && hooks.MayResend(a.info.Target, hooks.Now()) && r.call.takeRetryBudget(RetrySilent) {
+		if a.reused.Load() && !a.info.Target.Relay && hooks.MayResend(a.info.Target, hooks.Now()) && r.call.takeRetryBudget(RetrySilent) {
 			r.nonRetries++ // not a retry: it goes to the same target
 			r.silent, r.probe = a, r.start(a.info.Target, true)
 			return
--- a/entry/proxy/relay_test.go
+++ b/entry/proxy/relay_test.go
@@ -242,3 +242,36 @@
 	is.Equal(claims[0].Load(), int64(0))
 	is.Equal(claims[1].Load(), int64(1))
 }
+
+// Guards against a second copy of a request at another entry, which would send it to
+// further targets: a target is slow, and the connection to the entry was used before.
+func TestRelayedRequestIsPassedOnOnce(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int64
+	release := make(chan struct{})
+	target := listen(t, func(c net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			arrived.Add(1)
+			if r.URL.Path == "/slow" {
+				<-release
+			}
+			_, _ = io.WriteString(c, okResponse)
+		}
+	})
+	delays := proxy.Hooks{
+		Retry: allowRetry, HedgeDelay: fixedDelay(time.Millisecond), ProbeDelay: fixedDelay(2 * time.Millisecond),
+	}
+	helper := startHelper(t, proxy.Hooks{}, target)
+	e := startWithoutPath(t, delays, helper, startHelper(t, proxy.Hooks{}, target))
+	_, _, _, err := e.send(http.MethodGet, "/tables/x", nil)
+	is.NoErr(err)
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	status, _, _, err := e.send(http.MethodGet, "/tables/slow", nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(arrived.Load(), int64(2))
+}
