Entries without a path leave new callers to others where most have one

While an entry has lost its path and most entries of its data centre have theirs, it reports that it is not ready. Elsewhere the balancer would be left with too few entries, and requests are passed on.

--- a/entry/agent/helper.go
+++ b/entry/agent/helper.go
@@ -52,6 +52,14 @@
 // PathLost reports whether this entry reaches no target itself.
 func (a *Agent) PathLost() bool { return a.path.tracker.State() != reach.Connected }
 
+// YieldsCallers reports whether new callers are better off at other entries: this one
+// reaches no target, while most entries of its data centre do. Otherwise the balancer
+// would be left with too few entries.
+func (a *Agent) YieldsCallers() bool {
+	helpers := a.path.helpers.Load()
+	return a.PathLost() && 2*helpers.Lost < helpers.Entries
+}
+
 // pickHelper selects an entry to which a request is passed on: one of two near ones
 // with fewer requests of this entry, or another one if they cannot be used.
 func (a *Agent) pickHelper(exclude []netip.AddrPort, now time.Time) (proxy.Target, bool) {
