Tests of the path of an entry; callers are left to others once control has told of all losses

An entry that found its path lost at the same moment as the rest of its data centre would have reported that it is not ready until control told it of the others.

--- a/entry/agent/helper.go
+++ b/entry/agent/helper.go
@@ -21,6 +21,9 @@
 	// noTargetRetryAfter is the time after which a caller may retry a request for which
 	// no target was available.
 	noTargetRetryAfter = time.Second
+	// yieldDelay is the time from the loss of the path until control has told which
+	// other entries have lost it too.
+	yieldDelay = lostHelpersInterval + helpersTimeout
 	// pathRetryAfter is the time after which a caller may retry a request that was
 	// refused because no entry reaches a target. By then the path has been checked
 	// again.
@@ -55,9 +58,9 @@
 // YieldsCallers reports whether new callers are better off at other entries: this one
 // reaches no target, while most entries of its data centre do. Otherwise the balancer
 // would be left with too few entries.
-func (a *Agent) YieldsCallers() bool {
+func (a *Agent) YieldsCallers(now time.Time) bool {
 	helpers := a.path.helpers.Load()
-	return a.PathLost() && 2*helpers.Lost < helpers.Entries
+	return a.PathLost() && now.Sub(time.Unix(0, a.path.lostSince.Load())) >= yieldDelay && 2*helpers.Lost < helpers.Entries
 }
 
 // pickHelper selects an entry to which a request is passed on: one of two near ones
--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -43,6 +43,7 @@
 	tracker *reach.Tracker
 	helpers atomic.Pointer[wire.Helpers]
 	states  helperStates
+	lostSince atomic.Int64 // Unix nanoseconds
 	// lastRelayed is when another entry last answered a request of this one, in Unix
 	// nanoseconds.
 	lastRelayed atomic.Int64
@@ -232,6 +233,9 @@
 	before := a.path.tracker.State()
 	state, actions := a.path.tracker.Finish(now, r)
 	a.hooks.CountPath(state)
+	if before == reach.Connected {
+		a.path.lostSince.Store(now.UnixNano())
+	}
 	for _, action := range actions {
 		switch action {
 		case reach.Forgive:
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -33,6 +33,7 @@
 	crashes      chan wire.List[wire.Crash]
 
 	mu               sync.Mutex
+	helpers          wire.Helpers
 	table            *enrol.Table
 	pulls            int
 	follows          map[*link.Conn]wire.Follow
@@ -89,6 +90,8 @@
 		r.pulls++
 		view := r.table.View()
 		return view.Since(in.Have), nil
+	case wire.KindHelpers:
+		return r.helpers, nil
 	case wire.KindSuspects:
 		var in wire.Suspects
 		if err := wire.Decode(m.Body, &in); err != nil {
