--- a/entry/agent/helper.go
+++ b/entry/agent/helper.go
@@ -34,7 +34,7 @@
 // passed on.
 type helperState struct {
 	inflight    atomic.Int64
-	pausedUntil atomic.Int64 // Unix nanoseconds
+	pausedUntil atomic.Int64 // nanoseconds since the start of the entry
 }
 
 // helperHandle connects an attempt through another entry to the state of that entry.
@@ -60,7 +60,7 @@
 // would be left with too few entries.
 func (a *Agent) YieldsCallers(now time.Time) bool {
 	helpers := a.path.helpers.Load()
-	return a.PathLost() && now.Sub(time.Unix(0, a.path.lostSince.Load())) >= yieldDelay && 2*helpers.Lost < helpers.Entries
+	return a.PathLost() && a.sinceStart(now)-a.path.lostSince.Load() >= int64(yieldDelay) && 2*helpers.Lost < helpers.Entries
 }
 
 // pickHelper selects an entry to which a request is passed on: one of two near ones
@@ -68,15 +68,19 @@
 func (a *Agent) pickHelper(exclude []netip.AddrPort, now time.Time) (proxy.Target, bool) {
 	helpers := a.path.helpers.Load()
 	for _, list := range [][]wire.Helper{helpers.List[:helpers.Near], helpers.List[helpers.Near:]} {
-		if target, ok := a.pickAmong(list, exclude, now.UnixNano()); ok {
+		if target, ok := a.pickAmong(list, exclude, a.sinceStart(now)); ok {
 			return target, true
 		}
 	}
 	return a.pickAmong(helpers.List, exclude, 0)
 }
 
-// pickAmong selects among the helpers that are not paused at a time, which is 0 to
-// select among all.
+// sinceStart returns the nanoseconds since the start of the entry, which do not depend
+// on the time of day.
+func (a *Agent) sinceStart(now time.Time) int64 { return int64(now.Sub(a.settings.Start)) }
+
+// pickAmong selects among the helpers that are not paused at a time, in nanoseconds
+// since the start, which is 0 to select among all.
 func (a *Agent) pickAmong(list []wire.Helper, exclude []netip.AddrPort, nanos int64) (proxy.Target, bool) {
 	usable := make([]wire.Helper, 0, len(list))
 	for _, h := range list {
@@ -104,7 +108,7 @@
 	switch o.Class {
 	case proxy.Answered, proxy.Faulty:
 		result = "answered"
-		a.path.lastRelayed.Store(o.End.UnixNano())
+		a.path.lastRelayed.Store(a.sinceStart(o.End))
 	case proxy.Declined:
 		result = "declined"
 	case proxy.Refused:
@@ -113,7 +117,7 @@
 		result = "cancelled"
 	}
 	if o.Class == proxy.Declined || o.Class == proxy.Dial || o.Class == proxy.Failed {
-		h.state.pausedUntil.Store(o.End.Add(helperPause).UnixNano())
+		h.state.pausedUntil.Store(a.sinceStart(o.End.Add(helperPause)))
 	}
 	a.hooks.CountRelay(result)
 }
--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -40,12 +40,12 @@
 // path is the path of this entry to the targets and the entries that can bridge its
 // loss.
 type path struct {
-	tracker *reach.Tracker
-	helpers atomic.Pointer[wire.Helpers]
-	states  helperStates
-	lostSince atomic.Int64 // Unix nanoseconds
-	// lastRelayed is when another entry last answered a request of this one, in Unix
-	// nanoseconds.
+	tracker   *reach.Tracker
+	helpers   atomic.Pointer[wire.Helpers]
+	states    helperStates
+	lostSince atomic.Int64 // nanoseconds since the start of the entry
+	// lastRelayed is when another entry last answered a request of this one, in
+	// nanoseconds since the start, 0 if none did.
 	lastRelayed atomic.Int64
 
 	// Accessed only by the control goroutine.
@@ -127,8 +127,9 @@
 		}
 	}
 	if 2*result.Reached < result.Sampled {
-		relayed := time.Since(time.Unix(0, a.path.lastRelayed.Load()))
-		result.Helped = relayed < relayedRecently || a.isReachedByOthers(sample)
+		last := a.path.lastRelayed.Load()
+		recently := last > 0 && a.sinceStart(time.Now())-last < int64(relayedRecently)
+		result.Helped = recently || a.isReachedByOthers(sample)
 	}
 	return result
 }
@@ -234,7 +235,7 @@
 	state, actions := a.path.tracker.Finish(now, r)
 	a.hooks.CountPath(state)
 	if before == reach.Connected {
-		a.path.lostSince.Store(now.UnixNano())
+		a.path.lostSince.Store(a.sinceStart(now))
 	}
 	for _, action := range actions {
 		switch action {
