Entries log and count targets that pause or leave

An answer with 503 and Retry-After is a pause, Server-Leaving (in the native dialect Galenalock-Leaving) tells that the target leaves. Nothing depends on it yet.

--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -22,6 +22,7 @@
 	Ejections           Name = "ejections"
 	TargetLimits        Name = "limits"
 	TargetCrashes       Name = "crashes"
+	TargetPauses        Name = "pauses"
 	PathStates          Name = "paths"
 	RelayedRequests     Name = "relays"
 	Claims              Name = "claims"
@@ -57,6 +58,7 @@
 	Ejections:           {"counter", "{event}", "event", "Events in the ejection of targets"},
 	TargetLimits:        {"counter", "{event}", "event", "Changes of the limits that targets name: named, changed or lifted"},
 	TargetCrashes:       {"counter", "{request}", "", "Requests during which their target crashed"},
+	TargetPauses:        {"counter", "{event}", "event", "Targets that begin a pause (paused) or tell that they leave (leaving)"},
 	PathStates:          {"counter", "{check}", "state", "Checks of the path to the targets, by the state that they found: connected, stranded or isolated"},
 	RelayedRequests:     {"counter", "{request}", "result", "Requests passed to another entry because this one has no path, by result: answered, declined, refused or failed"},
 	Claims:              {"counter", "{claim}", "state", "Claims, by answer"},
--- a/core/quota/target.go
+++ b/core/quota/target.go
@@ -25,12 +25,16 @@
 	Lifted    Event = "lifted"  // the target no longer names a limit
 )
 
-// Target tracks the limit of one incarnation of a target and is the token bucket
-// of this entry for it. The zero value is a target that has named no limit.
+// Target tracks which requests one incarnation of a target accepts: its limit, of
+// which it is the token bucket of this entry, its pauses, and that it leaves. The zero
+// value is a target that has said nothing of it.
 type Target struct {
 	limited atomic.Bool // report.Limited, for a check without the lock
+	closed  atomic.Bool // the target has paused or leaves, for a check without the lock
 
 	mu          sync.Mutex
+	pausedUntil time.Time
+	leaving     bool
 	report      Report
 	reportedAt  time.Time // arrival of the last response that named the limit or lifted it
 	announced   Report    // last report known to the other entries
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -106,6 +106,7 @@
 	hooks.CountLimit = func(quota.Event) {}
 	hooks.CountCrash = func() {}
 	hooks.CloseIdle = func() {}
+	hooks.CountPause = func(string) {}
 	hooks.CountRelay = func(string) {}
 	hooks.CountPath = func(reach.State) {}
 	hooks.Inflight = func() int { return 0 }
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -138,6 +138,7 @@
 	if o.HasLimit {
 		a.recordLimit(d.upstream, d.target, at, o)
 	}
+	a.recordPause(d.target, o)
 	if o.Lost {
 		a.examineLoss(d.target, at, o)
 	}
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -119,6 +119,7 @@
 		CountCrash:       c.addCrash,
 		CountPath:        c.addPath,
 		CountRelay:       c.addRelay,
+		CountPause:       c.addPause,
 		Inflight:         d.inflight,
 		CloseIdle:        func() { d.proxy.CloseIdle() },
 		Connect:          connectWith(s.Dial),
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -16,6 +16,7 @@
 	targetCrashes    *meter.Counter
 	pathStates       *meter.Counter
 	relays           *meter.Counter
+	pauses           *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -28,6 +29,7 @@
 		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut},
 		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
 		{meter.PathStates, &c.pathStates}, {meter.RelayedRequests, &c.relays},
+		{meter.TargetPauses, &c.pauses},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -53,6 +55,8 @@
 
 func (c *counters) addPath(state reach.State) { c.pathStates.Add(1, string(state)) }
 
+func (c *counters) addPause(event string) { c.pauses.Add(1, event) }
+
 func (c *counters) addRelay(result string) { c.relays.Add(1, result) }
 
 func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
--- a/entry/daemon/record.go
+++ b/entry/daemon/record.go
@@ -68,6 +68,12 @@
 		if o.HasLoad {
 			fields["running"], fields["waiting"] = o.Load.Running, o.Load.Waiting
 		}
+		if o.Pause > 0 {
+			fields["pause"] = o.Pause.String()
+		}
+		if o.Leaving {
+			fields["leaving"] = true
+		}
 		if o.Limit.Limited {
 			fields["limit"] = o.Limit.Rate
 		}
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -86,7 +86,7 @@
 	if notRun, full := d.NotRun(response.StatusCode, response.Header); notRun && a.checkDeclaration(response) == nil {
 		err := &shedError{serviceFull: full, misdirected: d.Misdirected(response.StatusCode)}
 		if !err.misdirected {
-			a.recordLimit()
+			a.recordTerms()
 		}
 		a.discardBody()
 		a.end(err.class(), err)
@@ -94,7 +94,7 @@
 	}
 	err = a.checkIdentity(response.Response)
 	if err == nil {
-		a.recordLimit()
+		a.recordTerms()
 		err = a.prefetch()
 	}
 	if err != nil {
@@ -128,11 +128,15 @@
 	return err
 }
 
-// recordLimit records what the response says about the limit of its target.
-func (a *attempt) recordLimit() {
-	if limit := a.call.proxy.dialect.Limit; limit != nil {
-		a.outcome.Limit, a.outcome.HasLimit = limit(a.response.Header)
+// recordTerms records what the response says about the requests that its target
+// accepts.
+func (a *attempt) recordTerms() {
+	d := &a.call.proxy.dialect
+	if d.Limit != nil {
+		a.outcome.Limit, a.outcome.HasLimit = d.Limit(a.response.Header)
 	}
+	a.outcome.Pause = pauseOf(a.response.Response)
+	a.outcome.Leaving = d.Leaving != nil && d.Leaving(a.response.Header)
 }
 
 // panicError is a panic of an attempt that runs in a goroutine of its own.
--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -33,6 +33,8 @@
 	// Limit parses the request rate that a target accepts from the whole fleet;
 	// false means that the header is malformed. May be nil.
 	Limit func(h http.Header) (quota.Report, bool)
+	// Leaving reports whether a response tells that its target leaves. May be nil.
+	Leaving func(h http.Header) bool
 	// NotRun reports whether a response declares that the request was not run,
 	// and whether the other targets of the service are full too.
 	NotRun func(status int, h http.Header) (notRun, full bool)
@@ -50,13 +52,13 @@
 func Native() Dialect {
 	return Dialect{
 		Workspace: headerWorkspace, Deadline: headerDeadline, RefusalID: headerRequest,
-		Load: nativeLoad, Limit: LimitHeader(headerLimit),
+		Load: nativeLoad, Limit: LimitHeader(headerLimit), Leaving: LeavingHeader(headerLeaving),
 		NotRun: func(status int, h http.Header) (bool, bool) {
 			notRun := status == http.StatusServiceUnavailable && h.Get(headerRun) == string(refuse.NotRun)
 			return notRun, h.Get(headerShed) == "service"
 		},
 		Misdirected: func(int) bool { return false },
-		HideHeaders: []string{headerLoad, headerLimit, headerRun, headerShed},
+		HideHeaders: []string{headerLoad, headerLimit, headerLeaving, headerRun, headerShed},
 		Forwarded:   true,
 	}
 }
@@ -74,6 +76,22 @@
 	}
 }
 
+// LeavingHeader returns a Leaving function for a header that has the value 1 if the
+// target leaves.
+func LeavingHeader(name string) func(h http.Header) bool {
+	return func(h http.Header) bool { return strings.TrimSpace(h.Get(name)) == "1" }
+}
+
+// pauseOf returns how long a target that turns a request away wants none from this
+// entry.
+func pauseOf(response *http.Response) time.Duration {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	pause, _ := quota.ParsePause(response.Header.Get("Retry-After"))
+	return pause
+}
+
 // nativeLoad parses the header Galenalock-Load, such as "inflight=3 limit=6".
 func nativeLoad(h http.Header) (Load, bool) {
 	first, rest, _ := strings.Cut(h.Get(headerLoad), " ")
--- a/entry/proxy/header.go
+++ b/entry/proxy/header.go
@@ -15,6 +15,7 @@
 	headerDeadline  = "Galenalock-Deadline"  // milliseconds left
 	headerLoad      = "Galenalock-Load"      // load of a target
 	headerLimit     = "Galenalock-Limit"     // requests a second that a target accepts from the whole fleet
+	headerLeaving   = "Galenalock-Leaving"   // "1": the target leaves
 	headerRun       = "Galenalock-Run"       // "no" on a 503: the target did not run the request
 	headerShed      = "Galenalock-Shed"      // "service" on a shed response: other targets are full too
 	headerReplayed  = "Galenalock-Replayed"  // "true": the response was recorded for an earlier request
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -121,6 +121,8 @@
 	HasLoad       bool          // the response reported Load
 	Limit         quota.Report  // what the response says about the limit of the target
 	HasLimit      bool          // there is a verified response and its Limit is well-formed
+	Pause         time.Duration // for which the target wants no request from this entry
+	Leaving       bool          // the target leaves
 	HeaderLatency time.Duration // from the start to the response header, 0 without a response
 	End           time.Time
 	Reused        bool  // the connection had carried a request before
