--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -23,6 +23,7 @@
 	Deadline    Reason = "deadline"    // the request cannot finish, or did not finish, by the deadline
 	NoTarget    Reason = "notarget"    // no target of the service is available
 	NoPath      Reason = "nopath"      // the instance reaches no target, and no other instance that does
+	Paused      Reason = "paused"      // the targets of the service want no request from this entry for some time
 	Limited     Reason = "limited"     // the targets of the service are at the limits that they named
 	Connect     Reason = "connect"     // no connection to a target could be opened
 	Shed        Reason = "shed"        // the target declared that it did not run the request
@@ -58,6 +59,7 @@
 	Deadline:    {http.StatusGatewayTimeout, "The deadline has passed"},
 	NoTarget:    {http.StatusServiceUnavailable, "No target of the service is available"},
 	NoPath:      {http.StatusServiceUnavailable, "The instance reaches no target"},
+	Paused:      {http.StatusServiceUnavailable, "The targets of the service have asked for a pause"},
 	Limited:     {http.StatusServiceUnavailable, "The targets of the service are at their limits"},
 	Connect:     {http.StatusBadGateway, "No target could be connected"},
 	Shed:        {http.StatusServiceUnavailable, "The target shed the request"},
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -66,6 +66,9 @@
 		{"limited", fmt.Sprintf(get, ""), proxy.Hooks{Unavailable: func(proxy.Request, time.Time) (refuse.Reason, time.Duration) {
 			return refuse.Limited, 1500 * time.Millisecond
 		}}, nil},
+		{"paused", fmt.Sprintf(get, ""), proxy.Hooks{Unavailable: func(proxy.Request, time.Time) (refuse.Reason, time.Duration) {
+			return refuse.Paused, 3 * time.Second
+		}}, nil},
 		{"nopath", fmt.Sprintf(get, ""), proxy.Hooks{Unavailable: func(proxy.Request, time.Time) (refuse.Reason, time.Duration) {
 			return refuse.NoPath, 500 * time.Millisecond
 		}}, nil},
