A target that pauses or leaves gets no requests of the entry that it told

An entry sent 3 requests or more to targets that had answered 503 with Retry-After and wanted none for that time. Cause: what a target says of the requests that it accepts was used by nothing but its limit. One that turns requests away is idle and fast, so it was chosen again: 87 of 92 requests within pauses were first attempts.

The state of a target that says whether this entry may send to it (quota.Target, until now its limit) now also holds its pauses and that it leaves. First and further attempts, hedges, tests of avoided targets, probation and copies on a second connection all ask it already. A pausing target is not held for sick: its answers are no evidence against it. If all targets pause, callers are told at once, with the earliest end (reason paused). Leaving (Server-Leaving) holds for one incarnation, and also while control is out of reach.

Ruled out: hedges and further attempts as the cause (5 of 92).

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -1,5 +1,5 @@
-// Package quota keeps the fleet within the request rate that a target in trouble
-// accepts.
+// Package quota keeps the fleet within the requests that a target accepts: the rate
+// of one in trouble, the pauses that it asks of an entry, and none when it leaves.
 //
 // A target may name in its responses how many requests a second it accepts from
 // all entries together. Target tracks what one incarnation of a target has named,
@@ -21,6 +21,9 @@
 // Limits and demands reach all entries through control. Until an entry knows a
 // limit, it does not observe it.
 //
+// A pause and the notice of leaving are kept by the entry that was told, and are not
+// shared. They end with the incarnation of the target.
+//
 // All methods of Target and Meter are safe for concurrent use. Functions that
 // depend on the time take it as an argument.
 package quota
--- a/core/quota/target.go
+++ b/core/quota/target.go
@@ -135,6 +135,9 @@
 
 // Available reports whether this entry may send a request now.
 func (t *Target) Available(now time.Time) bool {
+	if _, closed := t.Closed(now); closed {
+		return false
+	}
 	if !t.limited.Load() {
 		return true
 	}
@@ -172,18 +175,22 @@
 }
 
 // Wait returns the time until this entry may send a request, and false if it has
-// no share of the limit.
+// no share of the limit or the target leaves.
 func (t *Target) Wait(now time.Time) (time.Duration, bool) {
+	pause, closed := t.Closed(now)
+	if closed && pause == 0 {
+		return 0, false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fill(now)
 	switch {
 	case !t.report.Limited || t.tokens >= 1:
-		return 0, true
+		return pause, true
 	case t.share == 0:
 		return 0, false
 	}
-	return time.Duration((1 - t.tokens) / t.fillRate() * float64(time.Second)), true
+	return max(pause, time.Duration((1-t.tokens)/t.fillRate()*float64(time.Second))), true
 }
 
 // fill adds the tokens gained since the last call. The caller holds t.mu.
--- a/core/route/explore.go
+++ b/core/route/explore.go
@@ -64,8 +64,13 @@
 	testScore  float64 // lowest score so far
 }
 
-// add counts an endpoint and considers it for a test.
+// add counts an endpoint and considers it for a test, unless it wants no requests.
 func (stats *regionStats) add(e *Endpoint, now time.Time, draw uint64) {
+	if e.quota != nil {
+		if _, closed := e.quota.Closed(now); closed {
+			return
+		}
+	}
 	if e.suspicion == nil {
 		stats.healthy++
 		return
--- a/entry/agent/helper.go
+++ b/entry/agent/helper.go
@@ -128,8 +128,5 @@
 	if a.PathLost() {
 		return refuse.NoPath, pathRetryAfter
 	}
-	if wait, limited := a.limitWait(r, now); limited {
-		return refuse.Limited, wait
-	}
-	return refuse.NoTarget, noTargetRetryAfter
+	return a.limitWait(r, now)
 }
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenalock/galenalock/core/quota"
+	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -181,26 +182,36 @@
 	return !ok || d.target.quota.Available(now)
 }
 
-// limitWait returns the time until a limited target of the service may get a
-// request from this entry, and false if no target of the service is limited.
-func (a *Agent) limitWait(r proxy.Request, now time.Time) (time.Duration, bool) {
+// limitWait returns the time until a target of the service that is limited or has
+// paused may get a request from this entry. The reason is NoTarget if there is no such
+// target.
+func (a *Agent) limitWait(r proxy.Request, now time.Time) (refuse.Reason, time.Duration) {
 	u := a.upstream(r.Service.Name)
 	if u == nil {
-		return 0, false
+		return refuse.NoTarget, noTargetRetryAfter
 	}
-	limited, least := false, maxLimitWait
-	shared := false
+	reason, least, known := refuse.NoTarget, time.Duration(0), false
 	for _, t := range *u.snapshots.Load() {
-		if !t.quota.Limited() {
+		pause, closed := t.quota.Closed(now)
+		switch {
+		case t.quota.Limited():
+			reason = refuse.Limited
+		case closed && pause > 0 && reason == refuse.NoTarget:
+			reason = refuse.Paused
+		case !closed:
 			continue
 		}
-		limited = true
-		if wait, ok := t.quota.Wait(now); ok {
-			shared, least = true, min(least, wait)
+		if wait, ok := t.quota.Wait(now); ok && (!known || wait < least) {
+			least, known = wait, true
 		}
 	}
-	if !shared {
-		return defaultLimitWait, limited
+	switch {
+	case reason == refuse.NoTarget:
+		return reason, noTargetRetryAfter
+	case !known:
+		return reason, defaultLimitWait
+	case reason == refuse.Limited:
+		least = min(least, maxLimitWait)
 	}
-	return max(least, minLimitWait), limited
+	return reason, max(least, minLimitWait)
 }
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -132,7 +132,8 @@
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
 	d.endpoint.RecordBytes(o.BytesSent, o.BytesReceived)
-	if observation, ok := observationOf(at, o); ok && a.registry != nil {
+	// A target that pauses is busy, not sick.
+	if observation, ok := observationOf(at, o); ok && a.registry != nil && o.Pause == 0 {
 		a.recordObservation(d.target, observation, o.End)
 	}
 	if o.HasLimit {
@@ -196,9 +197,9 @@
 
 // healthOutcome returns the outcome that the health monitor records. A failure of a
 // reused connection before any response is not counted, since the connection may
-// have been closed while it was idle.
+// have been closed while it was idle; nor is the answer of a target that pauses.
 func healthOutcome(o proxy.Outcome) health.Outcome {
-	if o.Class == proxy.Failed && o.Reused && o.HeaderLatency == 0 {
+	if o.Class == proxy.Failed && o.Reused && o.HeaderLatency == 0 || o.Pause > 0 {
 		return health.Cancelled
 	}
 	return outcomesByClass[o.Class]
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -34,6 +34,7 @@
 	attempts     int          // number of attempts
 	target       Target       // target of the last attempt
 	unsent       int          // number of attempts that reached no target
+	noTargetLeft bool         // there was no target for a further attempt
 	passedOn     bool         // another entry may have sent the request to a target
 	wroteHeader  bool         // the response header was sent to the caller
 	status       int
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -26,6 +26,7 @@
 	for number := 0; ; number++ {
 		target, ok := c.proxy.hooks.Pick(c.request, tried, c.proxy.hooks.Now())
 		if !ok {
+			c.noTargetLeft = true
 			return nil, cause
 		}
 		a := c.attempt(ctx, target, number)
@@ -172,6 +173,9 @@
 		}
 	case errors.As(err, &shed):
 		out.Reason, out.RetryAfter = refuse.Shed, retryShed
+		if reason, wait := c.proxy.hooks.Unavailable(c.request, c.proxy.hooks.Now()); c.noTargetLeft && reason == refuse.Paused {
+			out.Reason, out.RetryAfter = reason, wait
+		}
 	case errors.Is(err, errDigestMismatch):
 		out.Reason = refuse.BadDigest
 	case errors.As(err, &bodyErr), errors.As(err, &malformed):
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -216,6 +216,7 @@
 		return false
 	}
 	target, ok := hooks.Pick(r.call.request, r.tried, hooks.Now())
+	r.call.noTargetLeft = !ok
 	if !ok || !r.call.takeRetryBudget(reason) {
 		return false
 	}
