A refusal that a target writes once more is not taken for the next request's

Operators of similar systems saw callers who were told that requests had not run although they had, and such requests run twice, after a target had written an earlier refusal again on a kept connection. It could happen here for requests without an identifier, and for all in the native dialect, which has none: the copy was taken for a declaration of the request that followed on the connection.

A connection whose declaration cannot be told from a copy is closed after it, and a request without an identifier gets a connection of its own where others have one. The class of fault: a message is matched with a request by its place in a stream.

--- a/core/pool/exchange.go
+++ b/core/pool/exchange.go
@@ -40,6 +40,9 @@
 		return nil, e.responseError(err)
 	}
 	now := e.pool.opts.now()
+	if e.request.MayReuse != nil && !e.request.MayReuse(response) {
+		response.Close = true
+	}
 	e.conn.lastResponse = now
 	e.conn.targetIdleLimit = keepAliveTimeout(response.Header)
 	response.Body = &body{exchange: e, inner: response.Body, response: response}
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -24,6 +24,10 @@
 	NonRepeatable bool // use only a new connection or one that recently received a response
 	NewConnection bool // do not reuse a connection
 
+	// MayReuse reports whether the connection may carry another request after this
+	// response. May be nil.
+	MayReuse func(response *http.Response) bool
+
 	BeforeSend      func(reused bool) error              // called when a connection is open, before the first byte is written; an error stops the request; may be nil
 	OnInformational func(status int, header http.Header) // called for each 1xx response except 100; may be nil
 }
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -195,8 +195,9 @@
 	}
 	m := &pool.Request{
 		Target: a.info.Target.Address, Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: header,
-		BufferedBody: c.bufferedBody, NonRepeatable: c.atMostOnce, NewConnection: a.newConnection,
+		BufferedBody: c.bufferedBody, NonRepeatable: c.atMostOnce, NewConnection: a.newConnection || c.isUnidentified(),
 		BeforeSend:      a.ready,
+		MayReuse:        a.mayReuse,
 		OnInformational: a.onInformational,
 	}
 	switch {
@@ -211,6 +212,26 @@
 	return m
 }
 
+// isUnidentified reports whether the request lacks the identifier by which responses
+// are told apart. On a connection that carried another request, a late response to
+// that one would be taken for its own.
+func (c *call) isUnidentified() bool {
+	d := &c.proxy.dialect
+	return d.Request != "" && c.r.Header.Get(d.Request) == ""
+}
+
+// mayReuse reports whether the connection of a response may carry another request. A
+// copy of a declaration may come at any time. Without an identifier it would be taken
+// for a declaration of the next request.
+func (a *attempt) mayReuse(response *http.Response) bool {
+	d := &a.call.proxy.dialect
+	if a.info.Target.Relay || d.Request != "" && response.Header.Get(d.Request) != "" {
+		return true
+	}
+	notRun, _ := d.NotRun(response.StatusCode, response.Header)
+	return !notRun
+}
+
 // ready is called when a connection is open, before the first byte is sent. An
 // error stops the attempt.
 func (a *attempt) ready(reused bool) error {
--- a/entry/proxy/whole.go
+++ b/entry/proxy/whole.go
@@ -26,11 +26,12 @@
 
 // checkDeclaration checks that a response which declares that a request was not
 // run belongs to this request. On a connection that carried an earlier request it
-// may be a late copy of the response to that one. A declaration without an
-// identifier counts on a new connection only.
+// may be a late copy of the response to that one. In a dialect with identifiers, a
+// declaration without one counts on a new connection only.
 func (a *attempt) checkDeclaration(response *pool.Response) error {
-	if !response.Reused && response.Header.Get(a.call.proxy.dialect.Request) == "" {
-		return nil
+	d := &a.call.proxy.dialect
+	if d.Request == "" || !response.Reused && response.Header.Get(d.Request) == "" {
+		return nil // a connection that carried such a declaration is not reused
 	}
 	return a.checkRequest(response.Response)
 }
