A stop uses the time until the process is killed, and starts no attempt that it would cut

Operators of similar systems saw requests that came late in the grace of a planned stop passed on and cut at its end. Besides, further attempts and requests that had waited for admission could begin just before the end, and if one request was cut then, all connections were closed at once, also those with a response under way.

The setting kill names the time until the process is killed (the platform tells it); the wait for requests in flight follows from it. In the last second no attempt begins and the request is refused as not run. Responses under way are always sent.

--- a/core/drain/core.go
+++ b/core/drain/core.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// Left returns the time until the shutdown ends at the latest, and false if there is no
+// shutdown.
+func (c *Core) Left(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case Serving:
+		return 0, false
+	case Ended:
+		return 0, true
+	}
+	return max(0, c.stopTime.Add(c.grace+c.limit).Sub(now)), true
+}
+
 // Closing reports whether connections are to be closed after their response, so
 // that callers connect elsewhere.
 func (c *Core) Closing() bool {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -62,7 +62,7 @@
 		return nil, fault
 	}
 	d := &Daemon{settings: s, start: time.Now(), skipDrain: make(chan struct{}, 1)}
-	d.inflightCore = drain.New(drain.WithTimeouts(s.Grace, s.Limit))
+	d.inflightCore = drain.New(drain.WithTimeouts(s.Grace, s.StopLimit()))
 	if err := d.assemble(); err != nil {
 		return nil, err
 	}
@@ -150,13 +150,11 @@
 		}).Warn("request cut off")
 		d.counters.requestsCut.Add(1, r.Service)
 	}
-	ctx, cancel = context.WithTimeout(context.Background(), min(flushTimeout, d.settings.Limit/flushDivisor))
+	ctx, cancel = context.WithTimeout(context.Background(), min(flushTimeout, d.settings.StopLimit()/flushDivisor))
 	defer cancel()
-	if len(d.inflightCore.Interrupted()) == 0 {
-		for _, s := range []*serve.Server{d.traffic, d.peer} { // the peer server takes relayed requests
-			if err := s.Shutdown(ctx); err != nil {
-				d.log.WithField(logs.FieldError, err.Error()).Warn("connections closed before shutdown was complete")
-			}
+	for _, s := range []*serve.Server{d.traffic, d.peer} { // the peer server takes relayed requests
+		if err := s.Shutdown(ctx); err != nil {
+			d.log.WithField(logs.FieldError, err.Error()).Warn("connections closed before shutdown was complete")
 		}
 	}
 	for _, a := range d.proxy.Settle(ctx) {
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -37,6 +37,7 @@
 	Data        string
 	Grace       time.Duration
 	Limit       time.Duration
+	Kill        time.Duration
 	Ramp        time.Duration
 	Wait        time.Duration
 	Quarantine  time.Duration
@@ -64,6 +65,8 @@
 	defaultGrace       = 10 * time.Second // load balancers commonly check every 5 s and need two failures
 	maxGrace           = 5 * time.Minute
 	defaultLimit       = 10 * time.Minute // survey uploads over slow links take minutes
+	minLimit           = 100 * time.Millisecond
+	killMargin         = 75 * time.Millisecond // for the end of the process itself
 	maxLimit           = time.Hour
 	defaultRamp        = 10 * time.Second
 	defaultWait        = 2 * time.Second // control elects a leader within 1 s of a start of all instances
@@ -99,6 +102,7 @@
 	t.Text("data", &s.Data, "", "folder for a copy of the configuration; empty: none")
 	t.Duration("grace", &s.Grace, defaultGrace, 0, maxGrace, "time from a stop until the balancer has taken the instance out")
 	t.Duration("limit", &s.Limit, defaultLimit, time.Second, maxLimit, "longest time that a stop waits for requests in flight")
+	t.Duration("kill", &s.Kill, 0, 0, maxLimit, "time from a stop until the platform kills the process; the wait for requests in flight ends before that, whatever limit says; 0: it is not killed")
 	t.Duration("ramp", &s.Ramp, defaultRamp, 0, maxGrace, "slow start of a target")
 	t.Duration("wait", &s.Wait, defaultWait, 0, maxWait, "time from the start of the entry for which requests wait for the first configuration instead of being refused")
 	t.Duration("quarantine", &s.Quarantine, poison.DefaultHold, 0, maxQuarantine, "time for which a request that crashed three targets is refused; it doubles if the request then crashes another one; 0: never")
@@ -134,6 +138,9 @@
 	if s.Peer.Addr().IsUnspecified() {
 		return &conf.Error{Key: "peer", Reason: "must be the address that other instances dial, not " + s.Peer.Addr().String()}
 	}
+	if s.Kill > 0 && s.StopLimit() < minLimit {
+		return &conf.Error{Key: "kill", Reason: "leaves no time for requests in flight after grace"}
+	}
 	return cmp.Or(
 		conf.BothOrNeither("tls.cert", s.Cert, "tls.key", s.Key),
 		conf.BothOrNeither("tls.cert", s.Cert, "tls.authority", s.Authority),
@@ -141,6 +148,16 @@
 	)
 }
 
+// StopLimit returns how long a stop waits for requests in flight after grace. With
+// kill, the process also has time to send the last responses before it is killed.
+func (s *Settings) StopLimit() time.Duration {
+	if s.Kill == 0 {
+		return s.Limit
+	}
+	const flush = 1 + 1.0/flushDivisor
+	return min(s.Limit, time.Duration(float64(s.Kill-killMargin-s.Grace)/flush))
+}
+
 // setDefaults sets defaults for code that creates Settings without Load.
 func (s *Settings) setDefaults() {
 	if s.Log == nil {
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -123,9 +123,9 @@
 			return c.dispatchRefusal(ctx, err)
 		}
 	}
-	admitted, err := c.proxy.hooks.Admit(ctx, c.request)
+	admitted, err := c.admit(ctx)
 	if err != nil {
-		return admissionRefusal(ctx, err)
+		return err
 	}
 	c.request.Admission = admitted
 	answered := false
@@ -135,6 +135,25 @@
 	return err
 }
 
+// admit waits for admission. While the instance shuts down, it waits only as long as
+// an attempt may begin.
+func (c *call) admit(ctx context.Context) (Admission, error) {
+	waiting := ctx
+	if left, stopping := c.proxy.hooks.StopsIn(c.proxy.hooks.Now()); stopping {
+		var cancel context.CancelFunc
+		waiting, cancel = context.WithTimeout(ctx, left-lastAttempt)
+		defer cancel()
+	}
+	admitted, err := c.proxy.hooks.Admit(waiting, c.request)
+	switch {
+	case err == nil:
+		return admitted, nil
+	case waiting.Err() != nil && ctx.Err() == nil:
+		return admitted, &refuse.Error{Reason: refuse.Draining, Run: refuse.NotRun, RetryAfter: retryElsewhere, Err: err}
+	}
+	return admitted, admissionRefusal(ctx, err)
+}
+
 // detaches reports whether the request continues at its target after its caller has
 // left.
 func (c *call) detaches() bool {
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -15,7 +15,7 @@
 // dispatch sends the request to targets until one responds and returns that
 // attempt.
 func (c *call) dispatch(ctx context.Context) (*attempt, error) {
-	if err := c.quarantine(); err != nil {
+	if err := c.mayStart(); err != nil {
 		return nil, err
 	}
 	if !c.atMostOnce && !c.streaming {
@@ -114,8 +114,26 @@
 	return nil
 }
 
+// stoppingError means that the instance stops too soon for another attempt.
+type stoppingError struct{}
+
+// Error returns the reason.
+func (*stoppingError) Error() string { return "the instance stops too soon for another attempt" }
+
+// lastAttempt is the time before the end of a shutdown from which no attempt begins,
+// since most would be cut off.
+const lastAttempt = time.Second
+
+// mayStart returns an error if no attempt may begin now.
+func (c *call) mayStart() error {
+	if left, stopping := c.proxy.hooks.StopsIn(c.proxy.hooks.Now()); stopping && left < lastAttempt {
+		return &stoppingError{}
+	}
+	return c.quarantine()
+}
+
 func (c *call) takeRetryBudget(reason Reason) bool {
-	if c.quarantine() != nil {
+	if c.mayStart() != nil {
 		return false
 	}
 	if !c.proxy.hooks.Retry(c.request, reason) {
@@ -157,7 +175,10 @@
 	var dial *pool.DialError
 	var quarantined *quarantineError
 	var relay *relayError
+	var stopping *stoppingError
 	switch {
+	case errors.As(err, &stopping):
+		out.Reason, out.RetryAfter = refuse.Draining, retryElsewhere
 	case errors.As(err, &quarantined):
 		out.Reason, out.RetryAfter = refuse.Quarantined, quarantined.left
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -64,6 +64,9 @@
 	// Admit waits for permission to run the request. Its error should be a
 	// *refuse.Error with Run set to refuse.NotRun.
 	Admit func(ctx context.Context, r Request) (Admission, error)
+	// StopsIn returns the time until the instance stops at the latest, and false if it
+	// is not shutting down.
+	StopsIn func(now time.Time) (time.Duration, bool)
 	// Enter registers a request in flight and returns the function that
 	// unregisters it. If ok is false, the request is refused because the instance
 	// is shutting down.
@@ -136,6 +139,9 @@
 	if h.Admit == nil {
 		h.Admit = func(context.Context, Request) (Admission, error) { return Admission{}, nil }
 	}
+	if h.StopsIn == nil {
+		h.StopsIn = func(time.Time) (time.Duration, bool) { return 0, false }
+	}
 	if h.Enter == nil {
 		h.Enter = func(Request) (func(), bool) { return func() {}, true }
 	}
