An entry learns from answers that it passes on for others that a target leaves

The answer of a leaving target that came through another entry told only that entry. The one that passed it on to the caller could send the target requests itself once its own path was back. TestLeavingIsPassedOn, TestLeavingIsLearntFromRelayedAnswer.

--- a/entry/agent/helper.go
+++ b/entry/agent/helper.go
@@ -119,9 +119,22 @@
 	if o.Class == proxy.Declined || o.Class == proxy.Dial || o.Class == proxy.Failed {
 		h.state.pausedUntil.Store(a.sinceStart(o.End.Add(helperPause)))
 	}
+	if o.Leaving {
+		a.tryPost(func(time.Time) { a.recordRelayedLeaving(o.LeavingTarget, o.LeavingStart.UnixMilli()) })
+	}
 	a.hooks.CountRelay(result)
 }
 
+// recordRelayedLeaving records that a target told another entry, in an answer that this
+// one passed on, that it leaves. start is in Unix milliseconds.
+func (a *Agent) recordRelayedLeaving(address netip.AddrPort, start int64) {
+	for name := range a.upstreams {
+		if _, t := a.knownTarget(name, address, start); t != nil {
+			a.recordPause(t, proxy.Outcome{Leaving: true})
+		}
+	}
+}
+
 // Unavailable returns why no target of a service can take a request, and the time
 // after which one may.
 func (a *Agent) Unavailable(r proxy.Request, now time.Time) (refuse.Reason, time.Duration) {
--- a/entry/agent/path_test.go
+++ b/entry/agent/path_test.go
@@ -115,6 +115,27 @@
 	}
 }
 
+// Guards against requests to a target that told another entry that it leaves, in an
+// answer that this one passed on.
+func TestLeavingIsLearntFromRelayedAnswer(t *testing.T) {
+	is := is.New(t)
+	f := startPathFleet(t)
+	leaving, ok := f.pick(orderRequest(f.agent))
+	is.True(ok)
+	f.reached.Store(false)
+	f.helps.Store(true)
+	f.fail("the path is lost", dialFailed, f.agent.PathLost)
+	r := orderRequest(f.agent)
+	helper, ok := f.pick(r)
+	is.True(ok && helper.Relay)
+	f.agent.End(proxy.Attempt{Request: r, Target: helper}, proxy.Outcome{
+		Class: proxy.Answered, End: time.Now(), Leaving: true, LeavingTarget: leaving.Address, LeavingStart: leaving.Incarnation,
+	})
+	f.reached.Store(true)
+	waitUntil(t, "the other targets are used", func() bool { return len(picksByName(f.agent)) == 3 })
+	is.Equal(picksByName(f.agent)[leaving.Name], 0)
+}
+
 // Guards against requests that wait although no entry reaches a target, and against
 // targets that stay unused after they are back.
 func TestNoEntryReachesATarget(t *testing.T) {
--- a/entry/proxy/claim.go
+++ b/entry/proxy/claim.go
@@ -142,7 +142,7 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
 	c.closeWhenDraining(h)
-	c.markRelayed(h)
+	c.markRelayed(h, nil)
 	c.wroteHeader, c.status = true, answer.Status
 	c.w.WriteHeader(answer.Status)
 	// A failed write needs no handling: the caller can resend the request.
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -107,6 +108,7 @@
 	switch result {
 	case relayAnswered:
 		delete(h, headerRelay)
+		a.recordRelayedLeaving(parseFields(rest))
 		return nil
 	case relayRefused:
 		fields := parseFields(rest)
@@ -123,12 +125,26 @@
 	return &IdentityError{Header: headerRelay, Got: value, Want: relayAnswered}
 }
 
+// recordRelayedLeaving records that the target that answered another entry leaves.
+func (a *attempt) recordRelayedLeaving(fields map[string]string) {
+	address, err := netip.ParseAddrPort(fields["leaving"])
+	start, startErr := strconv.ParseInt(fields["start"], 10, 64)
+	if err == nil && startErr == nil {
+		a.outcome.Leaving, a.outcome.LeavingTarget, a.outcome.LeavingStart = true, address, time.UnixMilli(start)
+	}
+}
+
 // markRelayed tells the entry that passed the request on that the response is that
-// of a target.
-func (c *call) markRelayed(h http.Header) {
-	if c.relayed {
-		h[headerRelay] = []string{relayAnswered}
+// of a target, and whether the target leaves. a is nil for a recorded response.
+func (c *call) markRelayed(h http.Header, a *attempt) {
+	if !c.relayed {
+		return
+	}
+	value := relayAnswered
+	if a != nil && a.outcome.Leaving {
+		value += fmt.Sprintf(" leaving=%s start=%d", a.info.Target.Address, a.info.Target.Incarnation.UnixMilli())
 	}
+	h[headerRelay] = []string{value}
 }
 
 // markRefused tells the entry that passed the request on why it was refused.
--- a/entry/proxy/relay_test.go
+++ b/entry/proxy/relay_test.go
@@ -157,6 +157,30 @@
 	<-left
 }
 
+// Guards against an entry that passes on the answer of a leaving target and later
+// sends it requests itself.
+func TestLeavingIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	start := time.UnixMilli(1_700_000_000_123)
+	leaving := respond(t, "HTTP/1.1 200 OK\r\nGalenalock-Leaving: 1\r\nContent-Length: 0\r\n\r\n", nil)
+	view := startEntry(t, false, proxy.Hooks{}, proxy.Rules{}).view
+	p := proxy.New(proxy.Hooks{View: func() *proxy.View { return &view }, Pick: func(proxy.Request, []netip.AddrPort, time.Time) (proxy.Target, bool) {
+		return proxy.Target{Address: leaving, Incarnation: start}, true
+	}})
+	server := httptest.NewServer(http.HandlerFunc(p.ServeRelayed))
+	t.Cleanup(func() { server.Close(); p.Close() })
+	outcomes := make(chan proxy.Outcome, 1)
+	e := startWithoutPath(t, proxy.Hooks{End: func(_ proxy.Attempt, o proxy.Outcome) { outcomes <- o }}, netip.MustParseAddrPort(server.Listener.Addr().String()))
+	status, header, _, err := e.send(http.MethodPost, "/tables/x", nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(header.Get("Galenalock-Relay"), "")
+	o := <-outcomes
+	is.True(o.Leaving)
+	is.Equal(o.LeavingTarget, leaving)
+	is.True(o.LeavingStart.Equal(start))
+}
+
 // Guards against callers that pretend to be an entry.
 func TestCallerCannotMarkRequestAsRelayed(t *testing.T) {
 	is := is.New(t)
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -49,7 +49,7 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(a.prefetched))}
 	}
 	c.closeWhenDraining(h)
-	c.markRelayed(h)
+	c.markRelayed(h, a)
 	c.wroteHeader, c.status = true, a.response.StatusCode
 	c.w.WriteHeader(a.response.StatusCode)
 	if a.response.ContentLength < 0 && !a.prefetchComplete && allowsBody(c.r.Method, a.response.StatusCode) {
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -115,14 +115,18 @@
 
 // Outcome describes how an attempt ended.
 type Outcome struct {
-	Class         Class
-	Status        int // 0 without a response
-	Load          Load
-	HasLoad       bool          // the response reported Load
-	Limit         quota.Report  // what the response says about the limit of the target
-	HasLimit      bool          // there is a verified response and its Limit is well-formed
-	Pause         time.Duration // for which the target wants no request from this entry
-	Leaving       bool          // the target leaves
+	Class    Class
+	Status   int // 0 without a response
+	Load     Load
+	HasLoad  bool          // the response reported Load
+	Limit    quota.Report  // what the response says about the limit of the target
+	HasLimit bool          // there is a verified response and its Limit is well-formed
+	Pause    time.Duration // for which the target wants no request from this entry
+	Leaving  bool          // the target leaves
+	// LeavingTarget and LeavingStart identify the target that leaves if another entry
+	// sent it the request.
+	LeavingTarget netip.AddrPort
+	LeavingStart  time.Time
 	HeaderLatency time.Duration // from the start to the response header, 0 without a response
 	End           time.Time
 	Reused        bool  // the connection had carried a request before
