Targets that answer on open connections are in use although none accepts a new one

Found by reading the change: targets at their limit of connections reset new ones, so a check of the path could find no target reachable from any entry, and requests were refused (nopath) although open connections worked. Responses of the last 2 s now rule that out. A contact counts from its own time, not from the end of its response, and no longer hides a failure that came after it.

TestTargetsThatAnswerAreInUse, TestCheckIsDue; TestForgive.

--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -46,6 +46,9 @@
 	// QuietTime is the time without any contact after which one target out of reach
 	// makes a check due.
 	QuietTime = 500 * time.Millisecond
+	// maxContactAge is the age up to which a response from a target shows that targets
+	// are in use although none accepts new connections.
+	maxContactAge = 2 * time.Second
 	// checkGap is the least time between two checks while the path is not lost.
 	checkGap = time.Second
 	// minInterval and maxInterval bound the random time between two checks of a lost
@@ -60,7 +63,7 @@
 
 	mu          sync.Mutex
 	machine     *chart.Machine
-	unreached   map[netip.AddrPort]struct{} // since the last new connection that worked
+	unreached   map[netip.AddrPort]time.Time // last failure since a new connection worked
 	lastContact time.Time
 	checking    bool
 	nextCheck   time.Time
@@ -77,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Tracker{machine: c.NewMachine(), unreached: map[netip.AddrPort]struct{}{}}
+	t := &Tracker{machine: c.NewMachine(), unreached: map[netip.AddrPort]time.Time{}}
 	connected := Connected
 	t.state.Store(&connected)
 	return t, nil
@@ -96,16 +99,21 @@
 	return t.checking || len(t.unreached) >= maxUnreached
 }
 
-// Contact records bytes received from a target; opened tells that they arrived on a
-// new connection.
+// Contact records bytes received from a target at a time that may have passed; opened
+// tells that they arrived on a new connection.
 func (t *Tracker) Contact(now time.Time, opened bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.After(t.lastContact) {
 		t.lastContact = now
 	}
-	if opened {
-		clear(t.unreached)
+	if !opened {
+		return
+	}
+	for target, failed := range t.unreached {
+		if !failed.After(now) {
+			delete(t.unreached, target)
+		}
 	}
 }
 
@@ -114,7 +122,7 @@
 func (t *Tracker) Unreached(now time.Time, target netip.AddrPort) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unreached[target] = struct{}{}
+	t.unreached[target] = now
 	return t.due(now) && (len(t.unreached) >= maxUnreached || now.Sub(t.lastContact) >= QuietTime)
 }
 
@@ -145,6 +153,9 @@
 	return true
 }
 
+// eventLost means that neither this entry nor another one reaches a target.
+const eventLost = "lost"
+
 // Result is the result of a check.
 type Result struct {
 	Sampled int  // targets to which a connection was tried
@@ -163,7 +174,7 @@
 	case r.Helped:
 		return "helped"
 	}
-	return "lost"
+	return eventLost
 }
 
 // Finish ends a check. It returns the new state and the actions of the transition.
@@ -174,6 +185,9 @@
 	t.nextCheck = now.Add(checkGap)
 	before := t.State()
 	event := r.event(before)
+	if before == Connected && event == eventLost && now.Sub(t.lastContact) < maxContactAge {
+		event = "" // targets accept no new connections, but answer on others
+	}
 	if event == "" {
 		return before, nil
 	}
--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Guards against requests that are refused because targets at their limit accept no
+// new connections, while they answer on the open ones.
+func TestTargetsThatAnswerAreInUse(t *testing.T) {
+	is := is.New(t)
+	r := tracker(t)
+	r.Contact(start, false)
+	state, _ := r.Finish(start.Add(time.Second), reach.Result{Sampled: 4})
+	is.Equal(state, reach.Connected)
+	state, _ = r.Finish(start.Add(time.Second), reach.Result{Sampled: 4, Helped: true})
+	is.Equal(state, reach.Stranded)
+	silent := tracker(t)
+	silent.Contact(start, false)
+	state, _ = silent.Finish(start.Add(3*time.Second), reach.Result{Sampled: 4})
+	is.Equal(state, reach.Isolated)
+}
+
 // Guards against checks for every single failure, and against a loss that is not
 // checked because connections from before it still work.
 func TestCheckIsDue(t *testing.T) {
@@ -87,6 +103,12 @@
 	is.True(!r.Unreached(start.Add(30*time.Millisecond), address(5))) // too soon after the last check
 	is.True(r.Unreached(start.Add(2*time.Second), address(6)))
 
+	late := tracker(t)
+	late.Contact(start, true)
+	late.Unreached(start.Add(2*time.Millisecond), address(1))
+	late.Contact(start.Add(time.Millisecond), true) // before the failure
+	is.True(late.Unreached(start.Add(3*time.Millisecond), address(2)))
+
 	quiet := tracker(t)
 	quiet.Contact(start, true)
 	is.True(quiet.Unreached(start.Add(time.Second), address(1)))
--- a/core/susp/susp_test.go
+++ b/core/susp/susp_test.go
@@ -113,6 +113,23 @@
 	is.True(silent.Probability(later) > normal.Probability(later))
 }
 
+// Guards against targets that stay avoided after it has turned out that the path was
+// at fault, and against signs of the path that count as signs of the target only.
+func TestForgive(t *testing.T) {
+	is := is.New(t)
+	target := &susp.Target{}
+	target.Observe(start, susp.Unreachable)
+	target.Observe(start.Add(time.Second), susp.Unreachable)
+	_, _, avoided := target.Avoided(start.Add(time.Second))
+	is.True(avoided)
+	target.Forgive()
+	_, _, avoided = target.Avoided(start.Add(time.Second))
+	is.True(!avoided)
+	is.True(target.Probability(start.Add(time.Second)) < 0.1)
+	is.True(susp.Unreachable.IsOfPath() && susp.Broken.IsOfPath() && susp.Overdue.IsOfPath())
+	is.True(!susp.Failed.IsOfPath() && !susp.Shed.IsOfPath() && !susp.Answered.IsOfPath())
+}
+
 // Guards against a probability that grows when the clock is set back.
 func TestClockStepsBack(t *testing.T) {
 	is := is.New(t)
--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -53,11 +53,11 @@
 }
 
 // observePath records what an outcome shows about the path to the target.
-func (a *Agent) observePath(t *target, o proxy.Outcome) {
-	switch {
-	case o.HeaderLatency > 0:
-		a.path.tracker.Contact(o.End, !o.Reused)
-	case o.Class == proxy.Dial, o.Class == proxy.Failed, o.Class == proxy.Overdue:
+func (a *Agent) observePath(t *target, at proxy.Attempt, o proxy.Outcome) {
+	if o.HeaderLatency > 0 {
+		a.path.tracker.Contact(at.Start.Add(o.HeaderLatency), !o.Reused)
+	}
+	if o.Class == proxy.Dial || o.Class == proxy.Failed || o.Class == proxy.Overdue {
 		a.recordUnreached(t, o.End)
 	}
 }
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -127,7 +127,7 @@
 		latency = o.HeaderLatency
 		d.upstream.budget.ObserveLatency(o.HeaderLatency)
 	}
-	a.observePath(d.target, o)
+	a.observePath(d.target, at, o)
 	d.upstream.pending.Add(-1)
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
