--- a/entry/proxy/doc.go
+++ b/entry/proxy/doc.go
@@ -22,9 +22,14 @@
 //
 // From targets: Galenalock-Load reports load. Galenalock-Limit names the requests a
 // second that the target accepts from the whole fleet. Galenalock-Run: no on a 503
-// declares that the request was not run; Galenalock-Shed: service adds that the
+// declares that the request was not run, and Retry-After on a 503 that the target
+// wants no request from this entry for that many seconds. Galenalock-Leaving: 1 tells
+// that it wants none any more. Galenalock-Shed: service adds that the
 // other targets of the service are full too, so the request is not retried.
 //
+// Between entries: Galenalock-Relay marks a request that an entry without a path to
+// the targets passes on, and the response to it.
+//
 // To callers: Galenalock-Request on refusals, Galenalock-Replayed: true on a
 // response recorded for an earlier request with the same key, and
 // Galenalock-Stored: false when its body was too large to be kept.
