Reasons of refusals that another entry gives, and when all targets pause

Found by reading the change. An entry with another configuration that knows no route for a relayed request made the first one tell its caller so (404), although it has the route; it is now nopath (TestHelperWithAnotherConfiguration). A caller was told to come back after a pause although targets without one had only been tried (TestAllTargetsPause).

--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -85,5 +85,9 @@
 // Status returns the HTTP status code for the reason.
 func (r Reason) Status() int { return reasonTable[r].status }
 
+// OfConfiguration reports whether the request is refused because the configuration
+// has nothing that accepts it.
+func (r Reason) OfConfiguration() bool { return r == NoRoute || r == NoMethod || r == NoWorkspace }
+
 // Title returns a short description for people.
 func (r Reason) Title() string { return reasonTable[r].title }
--- a/entry/agent/limits.go
+++ b/entry/agent/limits.go
@@ -183,14 +183,14 @@
 }
 
 // limitWait returns the time until a target of the service that is limited or has
-// paused may get a request from this entry. The reason is NoTarget if there is no such
-// target.
+// paused may get a request from this entry. The reason is NoTarget if no target is
+// limited and not all have paused.
 func (a *Agent) limitWait(r proxy.Request, now time.Time) (refuse.Reason, time.Duration) {
 	u := a.upstream(r.Service.Name)
 	if u == nil {
 		return refuse.NoTarget, noTargetRetryAfter
 	}
-	reason, least, known := refuse.NoTarget, time.Duration(0), false
+	reason, least, known, open := refuse.NoTarget, time.Duration(0), false, false
 	for _, t := range *u.snapshots.Load() {
 		pause, closed := t.quota.Closed(now)
 		switch {
@@ -199,6 +199,7 @@
 		case closed && pause > 0 && reason == refuse.NoTarget:
 			reason = refuse.Paused
 		case !closed:
+			open = open || t.isInService()
 			continue
 		}
 		if wait, ok := t.quota.Wait(now); ok && (!known || wait < least) {
@@ -206,8 +207,8 @@
 		}
 	}
 	switch {
-	case reason == refuse.NoTarget:
-		return reason, noTargetRetryAfter
+	case reason == refuse.NoTarget, reason == refuse.Paused && open:
+		return refuse.NoTarget, noTargetRetryAfter
 	case !known:
 		return reason, defaultLimitWait
 	case reason == refuse.Limited:
--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -27,6 +27,9 @@
 	// helpersInterval is the interval at which the list of helpers is renewed while
 	// the path is not lost, so that it is known when control is out of reach.
 	helpersInterval = 20 * time.Second
+	// noHelpersInterval replaces helpersInterval while no helper is known, as after the
+	// start of a fleet.
+	noHelpersInterval = 5 * time.Second
 	// lostHelpersInterval replaces helpersInterval while the path is lost.
 	lostHelpersInterval = time.Second
 	// relayedRecently is how long an answer through another entry shows that entries
@@ -75,8 +78,11 @@
 		a.checkPath(now)
 	}
 	interval := helpersInterval
-	if a.PathLost() {
+	switch {
+	case a.PathLost():
 		interval = lostHelpersInterval
+	case len(a.path.helpers.Load().List) == 0:
+		interval = noHelpersInterval
 	}
 	if now.Sub(a.path.helpersAsked) >= interval && len(*a.controlLinks.Load()) > 0 {
 		a.path.helpersAsked = now
--- a/entry/agent/pause_test.go
+++ b/entry/agent/pause_test.go
@@ -98,12 +98,16 @@
 	a := startPauseFleet(t, true)
 	now := time.Now()
 	for n := range 3 {
+		first, _ := a.Unavailable(request(a, "s0"), now)
+		is.Equal(first, refuse.NoTarget) // there are others
 		endAttempt(t, a, now, proxy.Outcome{
 			Class: proxy.Refused, Status: http.StatusServiceUnavailable, HeaderLatency: time.Millisecond, Pause: time.Duration(n+2) * time.Second,
 		})
 	}
 	_, ok := a.Pick(request(a, "s0"), nil, now)
 	is.True(!ok)
+	later, _ := a.Unavailable(request(a, "s0"), now.Add(time.Minute))
+	is.Equal(later, refuse.NoTarget) // the pauses are over
 	reason, wait := a.Unavailable(request(a, "s0"), now)
 	is.Equal(reason, refuse.Paused)
 	is.Equal(wait, 2*time.Second)
--- a/entry/agent/status.go
+++ b/entry/agent/status.go
@@ -61,6 +61,11 @@
 	drained   bool // drained by an operator
 }
 
+// isInService reports whether the target is meant to take requests.
+func (t *targetSnapshot) isInService() bool {
+	return isInService(t.Target) && !t.drained && !t.ejected
+}
+
 func (t *targetSnapshot) state() string {
 	switch {
 	case t.State == gossip.StateDraining || t.State == gossip.StateLeaving || t.drained:
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -116,10 +116,14 @@
 			reason: refuse.Reason(fields["reason"]), run: refuse.Run(fields["run"]),
 			retryAfter: time.Duration(max(0, atoi(fields["retry"]))) * time.Millisecond,
 		}
-		if e.reason.Status() == 0 {
+		e.declined = e.run == refuse.NotRun && fields["sent"] == "0"
+		switch {
+		case e.reason.Status() == 0:
 			e.reason = refuse.Broken // of a newer version
+		case e.declined && e.reason.OfConfiguration():
+			// This entry has a route for the request, so the configurations differ.
+			e.reason, e.retryAfter = refuse.NoPath, retryElsewhere
 		}
-		e.declined = e.run == refuse.NotRun && fields["sent"] == "0"
 		return e
 	}
 	return &IdentityError{Header: headerRelay, Got: value, Want: relayAnswered}
--- a/entry/proxy/relay_test.go
+++ b/entry/proxy/relay_test.go
@@ -181,6 +181,26 @@
 	is.True(o.LeavingStart.Equal(start))
 }
 
+// Guards against callers that are told that there is no route, because an entry with
+// another configuration knows none for a request that was passed on to it.
+func TestHelperWithAnotherConfiguration(t *testing.T) {
+	is := is.New(t)
+	empty, err := spec.Parse([]byte("[[service]]\nname = \"other\"\nfloor = \"50%\"\n"))
+	is.NoErr(err)
+	view := proxy.View{Text: empty, Revision: 2, Ready: true}
+	old := startHelper(t, proxy.Hooks{View: func() *proxy.View { return &view }})
+	target := respond(t, okResponse, nil)
+	for _, c := range []struct {
+		helpers []netip.AddrPort
+		status  int
+	}{{[]netip.AddrPort{old}, http.StatusServiceUnavailable}, {[]netip.AddrPort{old, startHelper(t, proxy.Hooks{}, target)}, http.StatusOK}} {
+		e := startWithoutPath(t, proxy.Hooks{Retry: allowRetry}, c.helpers...)
+		status, _, _, err := e.send(http.MethodPost, "/tables/x", strings.NewReader("1"))
+		is.NoErr(err)
+		is.Equal(status, c.status)
+	}
+}
+
 // Guards against callers that pretend to be an entry.
 func TestCallerCannotMarkRequestAsRelayed(t *testing.T) {
 	is := is.New(t)
