A connection lasts after an upload was refused whose body was not read

A streamed upload that was refused before its body was read, as without a target or a path, ended the caller's connection after the response without notice, and its next request got no answer.

Cause: full duplex was enabled for every streamed body. net/http then reads what is left of a body after the handler, and the end of the body starts its background read at the wrong moment. It is enabled now when a target is about to get the body, and a body that is not read to its end then is interrupted, as before.

TestConnectionLastsAfterRefusedUpload failed before.

--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -23,6 +23,7 @@
 	mapError   func(error) error
 	bytesRead  atomic.Int64
 
+	duplex  bool        // net/http does not read the rest of the body before the response
 	started atomic.Bool // the body was read; a target may have received part of it
 	stopped atomic.Bool
 	ended   atomic.Bool
@@ -71,6 +72,17 @@
 	return n, err
 }
 
+// enableDuplex lets the response be sent while the body is read. Without it, net/http
+// reads the whole body of an HTTP/1.1 request before it sends the first byte of the
+// response. With it, the body must be read or interrupted, since net/http panics if it
+// reaches the end of the body after the handler.
+func (u *upload) enableDuplex() {
+	if !u.duplex {
+		u.duplex = true
+		_ = u.controller.EnableFullDuplex() // only response writers of tests do not support it
+	}
+}
+
 // interrupt stops a read that waits for the caller.
 func (u *upload) interrupt() {
 	u.stopped.Store(true)
@@ -82,7 +94,7 @@
 // stop ends reading and returns when no read is in progress, since the request
 // body must not be read after the handler has returned.
 func (u *upload) stop() {
-	if u.ended.Load() || !u.started.Load() {
+	if u.ended.Load() || !u.started.Load() && !u.duplex {
 		u.stopped.Store(true)
 		return
 	}
@@ -109,9 +121,6 @@
 		}
 	} else if r.ContentLength < 0 || r.ContentLength > limit || expectsContinue(r) {
 		c.streaming = true
-		// Without full duplex, net/http reads the whole body of an HTTP/1.1
-		// request before it sends the first byte of the response.
-		_ = c.controller.EnableFullDuplex()
 		return nil
 	}
 	if c.bufferedBody, err = c.upload.readAll(limit); err == nil && int64(len(c.bufferedBody)) <= limit {
