--- a/bench/procs/path_test.go
+++ b/bench/procs/path_test.go
@@ -129,7 +129,7 @@
 	d, err := daemon.New(daemon.Settings{
 		Instance: name, Fleet: "test", Region: f.place.Region, DataCentre: f.place.DataCentre,
 		Traffic: local, Peer: local, Admin: local, Control: []netip.AddrPort{f.replicas[1]},
-		Peers: []netip.AddrPort{f.entries[0].Address("peer")}, Ramp: time.Second, Wait: time.Second,
+		Peers: []netip.AddrPort{f.entries[0].Address("peer")}, Ramp: time.Second, Wait: time.Second, Limit: 6 * time.Second,
 		Log: io.Discard, Dial: c.dial,
 	})
 	f.noError(err)
--- a/bench/procs/soak_test.go
+++ b/bench/procs/soak_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -36,7 +37,8 @@
 )
 
 // soak is a fleet with callers that use their connections until the entry is gone,
-// while processes are stopped, killed, frozen and restarted.
+// while processes are stopped, killed, frozen and restarted, and one entry is cut off
+// from all targets.
 type soak struct {
 	*fleet
 	seed uint64
@@ -47,6 +49,9 @@
 	failures []string
 	stopping []atomic.Bool // by entry: a graceful stop has begun and nothing else happened to the entry since
 	answers  atomic.Int64
+
+	cutTraffic netip.AddrPort // of a further entry, which loses its path to all targets at times
+	cutter     *cutter
 }
 
 // order is what a caller saw of one order.
@@ -69,7 +74,10 @@
 		seed := *soakFirst + n
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			s := &soak{fleet: startFleet(t, fleetSize{replicas: 3, entries: 4, targets: 2}), seed: seed, busy: map[string]bool{}, revision: 1}
-			s.stopping = make([]atomic.Bool, len(s.entries))
+			s.stopping = make([]atomic.Bool, len(s.entries)+1)
+			d, cutter := s.startCutEntry("cut")
+			s.cutTraffic, s.cutter = d.Traffic(), cutter
+			s.waitUntil("the further entry serves", d.Ready)
 			s.run()
 		})
 	}
@@ -135,7 +143,7 @@
 		}
 		entry, replica := rng.IntN(len(s.entries)), 1+rng.IntN(len(s.admins))
 		pause := time.Duration(50+rng.IntN(1500)) * time.Millisecond
-		switch fault := rng.IntN(10); {
+		switch fault := rng.IntN(12); {
 		case fault < 3 && entry > 0:
 			s.restartEntry(entry, true)
 		case fault < 5 && entry > 0:
@@ -144,12 +152,34 @@
 			s.freeze(fmt.Sprint("entry-", entry), func() *procs.Process { return s.entry(entry) }, pause)
 		case fault < 8:
 			s.disturbReplica(replica, rng.IntN(2) == 0, pause)
+		case fault < 10:
+			s.cutPath([]cutMode{hang, reset, refused}[rng.IntN(3)], 2*pause)
 		default:
 			s.change()
 		}
 	}
 }
 
+// cutPath cuts the further entry off from all targets for some time.
+func (s *soak) cutPath(mode cutMode, pause time.Duration) {
+	if !s.claim("path") {
+		return
+	}
+	defer s.release("path")
+	s.cutter.set(mode)
+	<-time.After(pause)
+	s.cutter.set(uncut)
+}
+
+// traffic returns the address for callers of an entry. The last one is the entry that
+// loses its path.
+func (s *soak) traffic(n int) netip.AddrPort {
+	if n == len(s.entries) {
+		return s.cutTraffic
+	}
+	return s.entry(n).Address("traffic")
+}
+
 func (s *soak) restartEntry(n int, graceful bool) {
 	name := fmt.Sprint("entry-", n)
 	if !s.claim(name) {
@@ -269,7 +299,7 @@
 			return orders
 		case <-time.After(time.Duration(rng.IntN(20)) * time.Millisecond):
 		}
-		entry := rng.IntN(len(s.entries))
+		entry := rng.IntN(len(s.entries) + 1)
 		switch rng.IntN(4) {
 		case 0:
 			_, _ = s.exchange(client, entry, http.MethodGet, "/tables/x", nil, "") // a failure is allowed, a wrong answer is reported
@@ -279,7 +309,7 @@
 		default:
 			o := order{key: fmt.Sprintf("order-%d-%d", caller, n)}
 			for o.attempts = 0; o.attempts < 1+rng.IntN(4) && !o.answered; {
-				s.sendOnce(client, (entry+o.attempts)%len(s.entries), &o)
+				s.sendOnce(client, (entry+o.attempts)%(len(s.entries)+1), &o)
 			}
 			orders = append(orders, o)
 		}
@@ -289,13 +319,13 @@
 // sendOnce sends an order once and records what the caller sees.
 func (s *soak) sendOnce(client *http.Client, entry int, o *order) {
 	o.attempts++
-	p := s.entry(entry)
+	before := s.traffic(entry)
 	status, body := s.exchange(client, entry, http.MethodPost, "/ledger/orders", []byte(o.key), o.key)
 	var refused refuse.Document
 	switch {
 	case status == http.StatusOK:
 		o.answered = true
-	case status == 0 && s.stopping[entry].Load() && s.entry(entry) == p:
+	case status == 0 && s.stopping[entry].Load() && s.traffic(entry) == before:
 		o.cutBy = fmt.Sprint("entry-", entry)
 	case status != 0 && json.Unmarshal(body, &refused) == nil && refused.Run == refuse.NotRun:
 		o.refused++
@@ -305,7 +335,7 @@
 // exchange sends a request and checks that an answer belongs to it. The status is 0
 // if there was no complete answer.
 func (s *soak) exchange(client *http.Client, entry int, method, path string, body []byte, key string) (int, []byte) {
-	r, err := http.NewRequest(method, fmt.Sprintf("http://%s%s", s.entry(entry).Address("traffic"), path), bytes.NewReader(body))
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s%s", s.traffic(entry), path), bytes.NewReader(body))
 	if err != nil {
 		s.fail("request: %v", err)
 		return 0, nil
