--- a/core/quota/pause.go
+++ b/core/quota/pause.go
@@ -1,11 +1,6 @@
 package quota
 
-import (
-	"math"
-	"strconv"
-	"strings"
-	"time"
-)
+import "time"
 
 // MaxPause is the longest pause that is kept. A longer one is shortened.
 const MaxPause = time.Hour
@@ -13,12 +8,8 @@
 // ParsePause parses a pause in seconds. It reports false unless the value is a
 // decimal number above zero.
 func ParsePause(value string) (time.Duration, bool) {
-	value = strings.TrimSpace(value)
-	if strings.ContainsAny(value, "xXpP_") { // ParseFloat accepts hexadecimal numbers and underscores
-		return 0, false
-	}
-	seconds, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+	seconds, ok := parseDecimal(value)
+	if !ok || seconds <= 0 {
 		return 0, false
 	}
 	if seconds >= MaxPause.Seconds() {
--- a/core/quota/pause_test.go
+++ b/core/quota/pause_test.go
@@ -47,13 +47,13 @@
 func TestParsePause(t *testing.T) {
 	is := is.New(t)
 	for value, want := range map[string]time.Duration{
-		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "1e300": quota.MaxPause, "+Inf": quota.MaxPause,
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "1e300": quota.MaxPause,
 	} {
 		got, ok := quota.ParsePause(value)
 		is.True(ok)
 		is.Equal(got, want)
 	}
-	for _, value := range []string{"", "0", "-1", "x", "0x10", "1_0", "NaN", "-Inf", "Wed, 21 Oct 2015 07:28:00 GMT"} {
+	for _, value := range []string{"", "0", "-1", "x", "0x10", "1_0", "NaN", "+Inf", "-Inf", "Wed, 21 Oct 2015 07:28:00 GMT"} {
 		_, ok := quota.ParsePause(value)
 		is.True(!ok)
 	}
--- a/core/quota/report.go
+++ b/core/quota/report.go
@@ -25,13 +25,19 @@
 // ParseRate parses a rate in requests a second. It reports false unless the value
 // is a decimal number of at least zero.
 func ParseRate(value string) (float64, bool) {
-	value = strings.TrimSpace(value)
-	if strings.ContainsAny(value, "xXpP_") { // ParseFloat accepts hexadecimal numbers and underscores
+	rate, ok := parseDecimal(value)
+	if !ok || rate < 0 {
 		return 0, false
 	}
-	rate, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+	return rate, true
+}
+
+// parseDecimal parses a finite number in decimal notation.
+func parseDecimal(value string) (float64, bool) {
+	value = strings.TrimSpace(value)
+	if strings.ContainsAny(value, "xXpP_") { // ParseFloat accepts hexadecimal numbers and underscores
 		return 0, false
 	}
-	return rate, true
+	number, err := strconv.ParseFloat(value, 64)
+	return number, err == nil && !math.IsNaN(number) && !math.IsInf(number, 0)
 }
