Tests of the path and of pauses that fail without their mechanism

TestLostPathIsBridged is stricter; TestKindOfRepetitionIsPassedOn and TestPauseIsNoSuspicion are new.

--- a/entry/agent/path_test.go
+++ b/entry/agent/path_test.go
@@ -109,9 +109,11 @@
 	is.Equal(reason, refuse.NoPath)
 
 	f.reached.Store(true)
-	waitUntil(t, "all targets are used again", func() bool { return len(picksByName(f.agent)) == 4 })
-	for _, picks := range picksByName(f.agent) {
-		is.True(picks > 10 && picks < 150) // no target is blamed for the lost path
+	waitUntil(t, "the path is back", func() bool { return !f.agent.PathLost() })
+	picks := picksByName(f.agent)
+	is.Equal(len(picks), 4)
+	for _, n := range picks {
+		is.True(n > 25) // no target is blamed for the lost path
 	}
 }
 
--- a/entry/agent/pause_test.go
+++ b/entry/agent/pause_test.go
@@ -91,6 +91,27 @@
 	}
 }
 
+// Guards against targets that are held for sick because they pause, and are reported as
+// such to other entries.
+func TestPauseIsNoSuspicion(t *testing.T) {
+	is := is.New(t)
+	r := startFakeRegistry(t, "near", "salish")
+	for n := range 3 {
+		r.announce(uint64(n+1), n+1, enrol.Ready, false)
+	}
+	a := startRegistryAgent(t, r.addr)
+	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByAddress(a, "s0")) == 3 })
+	now := time.Now()
+	failed := proxy.Outcome{Class: proxy.Faulty, Status: http.StatusServiceUnavailable, HeaderLatency: time.Millisecond}
+	pausing := failed
+	pausing.Pause = time.Second
+	endAttempt(t, a, now, pausing)
+	sick := endAttempt(t, a, now, failed)
+	reported := <-r.suspects
+	is.Equal(len(reported.List), 1)
+	is.Equal(reported.List[0].Target, sick.Address)
+}
+
 // Guards against requests that wait or go to a paused target because all targets
 // pause, and against callers that are told to come back later than needed.
 func TestAllTargetsPause(t *testing.T) {
--- a/entry/proxy/relay_test.go
+++ b/entry/proxy/relay_test.go
@@ -201,6 +201,24 @@
 	}
 }
 
+// Guards against a request that must not be repeated and is, because the configuration
+// of the entry that it was passed on to allows it.
+func TestKindOfRepetitionIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	text, err := spec.Parse([]byte("[[service]]\nname = \"tables\"\nfloor = \"50%\"\n[[route]]\nprefix = \"/tables\"\nservice = \"tables\"\nkind = { repeat = true, attempts = 3 }\n"))
+	is.NoErr(err)
+	view := proxy.View{Text: text, Revision: 2, Ready: true}
+	var arrived atomic.Int64
+	count := func(*http.Request, string) { arrived.Add(1) }
+	helper := startHelper(t, proxy.Hooks{View: func() *proxy.View { return &view }, Retry: allowRetry}, respond(t, "", count), respond(t, okResponse, count))
+	e := startWithoutPath(t, proxy.Hooks{Retry: allowRetry}, helper)
+	status, _, body, err := e.send(http.MethodPost, "/tables/x", strings.NewReader("1"))
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+	is.True(strings.Contains(body, `"run":"unknown"`))
+	is.Equal(arrived.Load(), int64(1))
+}
+
 // Guards against callers that pretend to be an entry.
 func TestCallerCannotMarkRequestAsRelayed(t *testing.T) {
 	is := is.New(t)
