--- a/entry/proxy/harness_test.go
+++ b/entry/proxy/harness_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,14 +71,23 @@
 	})
 }
 
-// closedAddress returns an address that refuses connections.
+// closedAddress returns an address that refuses connections until the test ends. A
+// bound socket that does not listen keeps the port from being given to a listener.
 func closedAddress(t testing.TB) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	local := [4]byte{127, 0, 0, 1}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: local}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4(local), uint16(name.(*syscall.SockaddrInet4).Port))
 }
 
 // entry is a proxy behind an HTTP server, with a client.
