A platform that kills soon shortens the wait for the balancer instead of ending the start

With the setting kill at or below grace an entry did not start, and the platform fills it in. The wait for the balancer now takes at most half of the time. For 6 s and 3 s nothing changes. Found by reading; TestStopEndsBeforeProcessIsKilled covers 1 s and 3 s.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -62,7 +62,7 @@
 		return nil, fault
 	}
 	d := &Daemon{settings: s, start: time.Now(), skipDrain: make(chan struct{}, 1)}
-	d.inflightCore = drain.New(drain.WithTimeouts(s.Grace, s.StopLimit()))
+	d.inflightCore = drain.New(drain.WithTimeouts(s.StopTimes()))
 	if err := d.assemble(); err != nil {
 		return nil, err
 	}
@@ -150,7 +150,8 @@
 		}).Warn("request cut off")
 		d.counters.requestsCut.Add(1, r.Service)
 	}
-	ctx, cancel = context.WithTimeout(context.Background(), min(flushTimeout, d.settings.StopLimit()/flushDivisor))
+	_, limit := d.settings.StopTimes()
+	ctx, cancel = context.WithTimeout(context.Background(), min(flushTimeout, limit/flushDivisor))
 	defer cancel()
 	for _, s := range []*serve.Server{d.traffic, d.peer} { // the peer server takes relayed requests
 		if err := s.Shutdown(ctx); err != nil {
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -65,7 +65,7 @@
 	defaultGrace       = 10 * time.Second // load balancers commonly check every 5 s and need two failures
 	maxGrace           = 5 * time.Minute
 	defaultLimit       = 10 * time.Minute // survey uploads over slow links take minutes
-	minLimit           = 100 * time.Millisecond
+	minKill            = time.Second
 	killMargin         = 75 * time.Millisecond // for the end of the process itself
 	maxLimit           = time.Hour
 	defaultRamp        = 10 * time.Second
@@ -102,7 +102,7 @@
 	t.Text("data", &s.Data, "", "folder for a copy of the configuration; empty: none")
 	t.Duration("grace", &s.Grace, defaultGrace, 0, maxGrace, "time from a stop until the balancer has taken the instance out")
 	t.Duration("limit", &s.Limit, defaultLimit, time.Second, maxLimit, "longest time that a stop waits for requests in flight")
-	t.Duration("kill", &s.Kill, 0, 0, maxLimit, "time from a stop until the platform kills the process; the wait for requests in flight ends before that, whatever limit says; 0: it is not killed")
+	t.Duration("kill", &s.Kill, 0, 0, maxLimit, "time from a stop until the platform kills the process, at least 1s; grace takes at most half of it, and the wait for requests in flight ends before that, whatever limit says; 0: it is not killed")
 	t.Duration("ramp", &s.Ramp, defaultRamp, 0, maxGrace, "slow start of a target")
 	t.Duration("wait", &s.Wait, defaultWait, 0, maxWait, "time from the start of the entry for which requests wait for the first configuration instead of being refused")
 	t.Duration("quarantine", &s.Quarantine, poison.DefaultHold, 0, maxQuarantine, "time for which a request that crashed three targets is refused; it doubles if the request then crashes another one; 0: never")
@@ -138,8 +138,8 @@
 	if s.Peer.Addr().IsUnspecified() {
 		return &conf.Error{Key: "peer", Reason: "must be the address that other instances dial, not " + s.Peer.Addr().String()}
 	}
-	if s.Kill > 0 && s.StopLimit() < minLimit {
-		return &conf.Error{Key: "kill", Reason: "leaves no time for requests in flight after grace"}
+	if s.Kill > 0 && s.Kill < minKill {
+		return &conf.Error{Key: "kill", Reason: "must be 0s or at least " + minKill.String()}
 	}
 	return cmp.Or(
 		conf.BothOrNeither("tls.cert", s.Cert, "tls.key", s.Key),
@@ -148,14 +148,16 @@
 	)
 }
 
-// StopLimit returns how long a stop waits for requests in flight after grace. With
-// kill, the process also has time to send the last responses before it is killed.
-func (s *Settings) StopLimit() time.Duration {
+// StopTimes returns how long a stop waits for the balancer, and after that for requests
+// in flight. With kill, the first takes at most half of the time, and the process can
+// send the last responses before it is killed.
+func (s *Settings) StopTimes() (grace, limit time.Duration) {
 	if s.Kill == 0 {
-		return s.Limit
+		return s.Grace, s.Limit
 	}
 	const flush = 1 + 1.0/flushDivisor
-	return min(s.Limit, time.Duration(float64(s.Kill-killMargin-s.Grace)/flush))
+	grace = min(s.Grace, s.Kill/2)
+	return grace, min(s.Limit, time.Duration(float64(s.Kill-killMargin-grace)/flush))
 }
 
 // setDefaults sets defaults for code that creates Settings without Load.
--- a/entry/daemon/settings_test.go
+++ b/entry/daemon/settings_test.go
@@ -43,7 +43,7 @@
 		"peer: must be the address that other instances dial, not 0.0.0.0": `peer = "0.0.0.0:1"`,
 		"peer: is missing":                                                   ``,
 		"limit: 0s lies outside 1s to 1h0m0s":                                "peer = \"10.0.0.1:1\"\nlimit = \"0s\"",
-		"kill: leaves no time for requests in flight after grace":            "peer = \"10.0.0.1:1\"\nkill = \"10s\"",
+		"kill: must be 0s or at least 1s":                                    "peer = \"10.0.0.1:1\"\nkill = \"900ms\"",
 		"tls.key: tls.cert and tls.key belong together":                      "peer = \"10.0.0.1:1\"\ntls.cert = \"c.pem\"",
 		"tls.traffickey: tls.trafficcert and tls.traffickey belong together": "peer = \"10.0.0.1:1\"\ntls.trafficcert = \"c.pem\"",
 		"": `peer = "10.0.0.1:1"`,
@@ -63,16 +63,21 @@
 // requests in flight less time than there is.
 func TestStopEndsBeforeProcessIsKilled(t *testing.T) {
 	is := is.New(t)
-	for _, kill := range []time.Duration{4 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+	for _, kill := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
 		s := daemon.Settings{Grace: 3 * time.Second, Limit: 10 * time.Minute, Kill: kill}
-		flush := s.StopLimit() / 8
-		end := s.Grace + s.StopLimit() + flush
+		grace, limit := s.StopTimes()
+		end := grace + limit + limit/8
 		is.True(end < kill && kill-end < 100*time.Millisecond)
+		is.Equal(grace, min(3*time.Second, kill/2))
+		is.True(limit > kill/3)
 	}
 	s := daemon.Settings{Grace: 3 * time.Second, Limit: time.Second, Kill: time.Minute}
-	is.Equal(s.StopLimit(), time.Second)
+	_, limit := s.StopTimes()
+	is.Equal(limit, time.Second)
 	s.Kill = 0
-	is.Equal(s.StopLimit(), time.Second)
+	grace, limit := s.StopTimes()
+	is.Equal(grace, 3*time.Second)
+	is.Equal(limit, time.Second)
 }
 
 // Guards against an example file that differs from the settings of the program.
