--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -60,7 +60,7 @@
 	TargetCrashes:       {"counter", "{request}", "", "Requests during which their target crashed"},
 	TargetPauses:        {"counter", "{event}", "event", "Targets that begin a pause (paused) or tell that they leave (leaving)"},
 	PathStates:          {"counter", "{check}", "state", "Checks of the path to the targets, by the state that they found: connected, stranded or isolated"},
-	RelayedRequests:     {"counter", "{request}", "result", "Requests passed to another entry because this one has no path, by result: answered, declined, refused or failed"},
+	RelayedRequests:     {"counter", "{request}", "result", "Requests passed to another entry because this one has no path, by result: answered, declined, refused, failed or cancelled"},
 	Claims:              {"counter", "{claim}", "state", "Claims, by answer"},
 	CrossRegionBytes:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
