Attempts that a lost path ends later do not count against their targets

An attempt that was under way when the path was lost, and failed after that had been found, was evidence against its target: only what was recorded before was forgiven. Signs that the path explains are no longer recorded while it is lost, nor for attempts that began before it was back.

--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -47,6 +47,7 @@
 	helpers   atomic.Pointer[wire.Helpers]
 	states    helperStates
 	lostSince atomic.Int64 // nanoseconds since the start of the entry
+	lostUntil atomic.Int64 // when the path was back last, as for lostSince
 	// lastRelayed is when another entry last answered a request of this one, in
 	// nanoseconds since the start, 0 if none did.
 	lastRelayed atomic.Int64
@@ -240,8 +241,11 @@
 	before := a.path.tracker.State()
 	state, actions := a.path.tracker.Finish(now, r)
 	a.hooks.CountPath(state)
-	if before == reach.Connected {
+	switch {
+	case before == reach.Connected:
 		a.path.lostSince.Store(a.sinceStart(now))
+	case state == reach.Connected:
+		a.path.lostUntil.Store(a.sinceStart(now))
 	}
 	for _, action := range actions {
 		switch action {
@@ -262,6 +266,11 @@
 	log.WithField("helpers", len(a.path.helpers.Load().List)).Warn("path changed")
 }
 
+// pathLostSince reports whether the path is lost or was at some time since then.
+func (a *Agent) pathLostSince(then time.Time) bool {
+	return a.PathLost() || a.sinceStart(then) < a.path.lostUntil.Load()
+}
+
 // forgiveTargets forgets the failures of targets, which the lost path explains.
 func (a *Agent) forgiveTargets() {
 	for _, u := range a.upstreams {
--- a/entry/agent/path_test.go
+++ b/entry/agent/path_test.go
@@ -95,6 +95,14 @@
 func TestLostPathIsBridged(t *testing.T) {
 	is := is.New(t)
 	f := startPathFleet(t)
+	pending := make([]proxy.Attempt, 2)
+	for i := range pending {
+		r := orderRequest(f.agent)
+		target, ok := f.pick(r)
+		is.True(ok)
+		pending[i] = proxy.Attempt{Request: r, Target: target, Start: time.Now()}
+		f.agent.Begin(pending[i])
+	}
 	f.reached.Store(false)
 	f.helps.Store(true)
 	f.fail("requests go through another entry", dialFailed, func() bool {
@@ -108,8 +116,10 @@
 	reason, _ := f.agent.Unavailable(relayed, time.Now())
 	is.Equal(reason, refuse.NoPath)
 
+	f.agent.End(pending[0], proxy.Outcome{Class: proxy.Failed, End: time.Now()})
 	f.reached.Store(true)
 	waitUntil(t, "the path is back", func() bool { return !f.agent.PathLost() })
+	f.agent.End(pending[1], proxy.Outcome{Class: proxy.Failed, End: time.Now()})
 	picks := picksByName(f.agent)
 	is.Equal(len(picks), 4)
 	for _, n := range picks {
--- a/entry/agent/suspects.go
+++ b/entry/agent/suspects.go
@@ -51,9 +51,13 @@
 	return observation, ok
 }
 
-// recordObservation records an observation made by a traffic goroutine, and
-// queues it for other entries if they should know it.
-func (a *Agent) recordObservation(t *target, observation susp.Observation, now time.Time) {
+// recordObservation records an observation made by a traffic goroutine during an
+// attempt that began at a time, and queues it for other entries if they should know
+// it.
+func (a *Agent) recordObservation(t *target, observation susp.Observation, began, now time.Time) {
+	if observation.IsOfPath() && a.pathLostSince(began) {
+		return
+	}
 	before, after := t.suspicion.Observe(now, observation)
 	if observation != susp.Answered {
 		a.log.WithField("service", t.Service).WithField("target", t.Name).WithField("sign", observation.String()).
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -85,7 +85,7 @@
 	if a.registry != nil {
 		if _, _, avoided := d.target.suspicion.Avoided(at.Start); avoided {
 			// The other entries need not test the target as well.
-			a.recordObservation(d.target, susp.Tested, at.Start)
+			a.recordObservation(d.target, susp.Tested, at.Start, at.Start)
 		}
 	}
 	d.endpoint.Begin()
@@ -94,7 +94,7 @@
 	d.upstream.active.Store(true)
 	overdue := d.upstream.overdueDelay(at.Request.Kind)
 	if a.registry != nil && overdue > 0 {
-		d.overdueTimer = time.AfterFunc(overdue, func() { a.recordObservation(d.target, susp.Overdue, time.Now()) })
+		d.overdueTimer = time.AfterFunc(overdue, func() { a.recordObservation(d.target, susp.Overdue, at.Start, time.Now()) })
 	}
 	silence := maxSilence
 	if overdue > 0 {
@@ -134,7 +134,7 @@
 	d.endpoint.RecordBytes(o.BytesSent, o.BytesReceived)
 	// A target that pauses is busy, not sick.
 	if observation, ok := observationOf(at, o); ok && a.registry != nil && o.Pause == 0 {
-		a.recordObservation(d.target, observation, o.End)
+		a.recordObservation(d.target, observation, at.Start, o.End)
 	}
 	if o.HasLimit {
 		a.recordLimit(d.upstream, d.target, at, o)
