--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -284,27 +284,36 @@
 // Pull returns the update from the revision of the pull to the newest one and
 // records that the peer has it.
 func (f *Fleet) Pull(ctx context.Context, c *link.Conn, p wire.Pull) (wire.Revision, error) {
-	type answer struct {
-		r   wire.Revision
-		err error
-	}
-	answers := make(chan answer, 1)
-	event := func() {
+	return postAndWait(ctx, f, func() (wire.Revision, error) {
 		f.installRevisions()
 		r, err := f.revisions.Answer(p)
 		if s := f.sessions[c]; s != nil && err == nil {
 			s.peerRevision = wire.Pull{Have: r.Number, Checksum: r.Checksum}
 		}
-		answers <- answer{r, err}
+		return r, err
+	})
+}
+
+// postAndWait queues an event and returns its result, unless ctx or the fleet ends
+// first.
+func postAndWait[T any](ctx context.Context, f *Fleet, event func() (T, error)) (T, error) {
+	var none T
+	type result struct {
+		value T
+		err   error
 	}
-	f.post(event)
+	results := make(chan result, 1)
+	f.post(func() {
+		value, err := event()
+		results <- result{value, err}
+	})
 	select {
-	case a := <-answers:
-		return a.r, a.err
+	case r := <-results:
+		return r.value, r.err
 	case <-ctx.Done():
-		return wire.Revision{}, ctx.Err()
+		return none, ctx.Err()
 	case <-f.stopped:
-		return wire.Revision{}, &link.ClosedError{Reason: "replica stops"}
+		return none, &link.ClosedError{Reason: "replica stops"}
 	}
 }
 
--- a/control/fleet/helpers.go
+++ b/control/fleet/helpers.go
@@ -30,24 +30,15 @@
 // Helpers returns entries that reach targets, for the entry at the other end of a
 // link.
 func (f *Fleet) Helpers(ctx context.Context, c *link.Conn) (wire.Helpers, error) {
-	answers := make(chan wire.Helpers, 1)
-	f.post(func() {
+	return postAndWait(ctx, f, func() (wire.Helpers, error) {
 		entries := make([]Instance, 0, len(f.sessions))
 		for linked, s := range f.sessions {
 			if i := f.instances[linked.Peer().Instance]; s.isEntry && i != nil {
 				entries = append(entries, *i)
 			}
 		}
-		answers <- ChooseHelpers(c.Peer(), entries)
+		return ChooseHelpers(c.Peer(), entries), nil
 	})
-	select {
-	case h := <-answers:
-		return h, nil
-	case <-ctx.Done():
-		return wire.Helpers{}, ctx.Err()
-	case <-f.stopped:
-		return wire.Helpers{}, &link.ClosedError{Reason: "replica stops"}
-	}
 }
 
 // ChooseHelpers chooses helpers for one entry. The near ones are those of its data
--- a/entry/agent/helper.go
+++ b/entry/agent/helper.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -72,7 +73,7 @@
 			return target, true
 		}
 	}
-	return a.pickAmong(helpers.List, exclude, 0)
+	return a.pickAmong(helpers.List, exclude, math.MaxInt64) // also those that are paused
 }
 
 // sinceStart returns the nanoseconds since the start of the entry, which do not depend
@@ -80,11 +81,11 @@
 func (a *Agent) sinceStart(now time.Time) int64 { return int64(now.Sub(a.settings.Start)) }
 
 // pickAmong selects among the helpers that are not paused at a time, in nanoseconds
-// since the start, which is 0 to select among all.
+// since the start.
 func (a *Agent) pickAmong(list []wire.Helper, exclude []netip.AddrPort, nanos int64) (proxy.Target, bool) {
 	usable := make([]wire.Helper, 0, len(list))
 	for _, h := range list {
-		if !slices.Contains(exclude, h.Address) && (nanos == 0 || a.path.states.get(h.Address).pausedUntil.Load() <= nanos) {
+		if !slices.Contains(exclude, h.Address) && a.path.states.get(h.Address).pausedUntil.Load() <= nanos {
 			usable = append(usable, h)
 		}
 	}
--- a/entry/agent/suspects.go
+++ b/entry/agent/suspects.go
@@ -41,8 +41,11 @@
 
 // observationOf returns the observation that an outcome stands for, if any. A late
 // response does not count in favour of the target; that it was late has been
-// recorded while the attempt was pending.
+// recorded while the attempt was pending. A target that pauses is busy, not sick.
 func observationOf(at proxy.Attempt, o proxy.Outcome) (susp.Observation, bool) {
+	if o.Pause > 0 {
+		return 0, false
+	}
 	if o.Class == proxy.Answered {
 		goal := at.Request.Kind.LatencyGoal
 		return susp.Answered, goal == 0 || float64(o.HeaderLatency) < overdueGoalShare*float64(goal)
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -132,8 +132,7 @@
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
 	d.endpoint.RecordBytes(o.BytesSent, o.BytesReceived)
-	// A target that pauses is busy, not sick.
-	if observation, ok := observationOf(at, o); ok && a.registry != nil && o.Pause == 0 {
+	if observation, ok := observationOf(at, o); ok && a.registry != nil {
 		a.recordObservation(d.target, observation, at.Start, o.End)
 	}
 	if o.HasLimit {
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -194,7 +194,10 @@
 		}
 	case errors.As(err, &shed):
 		out.Reason, out.RetryAfter = refuse.Shed, retryShed
-		if reason, wait := c.proxy.hooks.Unavailable(c.request, c.proxy.hooks.Now()); c.noTargetLeft && reason == refuse.Paused {
+		if !c.noTargetLeft {
+			break
+		}
+		if reason, wait := c.proxy.hooks.Unavailable(c.request, c.proxy.hooks.Now()); reason == refuse.Paused {
 			out.Reason, out.RetryAfter = reason, wait
 		}
 	case errors.Is(err, errDigestMismatch):
