--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -211,36 +211,22 @@
 }
 
 // Sample chooses up to SampleSize targets: one of each service in turn, in random
-// order.
-func Sample(services [][]netip.AddrPort, intN func(n int) int) []netip.AddrPort {
-	lists := make([][]netip.AddrPort, 0, len(services))
-	for _, list := range services {
-		if len(list) > 0 {
-			lists = append(lists, slices.Clone(list))
-		}
-	}
-	shuffle(lists, intN)
+// order. shuffle is a function like rand.Shuffle.
+func Sample(services [][]netip.AddrPort, shuffle func(n int, swap func(i, j int))) []netip.AddrPort {
+	lists, most := make([][]netip.AddrPort, len(services)), 0
+	for i, targets := range services {
+		list := slices.Clone(targets)
+		shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		lists[i], most = list, max(most, len(list))
+	}
+	shuffle(len(lists), func(i, j int) { lists[i], lists[j] = lists[j], lists[i] })
 	var out []netip.AddrPort
-	for len(lists) > 0 && len(out) < SampleSize {
-		next := lists[:0]
+	for round := range min(most, SampleSize) {
 		for _, list := range lists {
-			if len(out) == SampleSize {
-				break
-			}
-			i := intN(len(list))
-			out = append(out, list[i])
-			if list = slices.Delete(list, i, i+1); len(list) > 0 {
-				next = append(next, list)
+			if round < len(list) && len(out) < SampleSize {
+				out = append(out, list[round])
 			}
 		}
-		lists = next
 	}
 	return out
 }
-
-func shuffle[T any](list []T, intN func(n int) int) {
-	for i := len(list) - 1; i > 0; i-- {
-		j := intN(i + 1)
-		list[i], list[j] = list[j], list[i]
-	}
-}
--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -140,12 +140,12 @@
 	services := [][]netip.AddrPort{{}, {address(1)}, {address(2), address(3)}, {address(4), address(5), address(6), address(7)}}
 	for range 100 {
 		seen := map[netip.AddrPort]bool{}
-		for _, a := range reach.Sample(services, rng.IntN) {
+		for _, a := range reach.Sample(services, rng.Shuffle) {
 			seen[a] = true
 		}
 		is.Equal(len(seen), reach.SampleSize)
 		is.True(seen[address(1)] && (seen[address(2)] || seen[address(3)]))
 	}
-	is.Equal(len(reach.Sample(services[:2], rng.IntN)), 1)
-	is.Equal(len(reach.Sample(nil, rng.IntN)), 0)
+	is.Equal(len(reach.Sample(services[:2], rng.Shuffle)), 1)
+	is.Equal(len(reach.Sample(nil, rng.Shuffle)), 0)
 }
--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -103,7 +103,7 @@
 		}
 		services = append(services, list)
 	}
-	return reach.Sample(services, rand.IntN)
+	return reach.Sample(services, rand.Shuffle)
 }
 
 // checkPath checks whether this entry reaches targets.
