A 1xx response is forwarded before the final one also if both have arrived

The goroutine of a repeatable request waits for 1xx responses and results at once, and took the result first when both were there; what was queued was then dropped. An attempt queues its 1xx responses before its result, so they are forwarded when a result is taken.

TestInformationalResponseComesFirst failed before.

--- a/entry/proxy/complete_test.go
+++ b/entry/proxy/complete_test.go
@@ -11,9 +11,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -232,3 +234,21 @@
 	got = e.sendRaw(t, "GET /tables/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
 	is.True(strings.HasPrefix(got, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n"))
 }
+
+// Guards against an informational response that is lost because the final one has
+// arrived by the time it is forwarded.
+func TestInformationalResponseComesFirst(t *testing.T) {
+	is := is.New(t)
+	answered := make(chan struct{}, 1)
+	target := respond(t, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", func(*http.Request, string) { answered <- struct{}{} })
+	late := func(*spec.Service, *spec.Kind) (time.Duration, bool) {
+		<-answered
+		<-time.After(5 * time.Millisecond) // both responses are read meanwhile
+		return 0, false
+	}
+	e := startEntry(t, false, proxy.Hooks{HedgeDelay: late}, proxy.Rules{}, target)
+	for range 20 {
+		got := e.sendRaw(t, "GET /tables/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		is.True(strings.HasPrefix(got, "HTTP/1.1 103 Early Hints\r\n"))
+	}
+}
--- a/entry/proxy/race.go
+++ b/entry/proxy/race.go
@@ -75,6 +75,7 @@
 			probeTimer = nil
 			r.probeSilent()
 		case result := <-r.results:
+			r.forwardQueued() // an attempt queues its 1xx responses before its result
 			r.remove(result.attempt)
 			if result.err == nil && r.retryFaulty(result.attempt) {
 				continue
@@ -143,6 +144,18 @@
 	}
 }
 
+// forwardQueued forwards the 1xx responses in the queue to the caller.
+func (r *race) forwardQueued() {
+	for {
+		select {
+		case n := <-r.informationals:
+			r.call.forwardInformational(n.status, n.header)
+		default:
+			return
+		}
+	}
+}
+
 // deliver hands a result to run, or drops a response that arrives after the race
 // is decided.
 func (r *race) deliver(a *attempt, err error) {
