--- a/core/value/doc.go
+++ b/core/value/doc.go
@@ -1,2 +1,2 @@
-// Package value provides the generic types Option and Set.
+// Package value provides the generic types Latest, Option and Set.
 package value
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -17,7 +17,6 @@
 	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/update"
 	"github.com/galenalock/galenalock/core/value"
-	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -111,7 +110,6 @@
 	a.upstreamSnapshot.Store(&map[string]*upstream{})
 	a.controlLinks.Store(&conns{})
 	a.path.tracker = s.Path
-	a.path.helpers.Store(&wire.Helpers{})
 	a.fleet.Store(&Fleet{})
 	a.mesh = hooks.OpenMesh(
 		mesh.WithHello(a.settings.hello),
--- a/entry/agent/path.go
+++ b/entry/agent/path.go
@@ -11,6 +11,7 @@
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/reach"
 	"github.com/galenalock/galenalock/core/roster"
+	"github.com/galenalock/galenalock/core/value"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -44,7 +45,7 @@
 // loss.
 type path struct {
 	tracker   *reach.Tracker
-	helpers   atomic.Pointer[wire.Helpers]
+	helpers   value.Latest[wire.Helpers]
 	states    helperStates
 	lostSince atomic.Int64 // nanoseconds since the start of the entry
 	lostUntil atomic.Int64 // when the path was back last, as for lostSince
@@ -225,15 +226,16 @@
 func (a *Agent) fetchHelpers() wire.Helpers {
 	ctx, cancel := context.WithTimeout(context.Background(), helpersTimeout)
 	defer cancel()
+	number := a.path.helpers.Begin()
 	for _, c := range *a.controlLinks.Load() {
 		var helpers wire.Helpers
 		if err := c.Call(ctx, wire.KindHelpers, struct{}{}, &helpers); err == nil {
 			helpers.Near = min(max(0, helpers.Near), len(helpers.List))
-			a.path.helpers.Store(&helpers)
+			a.path.helpers.Store(number, helpers)
 			return helpers
 		}
 	}
-	return *a.path.helpers.Load()
+	return a.path.helpers.Load()
 }
 
 // finishPathCheck applies the result of a check.
