Answers to earlier requests no longer excuse a target that fails

Cause: a target that begins to fail still answers the requests that it had in progress. Each of these answers lowered the probability of the failing state and halved the count of failures, so that with three of them the target was in use again at once, on the entry itself and, since the answers are shared, on the others. On the model of a large service (58 targets, 240 requests a second) 98 of 997 failed requests went to a target within 1 s after a failure that all entries knew.

Change: an answer is dated by when its request was sent. If that was before the last failure it is ignored, by the entry that got it and by those that are told of it.

TestAnswersToEarlierRequests and TestEarlierRequestsDoNotExcuseATarget fail without it.

--- a/core/route/choose_test.go
+++ b/core/route/choose_test.go
@@ -47,7 +47,7 @@
 func (l loadModel) run(seed uint64, naive bool) loadResult {
 	entries, targets, step := l.entries, l.targets, l.step
 	type report struct {
-		at          time.Time
+		at, seen    time.Time
 		from        int
 		target      int
 		observation susp.Observation
@@ -126,7 +126,7 @@
 			pending = pending[1:]
 			for i := range suspicions {
 				if i != next.from {
-					suspicions[i][next.target].ObserveRemote(now, next.observation, 50*time.Millisecond)
+					suspicions[i][next.target].ObserveRemote(now, next.observation, now.Sub(next.seen))
 				}
 			}
 		}
@@ -144,14 +144,14 @@
 		lastRequest[j] = now
 		if _, _, avoided := suspicions[i][j].Avoided(now); avoided && !naive {
 			suspicions[i][j].Observe(now, susp.Tested)
-			pending = append(pending, report{now, i, j, susp.Tested})
+			pending = append(pending, report{now, now, i, j, susp.Tested})
 		}
 		if share := 0.01; failing[j] && rng.Float64() < 0.75 || rng.Float64() < share {
 			failures++
 			lastFailure[j] = now
 			if !naive {
 				if before, _ := suspicions[i][j].Observe(now, susp.Failed); susp.Failed.ShouldShare(before) {
-					pending = append(pending, report{now, i, j, susp.Failed})
+					pending = append(pending, report{now, now, i, j, susp.Failed})
 				}
 			}
 			continue
@@ -162,13 +162,13 @@
 		if running[j] > 6 {
 			duration *= 2
 		}
-		at := now.Add(duration.Truncate(step))
+		sentAt, at := now, now.Add(duration.Truncate(step))
 		ends[at] = append(ends[at], func() {
 			running[j]--
 			e.RecordLoad(at, running[j]+1, 6)
 			e.End(duration)
-			if before, _ := suspicions[i][j].Observe(at, susp.Answered); !naive && susp.Answered.ShouldShare(before) {
-				pending = append(pending, report{at, i, j, susp.Answered})
+			if before, _ := suspicions[i][j].ObserveAnswer(at, sentAt); !naive && susp.Answered.ShouldShare(before) {
+				pending = append(pending, report{at, sentAt, i, j, susp.Answered})
 			}
 		})
 	}
--- a/core/susp/susp_test.go
+++ b/core/susp/susp_test.go
@@ -99,6 +99,33 @@
 	is.True(!avoided(slow, now))
 }
 
+// Guards against a target in a phase of failures that is in use again because requests
+// from before the first failure are answered, as some are under load.
+func TestAnswersToEarlierRequests(t *testing.T) {
+	is := is.New(t)
+	target := &susp.Target{}
+	sent, failed := start, start.Add(300*time.Millisecond)
+	target.Observe(failed, susp.Failed)
+	now := failed
+	for n := range 10 {
+		now = now.Add(10 * time.Millisecond)
+		if n%2 == 0 {
+			target.ObserveAnswer(now, sent)
+		} else {
+			target.ObserveRemote(now, susp.Answered, now.Sub(sent))
+		}
+	}
+	_, _, avoided := target.Avoided(now)
+	is.True(avoided)
+	is.True(target.Probability(now) > 0.5)
+	for range 5 {
+		now = now.Add(time.Second)
+		target.ObserveAnswer(now, now.Add(-500*time.Millisecond)) // tests after the failure
+	}
+	_, _, avoided = target.Avoided(now)
+	is.True(!avoided)
+}
+
 // Guards against a target that counts as failing only because control receives
 // nothing from it, and against a probability that decreases after a failure as
 // fast as that of other targets.
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -77,8 +77,15 @@
 	return t.update(now, now, ownRatio[o])
 }
 
-// ObserveRemote takes an observation that another entry made some time ago and
-// returns the probability of the failing state before and after it.
+// ObserveAnswer is Observe for the answer to a request that was sent some time ago. It
+// does not show that the target has recovered from a failure after that time.
+func (t *Target) ObserveAnswer(now, sent time.Time) (before, after float64) {
+	return t.update(now, sent, ownRatio[Answered])
+}
+
+// ObserveRemote takes an observation that another entry made some time ago, and
+// returns the probability of the failing state before and after it. For an answer, age
+// is the time since its request was sent.
 func (t *Target) ObserveRemote(now time.Time, o Observation, age time.Duration) (before, after float64) {
 	if !o.valid() || age < 0 {
 		p := t.Probability(now)
@@ -176,11 +183,15 @@
 }
 
 // update applies the likelihood ratio of an observation made at the time seen, and
-// returns the probability before and after it.
+// returns the probability before and after it. Favourable ones from before the last
+// failure are ignored.
 func (t *Target) update(now, seen time.Time, likelihoodRatio float64) (before, after float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before = t.probability(now)
+	if likelihoodRatio < 1 && seen.Before(t.lastFailure) {
+		return before, before
+	}
 	odds := before / (1 - before) * likelihoodRatio
 	after = min(maxProbability, max(minProbability, odds/(1+odds)))
 	t.excess = after - baseProbability
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -236,6 +236,34 @@
 	}
 }
 
+// Guards against a target that fails requests and stays in use because those that were
+// sent earlier are answered.
+func TestEarlierRequestsDoNotExcuseATarget(t *testing.T) {
+	is := is.New(t)
+	near := startFakeRegistry(t, "near", "salish")
+	for n := range 3 {
+		near.announce(uint64(n+1), n+1, enrol.Ready, false)
+	}
+	a := startRegistryAgent(t, near.addr)
+	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByName(a)) == 3 })
+	var attempts []proxy.Attempt
+	waitUntil(t, "one target gets several requests", func() bool {
+		request := orderRequest(a)
+		target, ok := a.Pick(request, nil, time.Now())
+		if ok && (len(attempts) == 0 || target.Name == attempts[0].Target.Name) {
+			attempts = append(attempts, proxy.Attempt{Request: request, Target: target, Start: time.Now()})
+			a.Begin(attempts[len(attempts)-1])
+		}
+		return len(attempts) == 6
+	})
+	now := attempts[5].Start.Add(time.Millisecond)
+	a.End(attempts[0], proxy.Outcome{Class: proxy.Faulty, Status: http.StatusInternalServerError, HeaderLatency: time.Millisecond, End: now})
+	for _, at := range attempts[1:] {
+		a.End(at, proxy.Outcome{Class: proxy.Answered, Status: http.StatusOK, HeaderLatency: time.Millisecond, End: now.Add(time.Millisecond)})
+	}
+	is.True(picksByName(a)[attempts[0].Target.Name] < 10)
+}
+
 // Guards against observations that are not shared between entries, so that each
 // has to see a failure itself, and against failed connection attempts that use up
 // the retry budget.
--- a/entry/agent/suspects.go
+++ b/entry/agent/suspects.go
@@ -24,7 +24,7 @@
 	target      netip.AddrPort
 	start       time.Time
 	observation susp.Observation
-	at          time.Time
+	at          time.Time // for answers, when the request was sent
 }
 
 // observationsByClass maps classes of outcomes to observations of the target. A
@@ -61,8 +61,13 @@
 	if observation.IsOfPath() && a.pathLostSince(began) {
 		return
 	}
-	before, after := t.suspicion.Observe(now, observation)
-	if observation != susp.Answered {
+	var before, after float64
+	seen := now
+	if observation == susp.Answered {
+		seen = began
+		before, _ = t.suspicion.ObserveAnswer(now, began)
+	} else {
+		before, after = t.suspicion.Observe(now, observation)
 		a.log.WithField("service", t.Service).WithField("target", t.Name).WithField("sign", observation.String()).
 			WithField("before", before).WithField("after", after).Info("suspicion")
 	}
@@ -70,7 +75,7 @@
 		return
 	}
 	select {
-	case a.suspectReports <- suspectReport{service: t.Service, target: t.Address, start: t.Start, observation: observation, at: now}:
+	case a.suspectReports <- suspectReport{service: t.Service, target: t.Address, start: t.Start, observation: observation, at: seen}:
 	default: // the queue is full, see suspectQueueLength
 	}
 }
