A target that failed once is used before those of another region

Cause: one failure is enough to avoid a target for 4 s or more, and since the answers to earlier requests do not excuse it any longer, more targets are avoided. About six in ten of them are healthy and failed one of their few requests. Under load the others of the region got too many requests, or requests left the region, where they are late and cost volume.

Change: the risk of a target that failed once is bounded by 0.15, so that its cost lies between that of a healthy one and that of another region. If it fails again, or if several other entries report broken connections, the risk is as before.

TestTargetThatFailedOnce fails without it.

Tried and left out: the same also after two failures within 0.5 s, which TestChooseByDistance rules out rightly.

--- a/core/route/choose_test.go
+++ b/core/route/choose_test.go
@@ -261,6 +261,54 @@
 	is.Equal(places(route.Request{NonRepeatable: true})["salish"], 1000) // all targets fail
 }
 
+// Guards against requests that leave the region because its targets failed once, and
+// against ones that go to such targets while a healthy one has free slots.
+func TestTargetThatFailedOnce(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(time.Minute)
+	targets := fleet(12)
+	for i := range targets {
+		targets[i].Suspicion = &susp.Target{}
+		targets[i].ReadySince = start
+	}
+	r := route.New(now, route.Location{Instance: "e1", Region: "salish", DataCentre: "salish-0"})
+	r.Update(now, targets, nil)
+	inRegion := func(exclude ...netip.AddrPort) (n int) {
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 1000 {
+			if r.PickByCost(now, rng.Uint64(), route.Request{NonRepeatable: true, Exclude: exclude}).Region() == "salish" {
+				n++
+			}
+		}
+		return n
+	}
+	var salish []int
+	for i := range targets {
+		if targets[i].Region == "salish" {
+			salish = append(salish, i)
+		}
+	}
+	for _, i := range salish[1:] {
+		targets[i].Suspicion.Observe(now, susp.Failed)
+	}
+	healthy := 0
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		if r.PickByCost(now, rng.Uint64(), route.Request{NonRepeatable: true}).Tag() == targets[salish[0]].Tag {
+			healthy++
+		}
+	}
+	is.True(healthy > 950)
+	is.True(inRegion(targets[salish[0]].Address) > 900)
+
+	later := now.Add(time.Second)
+	for _, i := range salish[1:] {
+		targets[i].Suspicion.Observe(later, susp.Failed)
+	}
+	now = later
+	is.Equal(inRegion(targets[salish[0]].Address), 0)
+}
+
 // Guards against allocations in PickByCost.
 func TestChooseAllocatesNothing(t *testing.T) {
 	now := start.Add(time.Minute)
--- a/core/susp/target.go
+++ b/core/susp/target.go
@@ -47,6 +47,13 @@
 	probeRisk = 0.06
 	// minAvoidedRisk is the lowest risk of a target that is avoided.
 	minAvoidedRisk = 0.3
+	// failedOnceRisk bounds the risk of a target that is avoided for one failure, which
+	// most often is one of the few of a healthy target. It is used when the others of
+	// the region are under load, before those of other regions.
+	failedOnceRisk = 0.15
+	// failedOnceProbability is a little above the probability after one failure of a
+	// target without observations.
+	failedOnceProbability = 0.8
 )
 
 // Target is the filter for one incarnation of a target. The zero value is a target
@@ -138,15 +145,26 @@
 }
 
 // Risk returns the probability to use for the choice of a target. It is low for a
-// target that was avoided for long enough, so that a request tests it.
+// target that was avoided for long enough, so that a request tests it, and lower for
+// one that failed once than for others that are avoided.
 func (t *Target) Risk(now time.Time) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.probability(now)
-	if t.avoided(now) {
-		return max(p, minAvoidedRisk)
+	switch {
+	case !t.avoided(now):
+		return min(p, probeRisk)
+	case t.failedOnce(p):
+		return min(p, failedOnceRisk)
 	}
-	return min(p, probeRisk)
+	return max(p, minAvoidedRisk)
+}
+
+// failedOnce reports whether the target is avoided for a single failure, given the
+// probability of the failing state. The caller holds t.mu.
+func (t *Target) failedOnce(probability float64) bool {
+	reported := t.lastFailure.Equal(t.lastBroken) // by several other entries
+	return t.streak == 1 && probability < failedOnceProbability && !reported
 }
 
 // Avoided reports whether the target is avoided. It also returns the time since
