Tests in regions of medium size are sooner for repeatable requests only

Cause: tests idle targets within 250 ms from 16 targets a region, not 30. A test of a request that must not be repeated fails that request if the target still fails.

Change: 16 targets suffice for requests that may be repeated, for which a test costs an attempt; 30 are needed for others.

TestFloorOfRepeatableRequests fails with the bound of 30 targets: 19 of 90 checks are below the floor, nine in ten must hold it.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -66,7 +66,7 @@
 	if len(req.Exclude) == 0 {
 		r.requestInterval.record(now.Sub(r.epoch))
 		draw = splitMix64(draw)
-		if stats.testTarget != nil && uniform(draw) < r.testShare(s, stats) {
+		if stats.testTarget != nil && uniform(draw) < r.testShare(s, stats, req.NonRepeatable) {
 			return stats.testTarget
 		}
 	}
--- a/core/route/choose_test.go
+++ b/core/route/choose_test.go
@@ -29,6 +29,7 @@
 	rate              float64       // requests a second
 	phase, phaseShift time.Duration // length of a phase, and its offset from one target to the next
 	step              time.Duration // of the simulation, with one request at most
+	repeatable        bool          // requests; the first attempts are counted
 }
 
 var (
@@ -40,6 +41,10 @@
 		entries: 36, targets: 23, rate: 95, phase: 9 * time.Second, phaseShift: 391 * time.Millisecond,
 		step: 5 * time.Millisecond,
 	}
+	mediumRepeatable = loadModel{
+		entries: 36, targets: 23, rate: 37, phase: 9 * time.Second, phaseShift: 391 * time.Millisecond,
+		step: 10 * time.Millisecond, repeatable: true,
+	}
 	large = loadModel{
 		entries: 40, targets: 58, rate: 240, phase: 9 * time.Second, phaseShift: 156 * time.Millisecond,
 		step: 2 * time.Millisecond,
@@ -143,7 +148,7 @@
 			continue
 		}
 		i := rng.IntN(entries)
-		e := routers[i].PickByCost(now, rng.Uint64(), route.Request{NonRepeatable: true})
+		e := routers[i].PickByCost(now, rng.Uint64(), route.Request{NonRepeatable: !l.repeatable})
 		j := e.Tag().(int)
 		sent++
 		lastRequest[j] = now
@@ -201,26 +206,40 @@
 // flight are lost, and only healthy targets that run nothing are checked, many of
 // which are avoided ones.
 func TestFloorOfTargetsThatRunNothing(t *testing.T) {
+	checkFloor(t, large, 0.5)
+}
+
+// Guards against the same in a region of medium size that gets few requests, which may
+// be repeated.
+func TestFloorOfRepeatableRequests(t *testing.T) {
+	checkFloor(t, mediumRepeatable, 0.1)
+}
+
+// Guards against the same in a region of medium size with many requests that must not
+// be repeated.
+func TestFloorOfMediumRegion(t *testing.T) {
+	checkFloor(t, medium, 0.5)
+}
+
+// checkFloor checks that on average enough healthy targets that run nothing are used,
+// and at which share of the checks they may be too few.
+func checkFloor(t *testing.T, load loadModel, maxBelow float64) {
+	is := is.New(t)
 	const floor = 0.7
-	for _, c := range []struct {
-		name string
-		load loadModel
-	}{{"medium", medium}, {"large", large}} {
-		for seed := range uint64(3) {
-			is := is.New(t)
-			result := c.load.run(seed, false)
-			below, sum := 0, 0.0
-			for _, f := range result.usedShares {
-				sum += f
-				if f < floor {
-					below++
-				}
+	for seed := range uint64(3) {
+		result := load.run(seed, false)
+		below, sum := 0, 0.0
+		for _, f := range result.usedShares {
+			sum += f
+			if f < floor {
+				below++
 			}
-			mean := sum / float64(len(result.usedShares))
-			t.Logf("%s, seed %d: %.2f of these targets used on average, below the floor at %d of %d checks; %.3f of the requests fail",
-				c.name, seed, mean, below, len(result.usedShares), result.failed)
-			is.True(mean >= floor)
 		}
+		mean := sum / float64(len(result.usedShares))
+		t.Logf("seed %d: %.2f of these targets used on average, below the floor at %d of %d checks; %.3f of the requests fail",
+			seed, mean, below, len(result.usedShares), result.failed)
+		is.True(mean >= floor)
+		is.True(float64(below) <= maxBelow*float64(len(result.usedShares)))
 	}
 }
 
--- a/core/route/explore.go
+++ b/core/route/explore.go
@@ -18,12 +18,15 @@
 	// it is worth.
 	avoidedShare = 0.04
 	minAvoided   = 1.4
-	// testDelay is the mean time until an idle target is tested in a region with
-	// manyTargets or more, fewTestDelay in a smaller one. There, the share of the
-	// targets that get requests depends on chance more than on tests.
-	testDelay    = 250 * time.Millisecond
-	fewTestDelay = time.Second
-	manyTargets  = 16
+	// testDelay is the mean time until an idle target is tested in a large region,
+	// fewTestDelay in a smaller one. There, the share of the targets that get requests
+	// depends on chance more than on tests. A region is large from manyTargets on, and
+	// from manyTargetsRepeatable for requests that may be repeated, which a test costs
+	// an attempt but not the answer.
+	testDelay             = 250 * time.Millisecond
+	fewTestDelay          = time.Second
+	manyTargets           = 30
+	manyTargetsRepeatable = 16
 	// maxTestShare bounds the share of the requests that test avoided targets.
 	maxTestShare = 0.25
 	// testBias is the weight of the failure probability in the choice of the
@@ -97,14 +100,17 @@
 // testShare returns the share of this entry's requests that should test avoided
 // targets. The entries of the region together then test each idle target within
 // the delay on average, except those that may stay idle.
-func (r *Router) testShare(s *snapshot, stats regionStats) float64 {
+func (r *Router) testShare(s *snapshot, stats regionStats, nonRepeatable bool) float64 {
 	allowed := max(minAvoided, avoidedShare*float64(stats.healthy))
 	meanInterval := float64(r.requestInterval.mean.Load())
 	if float64(stats.idle) <= allowed || meanInterval == 0 {
 		return 0
 	}
-	delay := testDelay
-	if s.regionTargets < manyTargets {
+	delay, many := testDelay, manyTargetsRepeatable
+	if nonRepeatable {
+		many = manyTargets
+	}
+	if s.regionTargets < many {
 		delay = fewTestDelay
 	}
 	// Only the entries with the target in their subset can test it.
