Impossible numbers of entries no longer exhaust the memory of an entry

Cause: an entry makes a placeholder for each live entry of the fleet, of which control tells the numbers by region. They were not bounded, so that one message with a huge number took all memory and ended the process.

Change: wire.Entries has bounds (not negative, 65,536 in all), checked where messages are delivered; others are answered with an error.

--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -75,6 +75,9 @@
 	return nil
 }
 
+// checker is implemented by bodies whose values have bounds of their own.
+type checker interface{ Check() error }
+
 // Deliver decodes the body of a message without an answer and passes it on. Its
 // results are those of a handler.
 func Deliver[T any](m Message, receive func(body T)) (any, error) {
@@ -82,6 +85,11 @@
 	if err := Decode(m.Body, &body); err != nil {
 		return nil, err
 	}
+	if c, ok := any(body).(checker); ok {
+		if err := c.Check(); err != nil {
+			return nil, err
+		}
+	}
 	receive(body)
 	return nil, nil
 }
--- a/core/wire/fleet.go
+++ b/core/wire/fleet.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -36,6 +37,22 @@
 	Regions map[string]int `cbor:"regions"`
 }
 
+// MaxEntries bounds the number of live entries of a fleet.
+const MaxEntries = 1 << 16
+
+// Check returns an error of type *Error if a number is negative or their sum exceeds
+// MaxEntries.
+func (e Entries) Check() error {
+	sum := 0
+	for region, n := range e.Regions {
+		if n < 0 || n > MaxEntries-sum {
+			return &Error{Type: "wire.Entries", Reason: fmt.Sprintf("%d entries in region %q, of %d at most in all", n, region, MaxEntries)}
+		}
+		sum += n
+	}
+	return nil
+}
+
 // Heard lists the targets whose announcements reached a control replica since its
 // last message.
 type Heard struct {
