A command that cannot be encoded is refused at once

Cause: a claim or its end can hold a time that decodes but has a year that cannot be encoded again. The relay took the failure for one of the group, tried again for 3 s, and told the entry that there was no quorum.

Change: it is a MalformedError, which is permanent.

TestCommandThatCannotBeEncoded fails without it.

--- a/control/relay/error.go
+++ b/control/relay/error.go
@@ -15,7 +15,8 @@
 // Error includes the reason.
 func (e *NoQuorumError) Error() string { return "no quorum: " + e.Reason }
 
-// MalformedError reports a command that the state machine rejected as invalid.
+// MalformedError reports a command that cannot be encoded or that the state machine
+// rejected as invalid.
 type MalformedError struct{ Reason string }
 
 // Error includes the reason.
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -90,7 +90,8 @@
 func isPermanent(err error) bool {
 	var tooLarge *SizeError
 	var stopped *StoppedError
-	return errors.As(err, &tooLarge) || errors.As(err, &stopped)
+	var malformed *MalformedError
+	return errors.As(err, &tooLarge) || errors.As(err, &stopped) || errors.As(err, &malformed)
 }
 
 func (r *Relay) proposeOnce(ctx context.Context, c state.Command) (state.Result, error) {
@@ -98,7 +99,7 @@
 	var result state.Result
 	data, err := wire.Encode(c)
 	if err != nil {
-		return result, err
+		return result, &MalformedError{Reason: err.Error()}
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
--- a/control/relay/relay_test.go
+++ b/control/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/galenalock/galenalock/control/relay"
 	"github.com/galenalock/galenalock/core/group"
 	"github.com/galenalock/galenalock/core/state"
+	"github.com/galenalock/galenalock/core/wire"
 )
 
 // Guards against a command that was applied but is reported as not applied,
@@ -51,3 +52,21 @@
 		})
 	}
 }
+
+// Guards against a command that can never be encoded and is tried again until the time
+// is up, so that its sender waits and is told that there is no quorum.
+func TestCommandThatCannotBeEncoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := relay.New(relay.LocalReplica{Propose: func(context.Context, []byte) ([]byte, error) {
+			return nil, &group.NotLeaderError{}
+		}}, relay.NewLinks(), time.Now)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		begin := time.Now()
+		_, err := r.Propose(ctx, state.Command{Claim: &wire.Claim{Incarnation: time.Date(20000, 1, 1, 0, 0, 0, 0, time.UTC)}})
+		var malformed *relay.MalformedError
+		is.True(errors.As(err, &malformed))
+		is.Equal(time.Since(begin), time.Duration(0))
+	})
+}
--- a/core/mutate/mutate.go
+++ b/core/mutate/mutate.go
@@ -34,8 +34,12 @@
 // New returns a mutator whose changes follow from the seed.
 func New(seed uint64) *Mutator { return &Mutator{rng: rand.New(rand.NewPCG(seed, 0))} }
 
-// Body returns the encoded body with one to three of its values changed.
-func (m *Mutator) Body(body []byte) (cbor.RawMessage, error) {
+// Raw is an encoded body that is sent as it is.
+type Raw = cbor.RawMessage
+
+// Body returns the encoded body with one to three of its values changed. The error is
+// that of decoding it.
+func (m *Mutator) Body(body []byte) (Raw, error) {
 	var value any
 	if err := wire.Decode(body, &value); err != nil {
 		return nil, err
