--- a/core/route/floor_test.go
+++ b/core/route/floor_test.go
@@ -83,3 +83,44 @@
 	is.True(often < once)
 	is.True(once+often < requests/4)
 }
+
+// Guards against a violated floor when all processes end: the requests in
+// flight are lost, and only healthy targets that run nothing are checked, many of
+// which are avoided ones.
+func TestFloorOfTargetsThatRunNothing(t *testing.T) {
+	checkFloor(t, large, 0.5)
+}
+
+// Guards against the same in a region of medium size that gets few requests, which may
+// be repeated.
+func TestFloorOfRepeatableRequests(t *testing.T) {
+	checkFloor(t, mediumRepeatable, 0.1)
+}
+
+// Guards against the same in a region of medium size with many requests that must not
+// be repeated.
+func TestFloorOfMediumRegion(t *testing.T) {
+	checkFloor(t, medium, 0.5)
+}
+
+// checkFloor checks that on average enough healthy targets that run nothing are used,
+// and at which share of the checks they may be too few.
+func checkFloor(t *testing.T, load loadModel, maxBelow float64) {
+	is := is.New(t)
+	const floor = 0.7
+	for seed := range uint64(3) {
+		result := load.run(seed, false)
+		below, sum := 0, 0.0
+		for _, f := range result.usedShares {
+			sum += f
+			if f < floor {
+				below++
+			}
+		}
+		mean := sum / float64(len(result.usedShares))
+		t.Logf("seed %d: %.2f of these targets used on average, below the floor at %d of %d checks; %.3f of the requests fail",
+			seed, mean, below, len(result.usedShares), result.failed)
+		is.True(mean >= floor)
+		is.True(float64(below) <= maxBelow*float64(len(result.usedShares)))
+	}
+}
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -236,16 +236,23 @@
 	}
 }
 
-// Guards against a target that fails requests and stays in use because those that were
-// sent earlier are answered.
-func TestEarlierRequestsDoNotExcuseATarget(t *testing.T) {
-	is := is.New(t)
+// startWithThreeTargets starts a registry that knows three targets and an agent that
+// uses them.
+func startWithThreeTargets(t *testing.T) (*fakeRegistry, *agent.Agent) {
 	near := startFakeRegistry(t, "near", "salish")
 	for n := range 3 {
 		near.announce(uint64(n+1), n+1, enrol.Ready, false)
 	}
 	a := startRegistryAgent(t, near.addr)
 	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByName(a)) == 3 })
+	return near, a
+}
+
+// Guards against a target that fails requests and stays in use because those that were
+// sent earlier are answered.
+func TestEarlierRequestsDoNotExcuseATarget(t *testing.T) {
+	is := is.New(t)
+	_, a := startWithThreeTargets(t)
 	var attempts []proxy.Attempt
 	waitUntil(t, "one target gets several requests", func() bool {
 		request := orderRequest(a)
@@ -269,12 +276,7 @@
 // the retry budget.
 func TestObservationsAreShared(t *testing.T) {
 	is := is.New(t)
-	near := startFakeRegistry(t, "near", "salish")
-	for n := range 3 {
-		near.announce(uint64(n+1), n+1, enrol.Ready, false)
-	}
-	a := startRegistryAgent(t, near.addr)
-	waitUntil(t, "ready", func() bool { return a.View().Ready && len(picksByName(a)) == 3 })
+	near, a := startWithThreeTargets(t)
 
 	request := orderRequest(a)
 	target, ok := a.Pick(request, nil, time.Now())
