The test of quarantined requests waits for what it is about

Traced, two faults of the test. (1) Its targets start again at once, with the same start time. If they do so before the entry has tried to connect, nothing shows that they crashed; a real target announces a new incarnation, for which TestNewIncarnationConfirmsCrash stands. (2) It waited for three crashes, but three different targets have to crash. In the trace the same two of six crashed four times, all counted.

Change: targets start again when the entry has counted the crashes of this call, and the first phase ends when three targets have crashed. The bound (at most three more requests) and the rest are the same.

--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -104,7 +104,9 @@
 	hooks.CountRetry = func(string, string) {}
 	hooks.CountCrossRegion = func(int64, int64) {}
 	hooks.CountLimit = func(quota.Event) {}
-	hooks.CountCrash = func() {}
+	if hooks.CountCrash == nil {
+		hooks.CountCrash = func() {}
+	}
 	hooks.CloseIdle = func() {}
 	hooks.CountPause = func(string) {}
 	hooks.CountRelay = func(string) {}
--- a/entry/agent/crashes_test.go
+++ b/entry/agent/crashes_test.go
@@ -106,28 +106,39 @@
 }
 
 // startCrashFleet runs an agent with a proxy in front of fragile targets. send
-// sends a GET request and returns the status and how often a target got a deadly
-// request so far.
-func startCrashFleet(t *testing.T, a *agent.Agent, targets []*fragileTarget) (send func(path string) (status, deadly int)) {
+// sends a GET request and returns the status, how often a target got a deadly request
+// so far, and how many targets did. Targets that crashed start again when the agent has counted the
+// crashes: a restart before that is only noticed by the new incarnation, which these
+// targets do not announce.
+func startCrashFleet(t *testing.T, a *agent.Agent, counted *atomic.Int64, targets []*fragileTarget) (send func(path string) (status, deadly, crashed int)) {
+	var lost atomic.Int64
+	end := func(at proxy.Attempt, o proxy.Outcome) {
+		if o.Lost {
+			lost.Add(1)
+		}
+		a.End(at, o)
+	}
 	p := proxy.New(proxy.Hooks{
-		View: a.View, Pick: a.Pick, Begin: a.Begin, End: a.End, Retry: a.Retry, Quarantined: a.Quarantined,
+		View: a.View, Pick: a.Pick, Begin: a.Begin, End: end, Retry: a.Retry, Quarantined: a.Quarantined,
 	})
 	server := httptest.NewServer(p)
 	t.Cleanup(func() { server.Close(); p.Close() })
-	return func(path string) (int, int) {
+	return func(path string) (int, int, int) {
 		response, err := http.Get(server.URL + path)
 		if err != nil {
 			t.Fatal(err)
 		}
 		response.Body.Close()
-		total := 0
+		waitUntil(t, "the crashes are counted", func() bool { return counted.Load() == lost.Load() })
+		total, crashed := 0, 0
 		for _, f := range targets {
 			f.mu.Lock()
 			total += f.deadly
+			crashed += min(1, f.deadly)
 			f.mu.Unlock()
 			f.restart()
 		}
-		return response.StatusCode, total
+		return response.StatusCode, total, crashed
 	}
 }
 
@@ -137,7 +148,8 @@
 	is := is.New(t)
 	text := "[[service]]\nname = \"s0\"\nfloor = \"50%\"\n[[route]]\nprefix = \"/\"\nservice = \"s0\"\nkind = { repeat = true, timeout = \"2s\", attempts = 2 }\n"
 	r := startFakeReplica(t, &fakeReplica{text: []byte(text), number: 1})
-	a := startAgent(t, r.addr)
+	var counted atomic.Int64
+	a := startAgentWithHooks(t, agent.Settings{Control: []netip.AddrPort{r.addr}}, agent.Hooks{CountCrash: func() { counted.Add(1) }})
 	waitUntil(t, "ready", func() bool { return a.View().Ready })
 	var targets []*fragileTarget
 	for range 6 {
@@ -149,24 +161,28 @@
 		}), http.StatusOK)
 	}
 	waitUntil(t, "all targets are picked", func() bool { return len(picksByAddress(a, "s0")) == len(targets) })
-	send := startCrashFleet(t, a, targets)
+	send := startCrashFleet(t, a, &counted, targets)
 
-	crashed := 0
-	waitUntil(t, "three targets have crashed", func() bool { _, crashed = send("/deadly"); return crashed >= 3 })
+	first := 0
+	waitUntil(t, "three targets have crashed", func() bool {
+		_, total, crashed := send("/deadly")
+		first = total
+		return crashed >= 3
+	})
 	const retries = 3 // that may still reach a target
 	waitUntil(t, "the request is refused", func() bool {
-		status, total := send("/deadly")
-		is.True(total <= crashed+retries)
+		status, total, _ := send("/deadly")
+		is.True(total <= first+retries)
 		return status == http.StatusServiceUnavailable
 	})
 	before := 0
 	for range 20 {
-		status, total := send("/deadly")
+		status, total, _ := send("/deadly")
 		is.Equal(status, http.StatusServiceUnavailable)
 		is.True(before == 0 || total == before)
 		before = total
 	}
-	waitUntil(t, "other requests are answered", func() bool { status, _ := send("/harmless"); return status == http.StatusOK })
+	waitUntil(t, "other requests are answered", func() bool { status, _, _ := send("/harmless"); return status == http.StatusOK })
 }
 
 // loseConnection runs an attempt during which the connection to the target is lost.
