Logs and a gauge tell why an entry lags behind a configuration

Entries now log from whom a revision came, how long after they first heard of it and how long it took to apply, and once a second that they lag. The time counts from the arrival of the message, not from its turn in the queue. Gauge galenalock_lag_seconds. Replicas log pushes with the age of the revision, and entries that have not reported it a second later. No logic changes.

--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -116,6 +116,7 @@
 	demands      *notices[wire.Demand]
 	crashes      *notices[wire.Crash]
 	noticeTimer  *time.Timer // runs while notices wait
+	installedAt  time.Time   // when the newest revision was installed
 	lastPush     time.Time
 	pushTimer    *time.Timer // runs while a change of the view waits
 }
--- a/control/fleet/push.go
+++ b/control/fleet/push.go
@@ -23,6 +23,7 @@
 			f.revisions.Install(number, text)
 		}
 	}
+	f.installedAt = f.Clock()
 	return true
 }
 
@@ -44,11 +45,18 @@
 func (f *Fleet) pushChanges() {
 	f.lastPush = f.Clock()
 	installed := f.installRevisions()
+	pushed := 0
 	for c, s := range f.sessions {
 		if s.isEntry && installed {
 			f.pushRevision(c.Send, s)
+			pushed++
 		}
 	}
+	if installed {
+		newest := f.View().Newest()
+		f.Log.WithField("revision", newest.Number).WithField("entries", pushed).
+			WithField("age", f.Clock().Sub(newest.Time).String()).Info("revision pushed")
+	}
 	f.pushAllTargets()
 	f.pushOrders()
 }
@@ -137,6 +145,7 @@
 	if f.ticks%int(ticksPerRefresh) != 0 {
 		return
 	}
+	f.logLaggingEntries(now)
 	due := f.View().NextExpiry
 	if f.IsLeader() && !due.IsZero() && !due.After(now) {
 		f.proposeInBackground(ctx, []state.Command{{Tick: &state.Tick{}}}, false)
--- a/core/meter/page.go
+++ b/core/meter/page.go
@@ -16,7 +16,7 @@
 			name += "_bytes_total"
 		case m.Kind == "counter":
 			name += "_total"
-		case m.Kind == "histogram":
+		case m.Kind == "histogram" || m.Unit == "s":
 			name += "_seconds"
 		}
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", name, m.Kind, m.Unit, m.Attribute, m.Help)
--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -17,6 +17,7 @@
 	Inflight            Name = "inflight"
 	RequestsInterrupted Name = "cuts"
 	ActiveRevision      Name = "revision"
+	RevisionLag         Name = "lag"
 	Links               Name = "links"
 	LinkBytes           Name = "linkbytes"
 	Ejections           Name = "ejections"
@@ -53,6 +54,7 @@
 	RequestsInterrupted: {"counter", "{request}", "service", "Requests cut off by a stop at its time limit or by a second signal"},
 	Inflight:            {"gauge", "{request}", "", "Requests in flight"},
 	ActiveRevision:      {"gauge", "{revision}", "", "Revision of the configuration in force"},
+	RevisionLag:         {"gauge", "s", "", "Time for which the entry has known of a newer revision than the one in force, 0 if it knows of none"},
 	Links:               {"gauge", "{link}", "", "Open links to other processes"},
 	LinkBytes:           {"counter", "By", "direction", "Bytes on links between processes"},
 	Ejections:           {"counter", "{event}", "event", "Events in the ejection of targets"},
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -56,6 +56,7 @@
 	lastConfirm    time.Time
 	confirming     bool
 	lastFleetCount time.Time
+	lastLagLog     time.Time
 	lastTick       time.Time
 	peersDirty     bool
 	peers          []route.Peer
@@ -71,6 +72,7 @@
 	rates            *rates
 	poisons          *poison.Table
 	path             path
+	lag              update.Lag
 
 	suspectReports chan suspectReport // sent by traffic goroutines
 }
@@ -225,6 +227,7 @@
 		a.performRoster(now, a.roster.Tick(now))
 	}
 	a.confirm(now)
+	a.logLag(now)
 	a.tickUpstreams(now)
 	a.tickPath(now)
 	a.report(now)
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -38,7 +38,14 @@
 		a.log.WithField(logs.FieldError, err.Error()).Warn("stored configuration is unusable")
 		return
 	}
-	a.applyRevision(time.Now())
+	a.applyRevision(time.Now(), "data directory")
+}
+
+// hearRevision records the announcement of a revision. It runs on the goroutines of
+// the links, so that the lag includes the time in the queue of events.
+func (a *Agent) hearRevision(c *link.Conn, r wire.Revision) {
+	a.lag.Hear(time.Now(), r.Number)
+	a.post(func(now time.Time) { a.receiveRevision(now, c, r) })
 }
 
 // receiveRevision handles a revision or a digest received on a link.
@@ -55,7 +62,7 @@
 		return
 	}
 	if result.Installed {
-		a.applyRevision(now)
+		a.applyRevision(now, c.Peer().Instance)
 	}
 	if result.Pull != nil {
 		a.pullRevision(c, *result.Pull)
@@ -72,6 +79,7 @@
 		a.post(func(now time.Time) {
 			if err != nil {
 				a.update.RemovePeer(c.Peer().Instance)
+				a.log.WithField("peer", c.Peer().Instance).WithField(logs.FieldError, err.Error()).Info("revision not pulled")
 				return
 			}
 			a.receiveRevision(now, c, r)
@@ -79,14 +87,17 @@
 	}()
 }
 
-// applyRevision activates the revision that was just installed.
-func (a *Agent) applyRevision(now time.Time) {
+// applyRevision activates the revision that was just installed. source is where it
+// came from.
+func (a *Agent) applyRevision(now time.Time, source string) {
 	number := a.update.Number()
-	a.log.WithField("revision", number).Info("revision in force")
 	a.gossip.SetRevision(number, a.update.Digest().Checksum)
 	a.updateServices(now)
 	a.reportDue = true
 	a.publish(now)
+	applied := time.Now()
+	a.log.WithField("revision", number).WithField("peer", source).WithField("bytes", len(a.update.Source())).
+		WithField("lag", a.lag.Apply(applied, number).String()).WithField("duration", applied.Sub(now).String()).Info("revision in force")
 	if a.settings.DataDir != "" {
 		if err := writeStoredConfig(a.settings.DataDir, number, a.update.Source()); err != nil {
 			a.log.WithField(logs.FieldError, err.Error()).Warn("configuration not stored")
@@ -99,6 +110,28 @@
 	}
 }
 
+// lagLogInterval is the interval of log lines while a newer revision is known than
+// the one in force.
+const lagLogInterval = time.Second
+
+// logLag logs that the entry lags, if it does.
+func (a *Agent) logLag(now time.Time) {
+	behind, newest := a.lag.Behind(now)
+	if behind < lagLogInterval || now.Sub(a.lastLagLog) < lagLogInterval {
+		return
+	}
+	a.lastLagLog = now
+	a.log.WithField("revision", a.update.Number()).WithField("newest", newest).WithField("lag", behind.String()).
+		WithField("links", len(*a.controlLinks.Load())).Warn("revision lags")
+}
+
+// RevisionLag returns how long the entry has known of a newer revision than the one
+// in force, 0 if it knows of none.
+func (a *Agent) RevisionLag(now time.Time) time.Duration {
+	behind, _ := a.lag.Behind(now)
+	return behind
+}
+
 // confirm asks a control replica which revision the majority of control holds.
 func (a *Agent) confirm(now time.Time) {
 	interval := confirmInterval
@@ -124,6 +157,7 @@
 			if err != nil {
 				return
 			}
+			a.lag.Hear(now, response.Number)
 			a.update.Confirm(now, response)
 			a.publish(now)
 			if response.Number > a.update.Number() {
--- a/entry/agent/links.go
+++ b/entry/agent/links.go
@@ -18,9 +18,7 @@
 func (a *Agent) handle(c *link.Conn, m wire.Message) (any, error) {
 	switch m.Kind {
 	case wire.KindRevision:
-		return wire.Deliver(m, func(r wire.Revision) {
-			a.post(func(now time.Time) { a.receiveRevision(now, c, r) })
-		})
+		return wire.Deliver(m, func(r wire.Revision) { a.hearRevision(c, r) })
 	case wire.KindPull:
 		return a.handlePull(m)
 	case wire.KindGossip:
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -273,6 +273,10 @@
 	if err != nil {
 		return err
 	}
+	err = d.meter.Gauge(meter.RevisionLag, func() float64 { return d.agent.RevisionLag(time.Now()).Seconds() })
+	if err != nil {
+		return err
+	}
 	if b, ok := d.settings.Log.(*logs.RateLimitedWriter); ok {
 		if err := d.meter.Gauge(meter.DroppedLogLines, func() float64 { return float64(b.Dropped()) }); err != nil {
 			return err
