A revision is pushed to every entry that does not have it

Cause: a replica pushed a revision to its entries only if its store of revisions gained one at the moment of the push. Two other events fill the same store: an entry that links and an entry that pulls. If one of them came between the commit and the push, which waits for up to 20 ms after the push before it, the push found nothing new, and none of the other entries was told. An entry opens its links to three replicas at the same time, and its neighbours have mostly the same three, so one restart could take the change from all sources of a whole data centre. Only the confirmation every 30 s repaired that.

Each session now records which revision has been sent or announced on it, and a push serves each session that is behind. Whether another one was served first does not matter any more.

--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -61,6 +61,7 @@
 type session struct {
 	isEntry      bool
 	peerRevision wire.Pull // latest revision sent to the peer, zero if it has not pulled one
+	announced    uint64    // latest revision sent or announced to the peer
 	wantsTargets bool      // the entry receives its targets from control
 	isPrimary    bool      // this replica is the entry's primary and sends it the targets
 	sentIndex    uint64    // index of the targets sent last
@@ -239,7 +240,7 @@
 			return
 		}
 		f.installRevisions()
-		f.send(c, wire.KindRevision, f.revisions.Digest())
+		f.announceRevision(c, f.sessions[c])
 		f.send(c, wire.KindOrders, f.currentOrders())
 		f.catchUpNotices(c)
 	})
@@ -290,6 +291,7 @@
 		r, err := f.revisions.Answer(p)
 		if s := f.sessions[c]; s != nil && err == nil {
 			s.peerRevision = wire.Pull{Have: r.Number, Checksum: r.Checksum}
+			s.announced = r.Number
 		}
 		return r, err
 	})
--- a/control/fleet/push.go
+++ b/control/fleet/push.go
@@ -5,18 +5,18 @@
 	"context"
 	"time"
 
+	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// installRevisions copies new revisions from the view to the store and reports
-// whether there were any.
-func (f *Fleet) installRevisions() bool {
+// installRevisions copies new revisions from the view to the store.
+func (f *Fleet) installRevisions() {
 	v := f.View()
 	newest, current := v.Newest().Number, f.revisions.Number()
 	if newest <= current {
-		return false
+		return
 	}
 	for number := max(current+1, newest-min(newest, maxInstallBacklog)+1); number <= newest; number++ {
 		if text, ok := v.Text(number); ok {
@@ -24,7 +24,6 @@
 		}
 	}
 	f.installedAt = f.Clock()
-	return true
 }
 
 // pushInterval is the least time between two pushes. While many targets announce
@@ -44,27 +43,32 @@
 // pushChanges sends what has changed in the view to the linked instances.
 func (f *Fleet) pushChanges() {
 	f.lastPush = f.Clock()
-	installed := f.installRevisions()
+	f.installRevisions()
+	f.pushRevisions()
+	f.pushAllTargets()
+	f.pushOrders()
+}
+
+// pushRevisions sends the newest revision to each entry to which it has been neither
+// sent nor announced. What one entry has got says nothing of the others.
+func (f *Fleet) pushRevisions() {
 	pushed := 0
 	for c, s := range f.sessions {
-		if s.isEntry && installed {
-			f.pushRevision(c.Send, s)
+		if s.isEntry && s.announced < f.revisions.Number() {
+			f.pushRevision(c, s)
 			pushed++
 		}
 	}
-	if installed {
-		newest := f.View().Newest()
-		f.Log.WithField("revision", newest.Number).WithField("entries", pushed).
-			WithField("age", f.Clock().Sub(newest.Time).String()).Info("revision pushed")
+	if pushed > 0 {
+		f.Log.WithField("revision", f.revisions.Number()).WithField("entries", pushed).
+			WithField("age", f.Clock().Sub(f.View().Newest().Time).String()).Info("revision pushed")
 	}
-	f.pushAllTargets()
-	f.pushOrders()
 }
 
 // pushRevision sends the newest revision as a splice if the revision of the peer is
 // known and this replica is its primary or it has none. Other peers receive a
 // digest and pull the revision.
-func (f *Fleet) pushRevision(send func(kind wire.Kind, body any) error, s *session) {
+func (f *Fleet) pushRevision(c *link.Conn, s *session) {
 	digest := f.revisions.Digest()
 	r := digest
 	if s.peerRevision.Have != 0 && (s.isPrimary || !s.wantsTargets) {
@@ -76,7 +80,14 @@
 		r = answer
 		s.peerRevision = wire.Pull{Have: digest.Number, Checksum: digest.Checksum}
 	}
-	_ = send(wire.KindRevision, r) // a failed send closes the link
+	s.announced = digest.Number
+	f.send(c, wire.KindRevision, r)
+}
+
+// announceRevision sends the number of the newest revision to an entry.
+func (f *Fleet) announceRevision(c *link.Conn, s *session) {
+	s.announced = f.revisions.Number()
+	f.send(c, wire.KindRevision, f.revisions.Digest())
 }
 
 // currentOrders returns the orders for the current view and time.
