A replica announces the index of its targets to entries that link later

Callers could see: a target that leaves, or is gone, still gets requests from an entry whose primary lags.

Entries with another primary learn from a digest that their primary lags, and the digest was sent when the targets changed only. An entry that linked after the last change had no digest of this replica until the next one.

The digest is now sent on Follow as well. TestNewLinkLearnsTheIndexOfTheTargets failed before for an entry that links after the digest (nothing within 10 s).

--- a/control/fleet/push_test.go
+++ b/control/fleet/push_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenalock/galenalock/control/fleet"
 	"github.com/galenalock/galenalock/core/delta"
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
@@ -72,9 +73,13 @@
 
 // commit adds a revision to the replicated state without telling the fleet.
 func (r *testReplica) commit(text string) {
-	r.index++
 	base := r.machine.View().Newest().Number
-	command, err := wire.Encode(state.Command{Time: testStart, Submit: &state.Submit{Base: base, Change: text, Text: []byte(text)}})
+	r.apply(state.Command{Time: testStart, Submit: &state.Submit{Base: base, Change: text, Text: []byte(text)}})
+}
+
+func (r *testReplica) apply(c state.Command) {
+	r.index++
+	command, err := wire.Encode(c)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -86,20 +91,24 @@
 type testEntry struct {
 	conn      *link.Conn
 	revisions chan wire.Revision
+	targets   chan enrol.Update
 }
 
 func dialReplica(t *testing.T, r *testReplica, name string) *testEntry {
 	t.Helper()
-	e := &testEntry{revisions: make(chan wire.Revision, 100)}
+	e := &testEntry{revisions: make(chan wire.Revision, 100), targets: make(chan enrol.Update, 100)}
 	dialer := link.NewDialer(
 		link.WithHello(func() wire.Hello {
 			return wire.Hello{Fleet: "f", Instance: name, Role: wire.RoleEntry, Region: "salish", DataCentre: "salish-1", Start: testStart}
 		}),
 		link.WithHandler(func(_ *link.Conn, m wire.Message) (any, error) {
-			if m.Kind != wire.KindRevision {
-				return nil, nil
+			switch m.Kind {
+			case wire.KindRevision:
+				return wire.Deliver(m, func(w wire.Revision) { e.revisions <- w })
+			case wire.KindTargets:
+				return wire.Deliver(m, func(u enrol.Update) { e.targets <- u })
 			}
-			return wire.Deliver(m, func(w wire.Revision) { e.revisions <- w })
+			return nil, nil
 		}))
 	c, err := dialer.Dial(t.Context(), r.address)
 	if err != nil {
@@ -173,3 +182,28 @@
 	is.Equal(e.next(t).Number, uint64(2))
 	is.Equal(e.next(t).Number, uint64(2))
 }
+
+// Guards against an entry that does not learn that its primary lags, because the last
+// change of the targets came before it linked to another replica.
+func TestNewLinkLearnsTheIndexOfTheTargets(t *testing.T) {
+	is := is.New(t)
+	r := startReplica(t)
+	r.apply(state.Command{Time: testStart, Announce: &enrol.Announcement{
+		Name: "t-1", Service: "s0", Address: netip.MustParseAddrPort("10.0.0.1:80"), Region: "salish", DataCentre: "salish-1",
+		Slots: 6, Start: testStart, Seq: 1, State: enrol.Ready,
+	}})
+	r.fleet.ViewChanged()
+	first := dialReplica(t, r, "entry-1")
+	is.NoErr(first.conn.Send(wire.KindFollow, wire.Follow{}))
+	for range 2 { // before and after the digest that follows each change
+		e := dialReplica(t, r, "entry-2")
+		is.NoErr(e.conn.Send(wire.KindFollow, wire.Follow{}))
+		select {
+		case u := <-e.targets:
+			is.Equal(u.Index, r.index)
+			is.Equal(len(u.Rows), 0)
+		case <-time.After(10 * time.Second):
+			t.Fatal("no digest of the targets was sent")
+		}
+	}
+}
--- a/control/fleet/registry.go
+++ b/control/fleet/registry.go
@@ -35,6 +35,8 @@
 		f.send(c, wire.KindReplicas, f.replicaList())
 		if s.isPrimary {
 			f.send(c, wire.KindEntries, f.entryCounts())
+		} else {
+			f.announceTargets(c)
 		}
 		if s.isPrimary && !hasNotices {
 			f.catchUpNotices(c)
@@ -84,14 +86,19 @@
 		return
 	}
 	f.digestIndex, f.digestTime = index, now
-	targets := f.View().Targets
 	for c, s := range f.sessions {
 		if s.wantsTargets && !s.isPrimary {
-			f.send(c, wire.KindTargets, targets.Since(index))
+			f.announceTargets(c)
 		}
 	}
 }
 
+// announceTargets sends the index of the targets to an entry.
+func (f *Fleet) announceTargets(c *link.Conn) {
+	targets := f.View().Targets
+	f.send(c, wire.KindTargets, targets.Since(targets.Index))
+}
+
 // replicaList returns the members of the control group with their region and data
 // centre, if known.
 func (f *Fleet) replicaList() wire.Replicas {
