--- a/bench/procs/build.go
+++ b/bench/procs/build.go
@@ -1,6 +1,7 @@
 package procs
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
@@ -18,7 +19,33 @@
 	if !ok {
 		return nil, eris.New("build: path of the source files is unknown")
 	}
-	root := filepath.Join(filepath.Dir(file), "..", "..")
+	return buildIn(filepath.Join(filepath.Dir(file), "..", ".."), folder, names)
+}
+
+// BuildCommit is like Build for the sources of a commit of the repository that this
+// source file belongs to. The sources are written to the folder as well.
+func BuildCommit(folder, commit string, names ...string) (Programs, error) {
+	_, file, _, ok := runtime.Caller(0)
+	if !ok {
+		return nil, eris.New("build: path of the source files is unknown")
+	}
+	sources := filepath.Join(folder, "sources")
+	if err := os.MkdirAll(sources, 0o700); err != nil {
+		return nil, eris.Wrap(err, "create folder for sources")
+	}
+	archive := exec.Command("git", "archive", "--output", filepath.Join(folder, "sources.tar"), commit)
+	archive.Dir = filepath.Join(filepath.Dir(file), "..", "..")
+	if output, err := archive.CombinedOutput(); err != nil {
+		return nil, eris.Wrapf(err, "export commit %s: %s", commit, output)
+	}
+	extract := exec.Command("tar", "-xf", filepath.Join(folder, "sources.tar"), "-C", sources, "--exclude=journal")
+	if output, err := extract.CombinedOutput(); err != nil {
+		return nil, eris.Wrapf(err, "extract commit %s: %s", commit, output)
+	}
+	return buildIn(sources, folder, names)
+}
+
+func buildIn(root, folder string, names []string) (Programs, error) {
 	out := Programs{}
 	for _, name := range names {
 		path := filepath.Join(folder, name)
--- a/bench/procs/fleet.go
+++ b/bench/procs/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -120,6 +121,40 @@
 	return Start(name, f.Programs["entry"], "--settings", file)
 }
 
+// Seeded describes the processes of a fleet that finds itself from seeds.
+type Seeded struct {
+	Seeds     []netip.AddrPort // peer addresses of three control replicas
+	Tolerance int              // lost disks that the control group bears
+	Links     int              // links of each entry to control replicas
+}
+
+// StartSeededControl starts a control replica of a fleet with seeds, or restarts it
+// with the data it has. found is set at the first start of the whole fleet.
+func (f *Fleet) StartSeededControl(name string, at Place, s Seeded, peer, admin netip.AddrPort, found bool) (*Process, error) {
+	file, err := f.writeSettings(name, append(f.commonSettings(name, at),
+		fmt.Sprintf("peer = %q", peer), fmt.Sprintf("admin = %q", admin),
+		"seeds = "+tomlArray(s.Seeds), fmt.Sprintf("tolerance = %d", s.Tolerance), fmt.Sprintf("found = %v", found),
+		fmt.Sprintf("data = %q", filepath.Join(f.Folder, name)), `grace = "2s"`,
+	)...)
+	if err != nil {
+		return nil, err
+	}
+	return Start(name, f.Programs["control"], "--settings", file)
+}
+
+// StartSeededEntry starts an entry of a fleet with seeds. onEvent receives its log
+// lines.
+func (f *Fleet) StartSeededEntry(name string, at Place, s Seeded, onEvent func(at time.Time, fields map[string]any)) (*Process, error) {
+	file, err := f.writeSettings(name, append(f.commonSettings(name, at),
+		`traffic = "127.0.0.1:0"`, `peer = "127.0.0.1:0"`, `admin = "127.0.0.1:0"`,
+		"seeds = "+tomlArray(s.Seeds), fmt.Sprintf("links = %d", s.Links), `grace = "0s"`,
+	)...)
+	if err != nil {
+		return nil, err
+	}
+	return StartWatched(name, onEvent, f.Programs["entry"], "--settings", file)
+}
+
 // StartTarget starts a stub target that announces itself to the given entries.
 func (f *Fleet) StartTarget(service string, at Place, entries ...netip.AddrPort) (*Process, error) {
 	var to []string
--- a/bench/procs/process.go
+++ b/bench/procs/process.go
@@ -27,6 +27,7 @@
 	ended   time.Time
 	done    chan struct{}
 	err     error
+	onEvent func(at time.Time, fields map[string]any) // receives each log line, may be nil
 
 	mu    sync.Mutex
 	lines []string
@@ -35,7 +36,13 @@
 
 // Start runs a program and waits until it logs the event "ready".
 func Start(name, program string, args ...string) (*Process, error) {
-	p := &Process{Name: name, command: exec.Command(program, args...), started: time.Now(), done: make(chan struct{})}
+	return StartWatched(name, nil, program, args...)
+}
+
+// StartWatched is like Start with a function that receives the fields of each log
+// line and the time at which it was read.
+func StartWatched(name string, onEvent func(at time.Time, fields map[string]any), program string, args ...string) (*Process, error) {
+	p := &Process{Name: name, command: exec.Command(program, args...), started: time.Now(), done: make(chan struct{}), onEvent: onEvent}
 	reader, writer := io.Pipe()
 	p.command.Stdout, p.command.Stderr = writer, writer
 	if err := p.command.Start(); err != nil {
@@ -71,7 +78,11 @@
 	for scanner.Scan() {
 		line := scanner.Text()
 		var fields map[string]any
-		isReady := json.Unmarshal([]byte(line), &fields) == nil && fields["event"] == "ready"
+		isEvent := json.Unmarshal([]byte(line), &fields) == nil
+		isReady := isEvent && fields["event"] == "ready"
+		if isEvent && p.onEvent != nil {
+			p.onEvent(time.Now(), fields)
+		}
 		p.mu.Lock()
 		p.lines = append(p.lines, line)
 		if len(p.lines) > maxLines {
