Heads of responses are limited to 32 KiB

Callers saw (report of another operator): a faulty target sends bytes without end in a head, the entry keeps them all and runs out of memory, and the requests of other callers on it end with it.

Cause: a head was limited to 1 MiB, but its parsed form is not. A head of distinct one-letter fields took 28 MB, of which 15 MB stay in use, so a dozen requests to such a target at the same time exceed the 184 MB of an entry. TestEndlessAnswers checks what a target can send and not what is kept.

Endless bodies, trailers, chunk extensions and informational responses were bounded already (TestEndlessAnswers).

--- a/core/pool/option.go
+++ b/core/pool/option.go
@@ -14,8 +14,8 @@
 	defaultDialTimeout     = time.Second
 	defaultContinueTimeout = time.Second // the timeout for 100 Continue of net/http and curl
 	defaultSweepInterval   = 2 * time.Second
-	maxHeadBytes           = 1 << 20 // http.DefaultMaxHeaderBytes
-	maxInformational       = 5       // 1xx responses to one request, the limit of net/http
+	maxHeadBytes           = 32 << 10 // its parsed form takes up to 26 times as much memory
+	maxInformational       = 5        // 1xx responses to one request, the limit of net/http
 )
 
 type options struct {
