Announcements of targets that start years ahead are refused

Report of another operator: one odd entry among those of the targets (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it.

The state machine stays as it is, since all builds of a group must apply a command in the same way.

--- a/bench/roll/fleet.go
+++ b/bench/roll/fleet.go
@@ -153,7 +153,9 @@
 	}
 	var err error
 	for end := time.Now().Add(f.Duration); err == nil && time.Now().Before(end); {
-		pause(done, 100*time.Millisecond+time.Duration(f.rng.Int64N(int64(900*time.Millisecond))))
+		if f.rng.IntN(2) == 0 { // the other half follows at once
+			pause(done, 100*time.Millisecond+time.Duration(f.rng.Int64N(int64(900*time.Millisecond))))
+		}
 		err = f.change()
 	}
 	close(done)
@@ -182,7 +184,7 @@
 // present build.
 func (f *Fleet) replaceEntries(done <-chan struct{}, rng *rand.Rand) error {
 	next := 0
-	for pause(done, 300*time.Millisecond+time.Duration(rng.Int64N(int64(time.Second)))) {
+	for pause(done, 50*time.Millisecond+time.Duration(rng.Int64N(int64(300*time.Millisecond)))) {
 		count := 1
 		if rng.IntN(8) == 0 {
 			count = f.Entries / dataCentres
--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -19,6 +19,9 @@
 	// heardInterval is the interval at which the leader is told which targets
 	// announced themselves.
 	heardInterval = time.Second
+	// maxStartAhead is how far the start of a target may lie in the future. Targets
+	// whose clock is wrong by days must be usable.
+	maxStartAhead = 365 * 24 * time.Hour
 	// silenceTimeout limits the commit of a list of silent targets.
 	silenceTimeout = 2 * time.Second
 )
@@ -50,6 +53,11 @@
 	if err := a.Check(); err != nil {
 		return err
 	}
+	// Checked here and not by the state machine, which has to give the same result in
+	// all builds.
+	if a.Start.After(r.daemon.settings.Clock().Add(maxStartAhead)) {
+		return &enrol.Error{Field: "start", Reason: "lies in the future"}
+	}
 	p := r.daemon.parts
 	targets := p.machine.view.Load().Targets
 	effect := targets.Evaluate(a)
--- a/control/daemon/seeds_test.go
+++ b/control/daemon/seeds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/netip"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/galenalock/galenalock/control/daemon"
+	"github.com/galenalock/galenalock/control/relay"
 	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -242,6 +244,56 @@
 	is.True((<-e.updates).Rows[0].Silent) // it has not announced itself for a second
 }
 
+// Guards against one odd announcement that ends replicas, that entries cannot read, or
+// that keeps the target whose address it names out of service.
+func TestOddAnnouncementsHarmNoOther(t *testing.T) {
+	is := is.New(t)
+	group := seedGroup(t, 3, 3, 1)
+	for _, r := range group {
+		r.run()
+	}
+	good := enrol.Announcement{
+		Name: "t-1", Service: "ledger", Address: netip.MustParseAddrPort("10.0.0.1:80"), Region: "salish", DataCentre: "salish-1",
+		Slots: 6, Start: time.Now().UTC().Truncate(time.Millisecond), Seq: 1, State: enrol.Ready,
+	}
+	announce := func(a enrol.Announcement) (err error) {
+		waitUntil(t, "answer to "+a.Name, func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			err = group[1].services.Announce(ctx, a)
+			var noQuorum *relay.NoQuorumError
+			return !errors.As(err, &noQuorum)
+		})
+		return err
+	}
+	is.NoErr(announce(good))
+	for name, change := range map[string]func(*enrol.Announcement){
+		"start in nanoseconds":   func(a *enrol.Announcement) { a.Start = time.UnixMilli(good.Start.UnixNano()).UTC() },
+		"start in microseconds":  func(a *enrol.Announcement) { a.Start = time.UnixMilli(good.Start.UnixMicro()).UTC() },
+		"start in ten years":     func(a *enrol.Announcement) { a.Start = good.Start.AddDate(10, 0, 0) },
+		"start of the year 9999": func(a *enrol.Announcement) { a.Start = time.Date(9999, 12, 31, 0, 0, 0, 0, time.UTC) },
+		"largest start":          func(a *enrol.Announcement) { a.Start = time.UnixMilli(math.MaxInt64).UTC() },
+		"port 0":                 func(a *enrol.Announcement) { a.Address = netip.AddrPortFrom(a.Address.Addr(), 0) },
+		"name of other bytes":    func(a *enrol.Announcement) { a.Name = "t-\xff\xfe" },
+		"service of other bytes": func(a *enrol.Announcement) { a.Service = "\xff\xfe" },
+		"negative slots":         func(a *enrol.Announcement) { a.Slots = math.MinInt },
+	} {
+		odd := good
+		odd.Name, odd.Seq = "odd", math.MaxUint64
+		change(&odd)
+		if err := announce(odd); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	good.Seq++
+	is.NoErr(announce(good))
+	follower := dialFollower(t, group[2].replica)
+	update := <-follower.updates
+	is.Equal(len(update.Rows), 1)
+	is.Equal(update.Rows[0].Name, "t-1")
+	is.Equal(update.Rows[0].State, enrol.Ready)
+}
+
 // Guards against limits of targets that only a part of the entries learns: those
 // of other replicas and those that link later must know them too.
 func TestLimitsReachAllEntries(t *testing.T) {
