An entry decodes only the parts of a text that have changed

spec.Parser splits a text at the headers of its tables and decodes only the parts that the text before it did not have. Whatever cannot be split safely (multi-line strings, other headers, errors) is decoded as a whole. The checks still see the whole text.

--- a/core/update/core.go
+++ b/core/update/core.go
@@ -22,6 +22,7 @@
 // use.
 type Core struct {
 	store   delta.RevisionStore
+	parser  *spec.Parser
 	parsed  *spec.Text
 	started time.Time
 
@@ -53,6 +54,7 @@
 func New(now time.Time, opts ...Option) *Core {
 	c := &Core{
 		started:      now,
+		parser:       spec.NewParser(),
 		pendingPulls: map[string]time.Time{},
 		isStale:      func(number, current uint64) bool { return number <= current },
 	}
@@ -140,7 +142,7 @@
 }
 
 func (c *Core) install(number uint64, text []byte) (bool, error) {
-	parsed, err := spec.Parse(text)
+	parsed, err := c.parser.Parse(text)
 	if err != nil {
 		return false, err
 	}
