A change of a service leaves the routers of the others alone

A router is now updated if the service is new or the connections of its targets have changed, and one without targets does not sort the entries.

--- a/core/route/subset.go
+++ b/core/route/subset.go
@@ -33,6 +33,9 @@
 // targets, and adding or removing an instance shifts each window by at most one.
 func assignConnections(location Location, targets []Target, peers []Peer) []int {
 	out := make([]int, len(targets))
+	if len(targets) == 0 {
+		return out
+	}
 	order := sortPeers(location, peers)
 	regions := map[string][]int{}
 	for i := range targets {
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -103,8 +103,9 @@
 		if u == nil {
 			u = a.newUpstream(now, s)
 		}
-		// No data race: traffic goroutines read the service from the view.
-		u.service, u.dirty = s, true
+		// Of a service the router uses only the connections of its targets.
+		u.dirty = u.dirty || u.service.MaxConnections != s.MaxConnections
+		u.service = s // no data race: traffic goroutines read the service from the view
 		next[s.Name] = u
 		a.leaseTable.SetFloor(s.Name, eject.Floor{Share: s.Floor.Share, Slots: s.Floor.Slots})
 	}
