An entry that knows that its configuration is out of date refuses requests

Callers saw requests run by a service from which an accepted change had taken their route. Whatever keeps an entry from applying a change (a slow machine, a replica that does not answer), it went on serving by the old configuration without a bound, although it knew that there is a newer one.

An entry with seeds now measures how long it has known of a newer revision that a linked replica has. From 1.5 s on (a change has to be in force within 2.5 s) it refuses requests with 503 and the reason stale, says that they have not run, and is not ready. The time counts from the arrival of the announcement on the link, so a busy control goroutine does not hide it. An entry that reaches no replica serves on, since control may be out of reach for hours; so does one that cannot parse the newer text, since otherwise one such text would end the service of a fleet.

TestEntryThatLagsIsStaleWhileAReplicaIsAhead, TestStaleEntryRefuses, TestLagForgetsWhatCannotBeApplied. Left out: refusing only requests on routes that the change touches, which a lagging entry cannot know.

--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -35,6 +35,7 @@
 	Expired     Reason = "expired"     // the request ran, but the stored response for the key has expired
 	Draining    Reason = "draining"    // the instance is shutting down
 	NotReady    Reason = "notready"    // the instance has no configuration yet
+	Stale       Reason = "stale"       // the instance has known for too long of a newer configuration than it has in force
 )
 
 type reasonInfo struct {
@@ -71,6 +72,7 @@
 	Expired:     {http.StatusGone, "The request ran; its stored answer has expired"},
 	Draining:    {http.StatusServiceUnavailable, "The instance is shutting down"},
 	NotReady:    {http.StatusServiceUnavailable, "The instance has no configuration yet"},
+	Stale:       {http.StatusServiceUnavailable, "The instance does not have the newest configuration"},
 }
 
 // Reasons returns every reason.
--- a/core/update/lag.go
+++ b/core/update/lag.go
@@ -13,8 +13,8 @@
 // in force. It is safe for concurrent use.
 type Lag struct {
 	mu      sync.Mutex
-	applied uint64
-	heard   []heardRevision // ascending, all higher than applied
+	settled uint64          // highest revision that was applied or refused
+	heard   []heardRevision // ascending, all higher than settled
 }
 
 type heardRevision struct {
@@ -47,27 +47,48 @@
 	if len(l.heard) > 0 && l.heard[0].number <= number {
 		known = now.Sub(l.heard[0].at)
 	}
-	for len(l.heard) > 0 && l.heard[0].number <= number {
-		l.heard = l.heard[1:]
-	}
-	l.applied = max(l.applied, number)
+	l.settle(number)
 	return known
 }
 
+// Refuse records that a revision can never be applied. It no longer counts.
+func (l *Lag) Refuse(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(number)
+}
+
+// Retain forgets the revisions above the newest one that a source in reach has
+// announced.
+func (l *Lag) Retain(newest uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := len(l.heard); n > 0 && l.heard[n-1].number > newest; n-- {
+		l.heard = l.heard[:n-1]
+	}
+}
+
 // Behind returns how long a higher revision than the one in force has been known,
 // and the newest one. The duration is 0 if there is none.
 func (l *Lag) Behind(now time.Time) (time.Duration, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.heard) == 0 {
-		return 0, l.applied
+		return 0, l.settled
 	}
 	return now.Sub(l.heard[0].at), l.newest()
 }
 
+func (l *Lag) settle(number uint64) {
+	for len(l.heard) > 0 && l.heard[0].number <= number {
+		l.heard = l.heard[1:]
+	}
+	l.settled = max(l.settled, number)
+}
+
 func (l *Lag) newest() uint64 {
 	if n := len(l.heard); n > 0 {
 		return l.heard[n-1].number
 	}
-	return l.applied
+	return l.settled
 }
--- a/core/update/lag_test.go
+++ b/core/update/lag_test.go
@@ -41,3 +41,28 @@
 	behind, _ = lag.Behind(start.Add(200 * time.Second))
 	is.Equal(behind, time.Duration(0))
 }
+
+// Guards against an entry that counts as lagging for ever because of a revision that it
+// cannot parse, or that no replica in reach has.
+func TestLagForgetsWhatCannotBeApplied(t *testing.T) {
+	is := is.New(t)
+	var lag update.Lag
+	lag.Apply(start, 1)
+	lag.Hear(start, 2)
+	lag.Refuse(2)
+	lag.Hear(start, 2) // announced once more
+	behind, _ := lag.Behind(start.Add(time.Minute))
+	is.Equal(behind, time.Duration(0))
+	lag.Hear(start.Add(time.Minute), 3)
+	lag.Hear(start.Add(2*time.Minute), 5)
+	lag.Retain(4)
+	behind, newest := lag.Behind(start.Add(3 * time.Minute))
+	is.Equal(behind, 2*time.Minute)
+	is.Equal(newest, uint64(3))
+	lag.Retain(0)
+	behind, _ = lag.Behind(start.Add(3 * time.Minute))
+	is.Equal(behind, time.Duration(0))
+	lag.Hear(start.Add(4*time.Minute), 3)
+	behind, _ = lag.Behind(start.Add(5 * time.Minute))
+	is.Equal(behind, time.Minute)
+}
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -60,7 +60,10 @@
 	}
 	result, err := a.update.Receive(now, c.Peer().Instance, r)
 	if err != nil {
-		a.log.WithField(logs.FieldError, err.Error()).WithField("peer", c.Peer().Instance).Error("revision refused")
+		a.log.WithField(logs.FieldError, err.Error()).WithField("peer", c.Peer().Instance).WithField("revision", r.Number).Error("revision refused")
+		if !a.update.Lacks(r.Number) {
+			a.lag.Refuse(r.Number)
+		}
 		return
 	}
 	if result.Installed {
@@ -127,6 +130,18 @@
 		WithField("links", len(*a.controlLinks.Load())).Warn("revision lags")
 }
 
+// staleLimit is how long an entry serves by its configuration while it knows of a
+// newer one. A change must be in force within 2.5 s of its acceptance, and an entry
+// hears of it within a few round trips.
+const staleLimit = 1500 * time.Millisecond
+
+// IsStale reports whether the entry has known for longer than staleLimit that a
+// replica in reach has a newer configuration. An entry that reaches no replica, or
+// cannot parse the newer text, goes on with the one it has.
+func (a *Agent) IsStale(now time.Time) bool {
+	return a.registry != nil && a.RevisionLag(now) >= staleLimit
+}
+
 // RevisionLag returns how long the entry has known of a newer revision than the one
 // in force, 0 if it knows of none.
 func (a *Agent) RevisionLag(now time.Time) time.Duration {
--- a/entry/agent/cost_test.go
+++ b/entry/agent/cost_test.go
@@ -2,22 +2,28 @@
 
 import (
 	"bytes"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
 
 	"github.com/galenalock/galenalock/core/delta"
+	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
 // Guards against a change of one service that makes an entry update the routers of all
 // others, which keeps it from the next change.
 func TestChangeOfOneServiceLeavesTheOthersAlone(t *testing.T) {
-	const services, perService = 500, 2 << 10 // bytes; a list of the entries takes more
+	// The update of a router with a target sorts a copy of the list of entries.
+	const services, entries, perService = 100, 4000, 4000 * 16 // bytes, half of that copy
 	near := startFakeRegistry(t, "near", "salish")
+	for n := range services {
+		near.announceFor(fmt.Sprint("s", n), uint64(n+1), n+1, enrol.Ready, false)
+	}
 	a := startRegistryAgent(t, near.addr)
 	waitUntil(t, "ready", func() bool { return a.View().Ready })
-	near.send(t, wire.KindEntries, wire.Entries{Regions: map[string]int{"salish": 120}})
+	near.send(t, wire.KindEntries, wire.Entries{Regions: map[string]int{"salish": entries}})
 	text := serviceText(services)
 	least := uint64(1 << 62)
 	for number := uint64(2); number < 8; number++ {
--- a/entry/agent/registry.go
+++ b/entry/agent/registry.go
@@ -108,6 +108,7 @@
 		r.attach.LinkClosed(now, peer.PeerAddress)
 		delete(r.progress, c)
 		a.update.RemovePeer(peer.Instance)
+		a.lag.Retain(r.newestAnnounced())
 		log.WithField("reason", c.Reason()).Warn("link to control replica ended")
 	}
 	slices.SortFunc(next, func(x, y *link.Conn) int { return r.attach.ByDistance(x.Peer().PeerAddress, y.Peer().PeerAddress) })
@@ -117,6 +118,15 @@
 	a.planLinks(now)
 }
 
+// newestAnnounced returns the newest revision that a linked replica has announced.
+func (r *registry) newestAnnounced() uint64 {
+	newest := uint64(0)
+	for _, announced := range r.progress {
+		newest = max(newest, announced.revision)
+	}
+	return newest
+}
+
 // updatePrimary makes the nearest linked replica the primary. The primary pushes
 // changes; the other replicas are told to send only digests.
 func (a *Agent) updatePrimary(now time.Time, c *link.Conn, opened bool) {
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -31,6 +31,7 @@
 	limits       chan wire.List[wire.Limit]
 	demands      chan wire.List[wire.Demand]
 	crashes      chan wire.List[wire.Crash]
+	stop         func()
 
 	mu               sync.Mutex
 	helpers          wire.Helpers
@@ -59,7 +60,8 @@
 		link.WithHandler(r.handle))
 	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: s}}
 	server.Start()
-	t.Cleanup(func() { s.Close(); server.Close() })
+	r.stop = sync.OnceFunc(func() { s.Close(); server.Close() })
+	t.Cleanup(r.stop)
 	return r
 }
 
@@ -140,10 +142,14 @@
 // announce adds an announcement to the table. With notify it sends the change to
 // entries that use this replica as the primary, and a digest to the others.
 func (r *fakeRegistry) announce(index uint64, n int, state enrol.State, notify bool) {
+	r.announceFor("s0", index, n, state, notify)
+}
+
+func (r *fakeRegistry) announceFor(service string, index uint64, n int, state enrol.State, notify bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Announce(index, targetStart, enrol.Announcement{
-		Name: fmt.Sprint("t-", n), Service: "s0", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+		Name: fmt.Sprint("t-", n), Service: service, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
 		Region: "salish", DataCentre: "salish-1", Slots: 6, Start: targetStart, Seq: index, State: state,
 	})
 	view := r.table.View()
@@ -240,6 +246,37 @@
 	is.Equal(near.loseAnswers, 0)
 }
 
+// Guards against an entry that serves by a configuration of which it has known for long
+// that it is out of date, and against one that stops serving when no replica can be
+// reached.
+func TestEntryThatLagsIsStaleWhileAReplicaIsAhead(t *testing.T) {
+	is := is.New(t)
+	near := startFakeRegistry(t, "near", "salish")
+	a := startRegistryAgent(t, near.addr)
+	waitUntil(t, "ready", func() bool { return a.View().Ready })
+	is.True(!a.IsStale(time.Now()))
+	near.mu.Lock()
+	near.revision, near.loseAnswers = 2, 1_000_000
+	near.mu.Unlock()
+	near.send(t, wire.KindRevision, wire.Revision{Number: 2, Checksum: delta.Sum(serviceText(2))})
+	waitUntil(t, "stale", func() bool { return a.IsStale(time.Now()) })
+	is.Equal(a.View().Revision, uint64(1))
+	near.mu.Lock()
+	near.loseAnswers = 0
+	near.mu.Unlock()
+	waitUntil(t, "in force", func() bool { return a.View().Revision == 2 })
+	is.True(!a.IsStale(time.Now()))
+
+	near.mu.Lock()
+	near.revision, near.loseAnswers = 3, 1_000_000
+	near.mu.Unlock()
+	near.send(t, wire.KindRevision, wire.Revision{Number: 3, Checksum: delta.Sum(serviceText(3))})
+	waitUntil(t, "stale again", func() bool { return a.IsStale(time.Now()) })
+	near.stop()
+	waitUntil(t, "out of reach", func() bool { return !a.IsStale(time.Now()) })
+	is.True(a.View().Ready)
+}
+
 // Guards against an entry that is ready before its routers know the targets, so
 // that the first requests are refused for lack of a target.
 func TestReadyWithTargets(t *testing.T) {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -81,7 +81,7 @@
 
 // Ready reports whether the entry accepts requests.
 func (d *Daemon) Ready() bool {
-	return d.agent.View().Ready && !d.stopping.Load() && !d.drained.Load() && !d.agent.YieldsCallers(time.Now())
+	return d.agent.View().Ready && !d.stopping.Load() && !d.drained.Load() && !d.agent.YieldsCallers(time.Now()) && !d.agent.IsStale(time.Now())
 }
 
 // SkipDrain ends the wait for requests in flight during a shutdown.
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -72,6 +72,9 @@
 	if !c.request.View.usable() {
 		return &refuse.Error{Reason: refuse.NotReady, Run: refuse.NotRun, RetryAfter: retryStarting}
 	}
+	if hooks.Stale() {
+		return &refuse.Error{Reason: refuse.Stale, Run: refuse.NotRun, RetryAfter: retryElsewhere}
+	}
 	if err := c.match(); err != nil {
 		return err
 	}
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -57,6 +57,10 @@
 	// It may wait for the first configuration.
 	Await func(ctx context.Context)
 
+	// Stale reports whether the instance knows that its configuration has been out of
+	// date for too long to serve requests by it.
+	Stale func() bool
+
 	// Begin is called before each attempt is sent, End once with its outcome.
 	Begin func(Attempt)
 	End   func(Attempt, Outcome)
@@ -130,6 +134,9 @@
 	if h.PathLost == nil {
 		h.PathLost = func() bool { return false }
 	}
+	if h.Stale == nil {
+		h.Stale = func() bool { return false }
+	}
 	if h.Begin == nil {
 		h.Begin = func(Attempt) {}
 	}
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -87,6 +87,7 @@
 		}}, nil},
 		{"draining", fmt.Sprintf(get, ""), proxy.Hooks{Enter: func(proxy.Request) (func(), bool) { return nil, false }}, nil},
 		{"notready", fmt.Sprintf(get, ""), proxy.Hooks{View: func() *proxy.View { return nil }}, nil},
+		{"stale", fmt.Sprintf(get, ""), proxy.Hooks{Stale: func() bool { return true }}, nil},
 		{"noquorum", orderRequest, proxy.Hooks{}, nil},
 		{"mismatch", orderRequest, proxy.Hooks{Claim: claimResult(wire.ClaimMismatch, nil)}, nil},
 		{"lost", orderRequest, proxy.Hooks{Claim: claimResult(wire.ClaimUnknown, nil)}, nil},
