--- a/core/spec/parser.go
+++ b/core/spec/parser.go
@@ -5,8 +5,27 @@
 	"strings"
 )
 
-// tableHeaders are the lines at which a text is split into blocks.
-var tableHeaders = map[string]bool{"[[service]]": true, "[[route]]": true, "[[workspace]]": true, "[limits]": true}
+// tableCounts holds the numbers of top-level tables in a text.
+type tableCounts struct{ services, routes, workspaces, limits int }
+
+// tableHeaders are the lines at which a text is split into blocks, with the tables of
+// such a block.
+var tableHeaders = map[string]tableCounts{
+	"[[service]]":   {services: 1},
+	"[[route]]":     {routes: 1},
+	"[[workspace]]": {workspaces: 1},
+	"[limits]":      {limits: 1},
+}
+
+// headerTables returns the tables of the block that a line begins, and false if the
+// line is no header.
+func headerTables(line string) (tableCounts, bool) {
+	if line == "" || line[0] != '[' {
+		return tableCounts{}, false
+	}
+	counts, ok := tableHeaders[strings.TrimRight(line, " \t\r\n")]
+	return counts, ok
+}
 
 // Parser parses successive versions of a text and decodes only the tables that were
 // not in the version before. It is not safe for concurrent use.
@@ -81,7 +100,7 @@
 			if newline := strings.IndexByte(text[at:], '\n'); newline >= 0 {
 				end = at + newline + 1
 			}
-			if at > start && text[at] == '[' && tableHeaders[strings.TrimRight(text[at:end], " \t\r\n")] {
+			if _, ok := headerTables(text[at:end]); ok && at > start {
 				if !yield(text[start:at]) {
 					return
 				}
@@ -97,24 +116,15 @@
 // none if it has no header.
 func (r *rawText) hasOnlyTable(source string) bool {
 	header, _, _ := strings.Cut(source, "\n")
-	want := [4]int{}
-	switch strings.TrimRight(header, " \t\r") {
-	case "[[service]]":
-		want[0] = 1
-	case "[[route]]":
-		want[1] = 1
-	case "[[workspace]]":
-		want[2] = 1
-	case "[limits]":
-		want[3] = 1
-	default:
+	want, ok := headerTables(header)
+	if !ok {
 		return hasOnlyComments(source)
 	}
-	limits := 0
+	got := tableCounts{services: len(r.Service), routes: len(r.Route), workspaces: len(r.Workspace)}
 	if r.Limits != nil {
-		limits = 1
+		got.limits = 1
 	}
-	return want == [4]int{len(r.Service), len(r.Route), len(r.Workspace), limits}
+	return got == want
 }
 
 func hasOnlyComments(source string) bool {
