--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -246,6 +246,24 @@
 	is.Equal(near.loseAnswers, 0)
 }
 
+// Guards against an entry that gets revisions only from a primary that lags, and that
+// does not go on with another replica if the first pull is lost there too.
+func TestRevisionComesFromAnotherReplicaIfThePrimaryLags(t *testing.T) {
+	near, far := startFakeRegistry(t, "near", "salish"), startFakeRegistry(t, "far", "haida")
+	a := startRegistryAgent(t, far.addr, near.addr)
+	waitUntil(t, "ready", func() bool { return a.View().Ready })
+	waitUntil(t, "both are linked", func() bool {
+		far.mu.Lock()
+		defer far.mu.Unlock()
+		return len(far.follows) == 1
+	})
+	far.mu.Lock()
+	far.revision, far.loseAnswers = 2, 1
+	far.mu.Unlock()
+	far.send(t, wire.KindRevision, wire.Revision{Number: 2, Checksum: delta.Sum(serviceText(2))})
+	waitUntil(t, "the revision is in force", func() bool { return a.View().Revision == 2 })
+}
+
 // Guards against an entry that serves by a configuration of which it has known for long
 // that it is out of date, and against one that stops serving when no replica can be
 // reached.
