Read again: one fake of a full disk, one way to the root of the repository

fillableDisk had written limited of TestFullDisk again; it now serves both, with a named kind for each way in which a disk is full. Assertions and schedules are as before, and the test of disks full in turn still fails if a full disk is not retried. Build and BuildCommit share the lookup of the repository root; rollout names its pause and the choice of signals. No change of behaviour.

--- a/bench/procs/build.go
+++ b/bench/procs/build.go
@@ -15,26 +15,26 @@
 // Build compiles the named programs, such as "entry", into a folder. It locates
 // their sources relative to this source file.
 func Build(folder string, names ...string) (Programs, error) {
-	_, file, _, ok := runtime.Caller(0)
-	if !ok {
-		return nil, eris.New("build: path of the source files is unknown")
+	root, err := repositoryRoot()
+	if err != nil {
+		return nil, err
 	}
-	return buildIn(filepath.Join(filepath.Dir(file), "..", ".."), folder, names)
+	return buildIn(root, folder, names)
 }
 
 // BuildCommit is like Build for the sources of a commit of the repository that this
 // source file belongs to. The sources are written to the folder as well.
 func BuildCommit(folder, commit string, names ...string) (Programs, error) {
-	_, file, _, ok := runtime.Caller(0)
-	if !ok {
-		return nil, eris.New("build: path of the source files is unknown")
+	root, err := repositoryRoot()
+	if err != nil {
+		return nil, err
 	}
 	sources := filepath.Join(folder, "sources")
 	if err := os.MkdirAll(sources, 0o700); err != nil {
 		return nil, eris.Wrap(err, "create folder for sources")
 	}
 	archive := exec.Command("git", "archive", "--output", filepath.Join(folder, "sources.tar"), commit)
-	archive.Dir = filepath.Join(filepath.Dir(file), "..", "..")
+	archive.Dir = root
 	if output, err := archive.CombinedOutput(); err != nil {
 		return nil, eris.Wrapf(err, "export commit %s: %s", commit, output)
 	}
@@ -45,6 +45,15 @@
 	return buildIn(sources, folder, names)
 }
 
+// repositoryRoot returns the root of the repository that this source file belongs to.
+func repositoryRoot() (string, error) {
+	_, file, _, ok := runtime.Caller(0)
+	if !ok {
+		return "", eris.New("build: path of the source files is unknown")
+	}
+	return filepath.Join(filepath.Dir(file), "..", ".."), nil
+}
+
 func buildIn(root, folder string, names []string) (Programs, error) {
 	out := Programs{}
 	for _, name := range names {
--- a/bench/roll/fleet.go
+++ b/bench/roll/fleet.go
@@ -24,6 +24,7 @@
 	entryLinks    = 3
 	tolerance     = 2
 	submitTimeout = 2 * time.Second
+	submitPause   = 20 * time.Millisecond // between two replicas that are asked
 	giveUpTimeout = 30 * time.Second
 	serviceCount  = 4
 	churnClients  = 4
@@ -77,7 +78,8 @@
 	return procs.Place{Region: fmt.Sprintf("region-%d", n%dataCentres/2), DataCentre: fmt.Sprintf("centre-%d", n%dataCentres)}
 }
 
-func (f *Fleet) builds(programs procs.Programs) *procs.Fleet {
+// starter returns what starts processes of a build.
+func (f *Fleet) starter(programs procs.Programs) *procs.Fleet {
 	return &procs.Fleet{Name: "roll", Folder: f.Folder, Programs: programs}
 }
 
@@ -101,7 +103,7 @@
 		f.seeded.Seeds = append(f.seeded.Seeds, f.replicas[n].peer)
 	}
 	for _, r := range f.replicas {
-		if r.process, err = f.builds(programs).StartSeededControl(r.name, r.at, f.seeded, r.peer, r.admin, true); err != nil {
+		if r.process, err = f.starter(programs).StartSeededControl(r.name, r.at, f.seeded, r.peer, r.admin, true); err != nil {
 			return err
 		}
 	}
@@ -118,7 +120,7 @@
 func (f *Fleet) startEntry(e *entry, programs procs.Programs) error {
 	inForce, end := f.Record.Start(e.name, time.Now())
 	e.end = end
-	process, err := f.builds(programs).StartSeededEntry(e.name, e.at, f.seeded, func(at time.Time, fields map[string]any) {
+	process, err := f.starter(programs).StartSeededEntry(e.name, e.at, f.seeded, func(at time.Time, fields map[string]any) {
 		if number, ok := fields["revision"].(float64); ok && fields["event"] == "revision in force" {
 			inForce(at, uint64(number))
 		}
@@ -202,7 +204,7 @@
 		errs := make(chan error, count)
 		for n := range count {
 			e := f.entries[(next+n*step)%len(f.entries)]
-			signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[rng.IntN(2)]
+			signal := stopSignal(rng)
 			group.Go(func() {
 				e.end(time.Now())
 				e.process.Signal(signal)
@@ -222,6 +224,11 @@
 	return nil
 }
 
+// stopSignal returns SIGTERM or SIGKILL.
+func stopSignal(rng *rand.Rand) syscall.Signal {
+	return []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[rng.IntN(2)]
+}
+
 // churn sets and removes a drain of a name that no instance has, again and again. It
 // stands for the other changes of the replicated state, such as those of targets.
 func (f *Fleet) churn(done <-chan struct{}, client int) {
@@ -244,9 +251,9 @@
 	for n := 0; pause(done, 10*time.Second+time.Duration(rng.Int64N(int64(5*time.Second)))); n++ {
 		r := f.replicas[n%len(f.replicas)]
 		f.Record.Disturb(time.Now())
-		r.process.Signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[rng.IntN(2)])
+		r.process.Signal(stopSignal(rng))
 		_ = r.process.Wait() // its status does not matter here
-		process, err := f.builds(f.Present).StartSeededControl(r.name, r.at, f.seeded, r.peer, r.admin, false)
+		process, err := f.starter(f.Present).StartSeededControl(r.name, r.at, f.seeded, r.peer, r.admin, false)
 		if err != nil {
 			return err
 		}
@@ -287,7 +294,7 @@
 		to := f.replicas[(first+n)%len(f.replicas)].admin
 		resp, err := client.Post(fmt.Sprintf("http://%s/v1/submit", to), "application/json", bytes.NewReader(body))
 		if err != nil {
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(submitPause)
 			continue
 		}
 		answer, _ := io.ReadAll(resp.Body) // only used in the error for an unexpected status
@@ -300,7 +307,7 @@
 		case resp.StatusCode < http.StatusInternalServerError:
 			return eris.Errorf("submit change: unexpected status %d: %s", resp.StatusCode, answer)
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(submitPause)
 	}
 	return eris.Errorf("no replica accepted change %d in %s", f.revision+1, giveUpTimeout)
 }
--- a/core/group/full_test.go
+++ b/core/group/full_test.go
@@ -17,13 +17,21 @@
 	"github.com/galenalock/galenalock/core/store"
 )
 
-// fillableDisk returns file operations that refuse every call that takes space while
-// full is set. With partial, a write takes half of its data before it fails.
-func fillableDisk(full *atomic.Bool, partial bool) store.Files {
+// fullness is what a full disk does with a call that takes space.
+type fullness int
+
+const (
+	refuseWrites fullness = iota // files can be opened and created
+	refuseFiles                  // neither writes nor files
+	halfWrites                   // a write takes half of its data before it fails
+)
+
+// fillableDisk returns file operations that fail with ENOSPC while full is set.
+func fillableDisk(full *atomic.Bool, kind fullness) store.Files {
 	files := store.OS()
-	open := func(open func(string) (store.Handle, error)) func(string) (store.Handle, error) {
+	limit := func(open func(string) (store.Handle, error)) func(string) (store.Handle, error) {
 		return func(name string) (store.Handle, error) {
-			if full.Load() && !partial {
+			if kind == refuseFiles && full.Load() {
 				return store.Handle{}, syscall.ENOSPC
 			}
 			h, err := open(name)
@@ -32,7 +40,7 @@
 				if !full.Load() {
 					return write(data)
 				}
-				if partial {
+				if kind == halfWrites {
 					if err := write(data[:len(data)/2]); err != nil {
 						return err
 					}
@@ -42,7 +50,7 @@
 			return h, err
 		}
 	}
-	files.Append, files.Create = open(files.Append), open(files.Create)
+	files.Append, files.Create = limit(files.Append), limit(files.Create)
 	return files
 }
 
@@ -69,8 +77,8 @@
 // Guards against a group that answers no more commands after the disks of its replicas
 // were full one after another, never two at once.
 func TestCommandsAreAnsweredAfterDisksWereFullInTurn(t *testing.T) {
-	for _, partial := range []bool{false, true} {
-		t.Run(fmt.Sprintf("partial %v", partial), func(t *testing.T) {
+	for name, kind := range map[string]fullness{"refuses files": refuseFiles, "takes half of a write": halfWrites} {
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				const replicas = 5
@@ -78,7 +86,7 @@
 				full := make([]atomic.Bool, replicas+1)
 				for id := uint64(1); id <= replicas; id++ {
 					is.NoErr(c.stopReplica(id))
-					c.start(id, group.WithFiles(fillableDisk(&full[id], partial)), group.WithSnapshotInterval(20, 1<<20))
+					c.start(id, group.WithFiles(fillableDisk(&full[id], kind)), group.WithSnapshotInterval(20, 1<<20))
 				}
 				large := strings.Repeat("x", 8<<10)
 				is.True(c.proposeWithin("first", 10*time.Second))
--- a/core/group/group_test.go
+++ b/core/group/group_test.go
@@ -11,7 +11,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -299,7 +298,7 @@
 		full := map[uint64]*atomic.Bool{1: {}, 2: {}, 3: {}}
 		for id, flag := range full {
 			is.NoErr(c.stopReplica(id))
-			c.start(id, group.WithFiles(limited(flag)))
+			c.start(id, group.WithFiles(fillableDisk(flag, refuseWrites)))
 		}
 		c.propose("a")
 		l := c.leader()
@@ -322,24 +321,3 @@
 		c.close()
 	})
 }
-
-// limited returns file operations that fail every write with ENOSPC while full
-// is set.
-func limited(full *atomic.Bool) store.Files {
-	files := store.OS()
-	refuse := func(open func(string) (store.Handle, error)) func(string) (store.Handle, error) {
-		return func(name string) (store.Handle, error) {
-			h, err := open(name)
-			write := h.Write
-			h.Write = func(data []byte) error {
-				if full.Load() {
-					return syscall.ENOSPC
-				}
-				return write(data)
-			}
-			return h, err
-		}
-	}
-	files.Append, files.Create = refuse(files.Append), refuse(files.Create)
-	return files
-}
