Failing tests: silent links, requests passed on to an entry that lags

- a link that is silent stays open for as long as the time of day has stepped back
- a request that is passed on runs by the older configuration of the other entry

Links measure silence by a steady clock as well, which only the new field silence of the line "link to control replica ended" uses so far. Mesh and link take a function that opens connections, for tests in virtual time.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -32,6 +32,7 @@
 	done         chan struct{}
 	closeOnce    sync.Once
 	reason       atomic.Pointer[string]
+	received     atomic.Int64 // steady time of the last message received, in nanoseconds
 	lastReceived atomic.Int64 // Unix nanoseconds of the last message received
 	lastSent     atomic.Int64 // Unix nanoseconds of the last message written
 	handling     atomic.Bool  // the reader waits for a handler
@@ -80,6 +81,16 @@
 	return ""
 }
 
+// Silence returns the time since the last message was received.
+func (c *Conn) Silence() time.Duration {
+	return c.opts.steady() - time.Duration(c.received.Load())
+}
+
+func (c *Conn) markReceived() {
+	c.received.Store(int64(c.opts.steady()))
+	c.lastReceived.Store(time.Now().UnixNano())
+}
+
 // Close ends the link. Only the first call has an effect; its reason is kept.
 func (c *Conn) Close(reason string) {
 	c.closeOnce.Do(func() {
@@ -184,7 +195,7 @@
 
 // run serves the link until it ends.
 func (c *Conn) run() {
-	c.lastReceived.Store(time.Now().UnixNano())
+	c.markReceived()
 	c.opts.onOpen(c)
 	go c.writeLoop()
 	go c.keepAlive()
@@ -242,7 +253,7 @@
 			c.Close("read: " + err.Error())
 			return
 		}
-		c.lastReceived.Store(time.Now().UnixNano())
+		c.markReceived()
 		c.opts.countBytes("in", len(data))
 		var m wire.Message
 		if err := wire.Decode(data, &m); err != nil {
@@ -252,7 +263,7 @@
 		// While a handler blocks the reader, nothing can arrive from the peer.
 		c.handling.Store(true)
 		more := c.dispatch(m)
-		c.lastReceived.Store(time.Now().UnixNano())
+		c.markReceived()
 		c.handling.Store(false)
 		if !more {
 			return
--- a/core/link/dialer.go
+++ b/core/link/dialer.go
@@ -31,7 +31,7 @@
 func NewDialer(opts ...Option) *Dialer {
 	o := newOptions(opts)
 	d := &Dialer{opts: o, scheme: "ws"}
-	transport := &http.Transport{TLSClientConfig: o.tls, DisableKeepAlives: true}
+	transport := &http.Transport{TLSClientConfig: o.tls, DisableKeepAlives: true, DialContext: o.dial}
 	if o.tls != nil {
 		d.scheme = "wss"
 	}
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,6 +89,25 @@
 	is.Equal(c.Reason(), "nothing received for 20ms")
 }
 
+// Guards against a silent link that stays open for as long as the time of day has
+// stepped back.
+func TestSilentLinkEndsAlthoughTheTimeOfDayStepsBack(t *testing.T) {
+	is := is.New(t)
+	to := serve(t, hello("a", "f"), link.WithKeepalive(time.Hour, time.Hour))
+	start := time.Now()
+	var ahead atomic.Int64 // of the steady clock over the time of day
+	c, err := link.NewDialer(hello("b", "f"), link.WithKeepalive(5*time.Millisecond, time.Hour),
+		link.WithSteadyClock(func() time.Duration { return time.Since(start) + time.Duration(ahead.Load()) })).Dial(t.Context(), to)
+	is.NoErr(err)
+	ahead.Store(int64(2 * time.Hour))
+	select {
+	case <-c.Done():
+	case <-time.After(10 * time.Second):
+		t.Error("the link is open after a silence of 2 h")
+		c.Close("test over")
+	}
+}
+
 // Guards against a call that never returns after its link has ended.
 func TestCallEndsWithTheLink(t *testing.T) {
 	is := is.New(t)
--- a/core/link/options.go
+++ b/core/link/options.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/galenalock/galenalock/core/wire"
@@ -34,6 +36,8 @@
 	keepaliveByUse func(use wire.Use) (interval, receiveTimeout time.Duration, ok bool)
 	queueSize      int
 	tls            *tls.Config
+	dial           func(ctx context.Context, network, address string) (net.Conn, error)
+	steady         func() time.Duration
 }
 
 // Option configures a Server or a Dialer.
@@ -85,7 +89,19 @@
 // HTTP server terminates TLS.
 func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
 
+// WithDial sets the function with which a Dialer opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.dial = dial }
+}
+
+// WithSteadyClock sets the clock by which silence is measured. It returns the time
+// since an arbitrary moment and does not follow steps of the time of day.
+func WithSteadyClock(steady func() time.Duration) Option {
+	return func(o *options) { o.steady = steady }
+}
+
 func newOptions(opts []Option) options {
+	start := time.Now()
 	o := options{
 		hello:          func() wire.Hello { return wire.Hello{} },
 		handler:        func(*Conn, wire.Message) (any, error) { return nil, &wire.FaultError{Code: "unsupported"} },
@@ -97,6 +113,7 @@
 		pingInterval:   defaultPingInterval,
 		receiveTimeout: defaultReceiveTimeout,
 		queueSize:      defaultQueueSize,
+		steady:         func() time.Duration { return time.Since(start) },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -76,6 +76,7 @@
 		link.WithPanicHook(m.opts.panicked),
 		link.WithKeepalive(m.opts.pingInterval, 3*m.opts.pingInterval),
 		link.WithTLS(m.opts.tls),
+		link.WithDial(m.opts.dial),
 		link.WithKeepaliveByUse(pingTimes),
 	}
 	if m.opts.handler != nil {
--- a/core/mesh/options.go
+++ b/core/mesh/options.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/galenalock/galenalock/core/link"
@@ -24,6 +26,7 @@
 	countBytes   func(direction string, bytes int)
 	pingInterval time.Duration
 	tls          *tls.Config
+	dial         func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Option configures a Mesh.
@@ -75,3 +78,8 @@
 
 // WithTLS sets the TLS configuration of links that this process dials.
 func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
+
+// WithDial sets the function with which this process opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.dial = dial }
+}
--- a/entry/agent/registry.go
+++ b/entry/agent/registry.go
@@ -109,7 +109,7 @@
 		delete(r.progress, c)
 		a.update.RemovePeer(peer.Instance)
 		a.lag.Retain(r.newestAnnounced())
-		log.WithField("reason", c.Reason()).Warn("link to control replica ended")
+		log.WithField("reason", c.Reason()).WithField("silence", c.Silence().String()).Warn("link to control replica ended")
 	}
 	slices.SortFunc(next, func(x, y *link.Conn) int { return r.attach.ByDistance(x.Peer().PeerAddress, y.Peer().PeerAddress) })
 	next = slices.CompactFunc(next, func(x, y *link.Conn) bool { return x.Peer().PeerAddress == y.Peer().PeerAddress })
--- a/entry/proxy/relay_test.go
+++ b/entry/proxy/relay_test.go
@@ -201,6 +201,31 @@
 	}
 }
 
+// Guards against a request that runs by an older configuration than that of the entry
+// that took it, because the entry that it was passed on to lags.
+func TestRelayedRequestRunsByTheConfigurationOfItsEntry(t *testing.T) {
+	is := is.New(t)
+	text := func(service string) *spec.Text {
+		return parseText(t, "[[service]]\nname = \"before\"\nfloor = \"50%\"\n[[service]]\nname = \"after\"\nfloor = \"50%\"\n"+
+			"[[route]]\nprefix = \"/tables\"\nservice = \""+service+"\"\nkind = { repeat = true, attempts = 2 }\n")
+	}
+	target := respond(t, okResponse, nil)
+	for _, c := range []struct{ entry, helper string }{{"after", "before"}, {"before", "after"}, {"after", "after"}} {
+		var ran string
+		view := proxy.View{Text: text(c.entry), Revision: 2, Ready: true}
+		helperView := proxy.View{Text: text(c.helper), Revision: 1, Ready: true}
+		helper := startHelper(t, proxy.Hooks{
+			View:  func() *proxy.View { return &helperView },
+			Begin: func(a proxy.Attempt) { ran = a.Request.Service.Name },
+		}, target)
+		e := startEntryWithOptions(t, proxy.Hooks{View: func() *proxy.View { return &view }, Pick: pickInOrder([]netip.AddrPort{helper}, true)})
+		status, _, _, err := e.send(http.MethodGet, "/tables/x", nil)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(ran, c.entry)
+	}
+}
+
 // Guards against a request that must not be repeated and is, because the configuration
 // of the entry that it was passed on to allows it.
 func TestKindOfRepetitionIsPassedOn(t *testing.T) {
@@ -263,7 +288,12 @@
 
 // limitedText returns a service text whose requests may reach two targets.
 func limitedText(t testing.TB) *spec.Text {
-	text, err := spec.Parse([]byte("[[service]]\nname = \"tables\"\nfloor = \"50%\"\n[[route]]\nprefix = \"/tables\"\nservice = \"tables\"\nkind = { repeat = true, attempts = 2 }\n"))
+	return parseText(t, "[[service]]\nname = \"tables\"\nfloor = \"50%\"\n[[route]]\nprefix = \"/tables\"\nservice = \"tables\"\nkind = { repeat = true, attempts = 2 }\n")
+}
+
+func parseText(t testing.TB, source string) *spec.Text {
+	t.Helper()
+	text, err := spec.Parse([]byte(source))
 	if err != nil {
 		t.Fatal(err)
 	}
