Links measure silence by the steady clock

Cause: keepAlive and the read loop compared nanoseconds of the time of day. After a step back by 20 s, the last message seemed to lie in the future, so a silent link stayed open for 20 s more; a step ahead of 3 s closed all links of a machine. An entry whose links are all silent hears of no change and does not know that it lags.

The link now keeps the time of the last message by a clock that runs from its start and does not follow the time of day.

The lease of suspended machines is not affected: the steady clock stands still while a machine is suspended, so a link is given the full time after it wakes.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -32,9 +32,8 @@
 	done         chan struct{}
 	closeOnce    sync.Once
 	reason       atomic.Pointer[string]
-	received     atomic.Int64 // steady time of the last message received, in nanoseconds
-	lastReceived atomic.Int64 // Unix nanoseconds of the last message received
-	lastSent     atomic.Int64 // Unix nanoseconds of the last message written
+	lastReceived atomic.Int64 // steady time of the last message received, in nanoseconds
+	lastSent     atomic.Int64 // steady time of the last message written, in nanoseconds
 	handling     atomic.Bool  // the reader waits for a handler
 	callSlots    chan struct{}
 
@@ -83,13 +82,10 @@
 
 // Silence returns the time since the last message was received.
 func (c *Conn) Silence() time.Duration {
-	return c.opts.steady() - time.Duration(c.received.Load())
+	return c.opts.steady() - time.Duration(c.lastReceived.Load())
 }
 
-func (c *Conn) markReceived() {
-	c.received.Store(int64(c.opts.steady()))
-	c.lastReceived.Store(time.Now().UnixNano())
-}
+func (c *Conn) markReceived() { c.lastReceived.Store(int64(c.opts.steady())) }
 
 // Close ends the link. Only the first call has an effect; its reason is kept.
 func (c *Conn) Close(reason string) {
@@ -216,7 +212,7 @@
 				c.Close("write: " + err.Error())
 				return
 			}
-			c.lastSent.Store(time.Now().UnixNano())
+			c.lastSent.Store(int64(c.opts.steady()))
 			c.opts.countBytes("out", len(data))
 		}
 	}
@@ -231,12 +227,12 @@
 		select {
 		case <-c.done:
 			return
-		case now := <-ticker.C:
-			if !c.handling.Load() && now.UnixNano()-c.lastReceived.Load() > int64(c.opts.receiveTimeout) {
+		case <-ticker.C:
+			if !c.handling.Load() && c.Silence() > c.opts.receiveTimeout {
 				c.Close("nothing received for " + c.opts.receiveTimeout.String())
 				return
 			}
-			if now.UnixNano()-c.lastSent.Load() < int64(c.opts.pingInterval) {
+			if c.opts.steady()-time.Duration(c.lastSent.Load()) < c.opts.pingInterval {
 				continue // a message sent within the interval replaces the ping
 			}
 			if c.Send(wire.KindPing, nil) != nil {
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -96,9 +96,12 @@
 	to := serve(t, hello("a", "f"), link.WithKeepalive(time.Hour, time.Hour))
 	start := time.Now()
 	var ahead atomic.Int64 // of the steady clock over the time of day
-	c, err := link.NewDialer(hello("b", "f"), link.WithKeepalive(5*time.Millisecond, time.Hour),
+	opened := make(chan *link.Conn, 1)
+	_, err := link.NewDialer(hello("b", "f"), link.WithKeepalive(5*time.Millisecond, time.Hour),
+		link.WithOpenHook(func(c *link.Conn) { opened <- c }),
 		link.WithSteadyClock(func() time.Duration { return time.Since(start) + time.Duration(ahead.Load()) })).Dial(t.Context(), to)
 	is.NoErr(err)
+	c := <-opened
 	ahead.Store(int64(2 * time.Hour))
 	select {
 	case <-c.Done():
