Silent links to control are closed after 1.5 s

Cause: pings came every second, and a link was closed at the first tick of the ping timer more than 3 s after the last message: 3 to 4 s after the connections went silent. Opening others takes up to 0.3 s more. An entry must have a change 2.5 s after its acknowledgement once it has been undisturbed for 3 s.

Links to control, of entries and of other replicas, carry a message every 0.5 s, and are closed after three missed ones, at that moment and not at the next tick. The hello states the interval (field ping), since an earlier version may leave almost 2 s between two messages: links to it keep the 3 s.

Left out: refusing requests while no replica answers. Control may be out of reach for hours, and callers must be served then.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -192,6 +192,7 @@
 // run serves the link until it ends.
 func (c *Conn) run() {
 	c.markReceived()
+	c.lastSent.Store(c.lastReceived.Load())
 	c.opts.onOpen(c)
 	go c.writeLoop()
 	go c.keepAlive()
@@ -218,27 +219,33 @@
 	}
 }
 
-// keepAlive pings the peer and closes the link when nothing arrives within the
-// receive timeout.
+// keepAlive sends a ping when nothing was sent for the ping interval, and closes the
+// link when nothing arrives within the receive timeout.
 func (c *Conn) keepAlive() {
-	ticker := time.NewTicker(c.opts.pingInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(c.opts.pingInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-c.done:
 			return
-		case <-ticker.C:
-			if !c.handling.Load() && c.Silence() > c.opts.receiveTimeout {
-				c.Close("nothing received for " + c.opts.receiveTimeout.String())
-				return
-			}
-			if c.opts.steady()-time.Duration(c.lastSent.Load()) < c.opts.pingInterval {
-				continue // a message sent within the interval replaces the ping
-			}
+		case <-timer.C:
+		}
+		silence := c.Silence()
+		if c.handling.Load() {
+			silence = 0 // the reader waits
+		}
+		if silence >= c.opts.receiveTimeout {
+			c.Close("nothing received for " + c.opts.receiveTimeout.String())
+			return
+		}
+		idle := c.opts.steady() - time.Duration(c.lastSent.Load())
+		if idle >= c.opts.pingInterval {
 			if c.Send(wire.KindPing, nil) != nil {
 				return
 			}
+			idle = 0
 		}
+		timer.Reset(min(c.opts.receiveTimeout-silence, c.opts.pingInterval-idle))
 	}
 }
 
--- a/core/link/hello.go
+++ b/core/link/hello.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	own := c.opts.hello()
-	own.Version = core.Version
+	own.Version, own.Ping = core.Version, controlPingInterval
 	data, err := encodeMessage(wire.KindHello, 0, false, own)
 	if err != nil {
 		return err
@@ -58,8 +58,22 @@
 	if !c.dialed {
 		use = c.peer.Use
 	}
+	c.setKeepalive(use)
+	return nil
+}
+
+// setKeepalive sets the keepalive times that apply to a use of the link. Peers of
+// earlier versions do not state their ping interval; for them the default remains.
+func (c *Conn) setKeepalive(use wire.Use) {
 	if interval, timeout, ok := c.opts.keepaliveByUse(use); ok {
 		c.opts.pingInterval, c.opts.receiveTimeout = interval, timeout
+		return
+	}
+	if use != wire.UseControl && use != wire.UseReplica {
+		return
+	}
+	c.opts.pingInterval = min(c.opts.pingInterval, controlPingInterval)
+	if c.peer.Ping > 0 {
+		c.opts.receiveTimeout = min(c.opts.receiveTimeout, missedPings*c.peer.Ping)
 	}
-	return nil
 }
--- a/core/link/options.go
+++ b/core/link/options.go
@@ -14,8 +14,12 @@
 	defaultPingInterval   = time.Second
 	defaultReceiveTimeout = 3 * time.Second // three pings; less closes links while a busy instance pauses
 	defaultQueueSize      = 1024            // messages
-	maxConcurrentCalls    = 256             // calls handled concurrently for one peer
-	writeTimeout          = 3 * time.Second
+	// controlPingInterval is the ping interval of links to control. A silent one must be
+	// noticed and replaced before a change of the configuration is due at the entry.
+	controlPingInterval = 500 * time.Millisecond
+	missedPings         = 3   // of a peer that states its interval, after which the link is closed
+	maxConcurrentCalls  = 256 // calls handled concurrently for one peer
+	writeTimeout        = 3 * time.Second
 )
 
 // Handler handles a message of a link. For a call, the result is sent as the
--- a/core/mesh/silence_test.go
+++ b/core/mesh/silence_test.go
@@ -11,8 +11,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/matryer/is"
 
+	"github.com/galenalock/galenalock/core"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/wire"
@@ -69,23 +71,34 @@
 	net.Conn
 	silent  <-chan struct{}
 	written chan []byte
+	done    chan struct{}
+	once    sync.Once
 }
 
 func newPipeEnd(c net.Conn, silent <-chan struct{}) *pipeEnd {
-	e := &pipeEnd{Conn: c, silent: silent, written: make(chan []byte, 1024)}
-	go func() {
-		for b := range e.written {
+	e := &pipeEnd{Conn: c, silent: silent, written: make(chan []byte, 1024), done: make(chan struct{})}
+	go e.forward()
+	return e
+}
+
+func (e *pipeEnd) forward() {
+	for {
+		select {
+		case b := <-e.written:
 			if _, err := e.Conn.Write(b); err != nil {
 				return
 			}
+		case <-e.done:
+			return
 		}
-	}()
-	return e
+	}
 }
 
 func (e *pipeEnd) Write(b []byte) (int, error) {
 	select {
 	case <-e.silent:
+	case <-e.done:
+		return 0, net.ErrClosed
 	default:
 		e.written <- bytes.Clone(b)
 	}
@@ -93,10 +106,7 @@
 }
 
 func (e *pipeEnd) Close() error {
-	select {
-	case e.written <- nil: // ends the goroutine after the next failed write
-	default:
-	}
+	e.once.Do(func() { close(e.done) })
 	return e.Conn.Close()
 }
 
@@ -130,6 +140,63 @@
 	return time.Since(silent)
 }
 
+// serveEarlierReplica serves a link as a replica of a version that does not state its
+// ping interval and leaves up to 1.9 s between two pings.
+func serveEarlierReplica(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer ws.CloseNow()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		for err := error(nil); err == nil; {
+			_, _, err = ws.Read(ctx)
+		}
+	}()
+	message := wire.Message{Kind: wire.KindHello}
+	message.Body, _ = wire.Encode(wire.Hello{Version: core.Version, Fleet: "f", Instance: "earlier"})
+	for ctx.Err() == nil {
+		data, _ := wire.Encode(message)
+		_ = ws.Write(ctx, websocket.MessageBinary, data)
+		select {
+		case <-time.After(1900 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		message = wire.Message{Kind: wire.KindPing}
+	}
+}
+
+// Guards against an entry that closes its links to replicas of an earlier version, which
+// send fewer pings, again and again.
+func TestLinkToEarlierReplicaStaysOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := newPipes()
+		ended := make(chan struct{})
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer close(ended)
+			serveEarlierReplica(w, r)
+		})}
+		go func() { _ = server.Serve(network) }()
+		links := make(chan *link.Conn, 1)
+		entry := mesh.New(
+			mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "entry", Fleet: "f"} }),
+			mesh.WithDial(network.dial),
+			mesh.WithControl(func(c *link.Conn, open bool) {
+				if open {
+					links <- c
+				}
+			}))
+		defer func() { entry.Close(); server.Close(); <-ended }()
+		entry.OpenControlLink(netip.MustParseAddrPort("127.0.0.1:1"), time.Second, func(err error) { t.Error(err) })
+		c := <-links
+		time.Sleep(9 * time.Second)
+		is.Equal(c.Reason(), "")
+	})
+}
+
 // Guards against an entry that does not hear of changes because its connections to
 // control have gone silent: 3 s after that, and 2.5 s after a change, it must have it.
 func TestSilentControlLinkIsReplacedInTime(t *testing.T) {
