The entry that took a request decides which service runs it

What callers saw: an entry that reaches no target passes requests on to one that does. The entries that took them had the newer one; the others had been cut off from control up to 4 s before.

Cause: the other entry matched the request again by its own configuration, on the assumption that it may be newer. It may be older as well. With several such entries, the requests at one entry were handled by one configuration and by the other in turn.

The entry that takes the request sends the service with it (field service of the header Galenalock-Relay). The other one uses it, and declines if it does not know the service; the request then goes to a further entry. An entry of an earlier version ignores the field and matches as before.

Left out: declining whenever the revisions differ. During each change, and for an entry that is cut off from control, all would decline.

--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -42,6 +42,9 @@
 	relayed         bool // another entry passed the request on
 	attemptsLeft    int  // of a relayed request, targets that may receive it
 	earlierAttempts int  // of a relayed request, attempts of the entry that passed it on
+	// chosenService is the service to which the entry that passed the request on assigns
+	// it, empty if that entry does not say.
+	chosenService string
 
 	printOnce  sync.Once
 	printValue poison.Print
--- a/entry/proxy/match.go
+++ b/entry/proxy/match.go
@@ -30,9 +30,10 @@
 		return notRunError(refuse.NoRoute, "")
 	}
 	c.route = route.Name
-	// The service of a split route is drawn once for each request, so that retries
-	// go to the same service.
-	service := text.Service(route.PickService(float64(c.proxy.hooks.Random()>>11) / (1 << 53)))
+	service := c.serviceOf(route)
+	if service == nil {
+		return notRunError(refuse.NoRoute, "this instance does not know the service "+c.chosenService)
+	}
 	c.uri = r.URL.RequestURI()
 	if route.StripPrefix && route.Prefix != "" {
 		path = ensureSlash(strings.TrimPrefix(path, route.Prefix))
@@ -53,6 +54,17 @@
 	return c.matchWorkspace(text)
 }
 
+// serviceOf returns the service of a request on a route, or nil if the entry that
+// passed it on chose one that is unknown here. The service of a split route is drawn
+// once for each request, so that retries go to the same service.
+func (c *call) serviceOf(route *spec.Route) *spec.Service {
+	text := c.request.View.Text
+	if c.chosenService != "" {
+		return text.Service(c.chosenService)
+	}
+	return text.Service(route.PickService(float64(c.proxy.hooks.Random()>>11) / (1 << 53)))
+}
+
 func (c *call) matchWorkspace(text *spec.Text) error {
 	header := c.proxy.dialect.Workspace
 	if header == "" {
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -42,19 +42,21 @@
 	c.attemptsLeft = max(1, atoi(fields["attempts"]))
 	c.earlierAttempts = max(0, atoi(fields["number"]))
 	c.atMostOnce = fields["repeat"] == "no"
+	c.chosenService = fields["service"]
 	r.Header.Del(headerRelay)
 	c.run()
 }
 
-// relayRequest returns the request that passes the call on to another entry. That
-// entry matches it again, since its configuration may be newer.
+// relayRequest returns the request that passes the call on to another entry. The
+// configuration of this entry decides which service runs it. That of the other one may
+// be older or newer.
 func (a *attempt) relayRequest(m *pool.Request) *pool.Request {
 	c := a.call
 	m.URI = c.r.URL.RequestURI()
 	if c.r.Method == http.MethodOptions && c.r.URL.Path == "*" {
 		m.URI = "*"
 	}
-	value := fmt.Sprintf("from=%s attempts=%d number=%d", c.proxy.owner, a.allowance, a.info.Number)
+	value := fmt.Sprintf("from=%s attempts=%d number=%d service=%s", c.proxy.owner, a.allowance, a.info.Number, c.request.Service.Name)
 	if c.atMostOnce {
 		value += " repeat=no"
 	}
