The control group measures ages by the steady clock

A leader took the age of the last replies of its followers, and of the running job of its disk, from nanoseconds of the time of day. After a step back it believed in a quorum for as long as the step, and did not notice a stalled disk. After a step ahead it stepped down, or handed leadership over.

Both now use the time since the start, which does not follow steps. Elsewhere its values identify starts and order stored times; entry/agent/pick.go spaces probes by it, which only the overlay uses.

--- a/core/group/disk.go
+++ b/core/group/disk.go
@@ -39,7 +39,8 @@
 	wake     chan struct{}
 	results  chan diskResult
 	syncs    atomic.Uint64
-	jobStart atomic.Int64 // start of the current job in Unix nanoseconds, 0 if none runs
+	created  time.Time
+	jobStart atomic.Int64 // start of the current job in nanoseconds since created, 0 if none runs
 	clock    func() time.Time
 	logger   *logrus.Entry
 
@@ -48,7 +49,7 @@
 }
 
 func newDisk(s *store.Store, clock func() time.Time, logger *logrus.Entry) *disk {
-	return &disk{store: s, clock: clock, logger: logger, wake: make(chan struct{}, 1), results: make(chan diskResult)}
+	return &disk{store: s, clock: clock, created: clock(), logger: logger, wake: make(chan struct{}, 1), results: make(chan diskResult)}
 }
 
 func (d *disk) enqueue(j diskJob) {
@@ -80,7 +81,7 @@
 		jobs := d.takeJobs()
 		for len(jobs) > 0 {
 			var result diskResult
-			d.jobStart.Store(d.clock().UnixNano())
+			d.jobStart.Store(d.sinceCreated(d.clock()))
 			result, jobs = d.executeWithRetry(jobs, stop)
 			d.jobStart.Store(0)
 			d.syncs.Store(d.store.Syncs())
@@ -99,9 +100,13 @@
 // stalled reports whether the current job has taken longer than limit.
 func (d *disk) stalled(now time.Time, limit time.Duration) bool {
 	since := d.jobStart.Load()
-	return since != 0 && now.UnixNano()-since > int64(limit)
+	return since != 0 && d.sinceCreated(now)-since > int64(limit)
 }
 
+// sinceCreated returns the nanoseconds from the creation of the disk to a time, at
+// least 1. It does not follow steps of the time of day.
+func (d *disk) sinceCreated(t time.Time) int64 { return max(1, int64(t.Sub(d.created))) }
+
 // executeWithRetry executes the first jobs and repeats them while the disk is
 // full. A snapshot that does not fit is skipped, because later jobs must not
 // wait for it.
--- a/core/raft/core.go
+++ b/core/raft/core.go
@@ -23,6 +23,7 @@
 // Core is the Raft state of one replica. It is not safe for concurrent use.
 type Core struct {
 	cfg         Config
+	started     time.Time
 	now         time.Time
 	term        uint64
 	vote        uint64
@@ -94,6 +95,7 @@
 	cfg.setDefaults()
 	c := &Core{
 		cfg:        cfg,
+		started:    now,
 		now:        now,
 		term:       cfg.Hard.Term,
 		vote:       cfg.Hard.Vote,
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -1,5 +1,7 @@
 package raft
 
+import "time"
+
 // appendLocal appends an entry to the leader's own log.
 func (c *Core) appendLocal(entry Entry) {
 	entry.Index, entry.Term = c.log.lastIndex()+1, c.term
@@ -251,15 +253,20 @@
 	}
 	quorumReply := c.members().quorumValue(func(id uint64) uint64 {
 		if id == c.cfg.ID {
-			return uint64(c.now.UnixNano())
+			return c.sinceStart(c.now)
 		}
 		if p := c.peers[id]; c.countsForQuorum(p) {
-			return uint64(p.lastReply.UnixNano())
+			return c.sinceStart(p.lastReply)
 		}
 		return 0
 	})
-	if age := c.now.UnixNano() - int64(quorumReply); quorumReply != 0 && age < c.now.Sub(c.confirmed).Nanoseconds() {
-		c.confirmed = c.now.Add(-toDuration(age))
+	age := toDuration(int64(c.sinceStart(c.now) - quorumReply))
+	if quorumReply != 0 && age < c.now.Sub(c.confirmed) {
+		c.confirmed = c.now.Add(-age)
 	}
 	c.releaseReads()
 }
+
+// sinceStart returns the nanoseconds from the start of the core to a time, at least 1.
+// It does not follow steps of the time of day.
+func (c *Core) sinceStart(t time.Time) uint64 { return uint64(max(1, t.Sub(c.started))) }
