A starting entry asks a further replica for the newest revision after 0.25 s

Cause: one confirmation was in flight at a time, at a replica that the clock picked. A replica that is cut off from the majority answers only after seconds.

The choice moves to update.Confirmer. An entry that is not ready asks the next linked replica if no answer has come within 0.25 s; one that is ready still asks one replica every 30 s (5 s without a registry).

--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -53,8 +53,7 @@
 	leaving        bool // the process is shutting down
 	lastReport     time.Time
 	reportDue      bool
-	lastConfirm    time.Time
-	confirming     bool
+	confirmer      *update.Confirmer
 	lastFleetCount time.Time
 	lastLagLog     time.Time
 	lastTick       time.Time
@@ -83,7 +82,7 @@
 		settings: s, hooks: hooks, log: log,
 		events:  make(chan event, eventQueueLength),
 		stopped: make(chan struct{}),
-		update:  update.New(s.Start),
+		update:  update.New(s.Start), confirmer: newConfirmer(&s),
 		gossip: gossip.New(
 			gossip.WithSelf(s.Instance, s.Start, gossip.Instance{
 				Role: "entry", Region: s.Region, DataCentre: s.DataCentre, Peer: s.Peer,
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"os"
 	"time"
 
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/update"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -108,28 +110,34 @@
 	}
 }
 
-// confirm asks a control replica which revision the majority of control holds.
-func (a *Agent) confirm(now time.Time) {
+// newConfirmer returns the confirmer of an entry with these settings.
+func newConfirmer(s *Settings) *update.Confirmer {
 	interval := confirmInterval
-	if a.registry != nil {
+	if len(s.ControlSeeds) > 0 {
 		interval = registryConfirmInterval
 	}
-	if !a.update.Ready(now) {
-		interval = unconfirmedInterval
-	}
+	return update.NewConfirmer(interval, update.WithFirst(rand.IntN(1<<16)))
+}
+
+// confirm asks a control replica which revision the majority of control holds.
+func (a *Agent) confirm(now time.Time) {
 	links := *a.controlLinks.Load()
-	if a.confirming || len(links) == 0 || now.Sub(a.lastConfirm) < interval {
+	names := make([]string, len(links))
+	for i, c := range links {
+		names[i] = c.Peer().Instance
+	}
+	position, ok := a.confirmer.Ask(now, a.update.Ready(now), names)
+	if !ok {
 		return
 	}
-	a.confirming, a.lastConfirm = true, now
-	c := links[int(now.UnixNano()/int64(time.Millisecond))%len(links)]
+	c := links[position]
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 		defer cancel()
 		var response wire.Confirmed
 		err := c.Call(ctx, wire.KindConfirm, wire.Confirm{}, &response)
 		a.post(func(now time.Time) {
-			a.confirming = false
+			a.confirmer.Answered(c.Peer().Instance)
 			if err != nil {
 				return
 			}
