Only entries that get the configuration from control ping every 0.5 s

An entry of an overlay hears of changes from its neighbours as well; a second ping a second on its three links to control would raise what it sends from 2,016 to 2,232 B/s (docs/CAPACITY.md, limit 2,048). Both sides state the interval that they keep (option WithControlPing), and the longer one applies; without both, the defaults do. Replicas and entries with seeds state 0.5 s.

--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -188,7 +188,7 @@
 	opts := []link.Option{
 		link.WithHello(d.hello), link.WithHandler(d.handleMessage),
 		link.WithOpenHook(d.linkOpened), link.WithCloseHook(d.linkClosed),
-		link.WithPanicHook(link.LogPanics(p.log)),
+		link.WithPanicHook(link.LogPanics(p.log)), link.WithControlPing(link.ControlPing),
 		link.WithByteCounter(func(direction string, n int) { linkBytes.Add(int64(n), direction) }),
 	}
 	serverOpts := []serve.Option{serve.WithErrorLog(connLog{p.log})}
--- a/core/link/hello.go
+++ b/core/link/hello.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	own := c.opts.hello()
-	own.Version, own.Ping = core.Version, controlPingInterval
+	own.Version, own.Ping = core.Version, c.opts.controlPing
 	data, err := encodeMessage(wire.KindHello, 0, false, own)
 	if err != nil {
 		return err
@@ -63,17 +63,15 @@
 }
 
 // setKeepalive sets the keepalive times that apply to a use of the link. Peers of
-// earlier versions do not state their ping interval; for them the default remains.
+// earlier versions do not state their ping interval.
 func (c *Conn) setKeepalive(use wire.Use) {
 	if interval, timeout, ok := c.opts.keepaliveByUse(use); ok {
 		c.opts.pingInterval, c.opts.receiveTimeout = interval, timeout
 		return
 	}
-	if use != wire.UseControl && use != wire.UseReplica {
-		return
-	}
-	c.opts.pingInterval = min(c.opts.pingInterval, controlPingInterval)
-	if c.peer.Ping > 0 {
-		c.opts.receiveTimeout = min(c.opts.receiveTimeout, missedPings*c.peer.Ping)
+	own, peer := c.opts.controlPing, c.peer.Ping
+	if (use == wire.UseControl || use == wire.UseReplica) && own > 0 && peer > 0 {
+		c.opts.pingInterval = max(own, peer)
+		c.opts.receiveTimeout = missedPings * c.opts.pingInterval
 	}
 }
--- a/core/link/options.go
+++ b/core/link/options.go
@@ -14,14 +14,15 @@
 	defaultPingInterval   = time.Second
 	defaultReceiveTimeout = 3 * time.Second // three pings; less closes links while a busy instance pauses
 	defaultQueueSize      = 1024            // messages
-	// controlPingInterval is the ping interval of links to control. A silent one must be
-	// noticed and replaced before a change of the configuration is due at the entry.
-	controlPingInterval = 500 * time.Millisecond
-	missedPings         = 3   // of a peer that states its interval, after which the link is closed
-	maxConcurrentCalls  = 256 // calls handled concurrently for one peer
-	writeTimeout        = 3 * time.Second
+	missedPings           = 3               // after which a link is closed whose sides state their interval
+	maxConcurrentCalls    = 256             // calls handled concurrently for one peer
+	writeTimeout          = 3 * time.Second
 )
 
+// ControlPing is the interval to state for links that bring the configuration. A silent
+// one must be noticed and replaced before a change is due at the entry.
+const ControlPing = 500 * time.Millisecond
+
 // Handler handles a message of a link. For a call, the result is sent as the
 // answer, and an error as a fault: a *wire.FaultError unchanged, any other error
 // with the code "failed". For a plain message the result is ignored, and an error
@@ -37,6 +38,7 @@
 	countBytes     func(direction string, bytes int)
 	pingInterval   time.Duration
 	receiveTimeout time.Duration
+	controlPing    time.Duration
 	keepaliveByUse func(use wire.Use) (interval, receiveTimeout time.Duration, ok bool)
 	queueSize      int
 	tls            *tls.Config
@@ -78,6 +80,13 @@
 	return func(o *options) { o.pingInterval, o.receiveTimeout = interval, receiveTimeout }
 }
 
+// WithControlPing states a ping interval for links of the uses control and replica. The
+// longer of the intervals that both sides state applies, and the link is closed after
+// three missed pings. If one side states none, the values of WithKeepalive apply.
+func WithControlPing(interval time.Duration) Option {
+	return func(o *options) { o.controlPing = interval }
+}
+
 // WithKeepaliveByUse sets a function that returns the ping interval and the
 // receive timeout for a use of a link. If ok is false, the values of
 // WithKeepalive apply.
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -78,6 +78,7 @@
 		link.WithTLS(m.opts.tls),
 		link.WithDial(m.opts.dial),
 		link.WithKeepaliveByUse(pingTimes),
+		link.WithControlPing(m.opts.controlPing),
 	}
 	if m.opts.handler != nil {
 		opts = append(opts, link.WithHandler(m.opts.handler))
--- a/core/mesh/options.go
+++ b/core/mesh/options.go
@@ -25,6 +25,7 @@
 	panicked     func(err *link.PanicError)
 	countBytes   func(direction string, bytes int)
 	pingInterval time.Duration
+	controlPing  time.Duration
 	tls          *tls.Config
 	dial         func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -76,6 +77,11 @@
 	return func(o *options) { o.pingInterval = interval }
 }
 
+// WithControlPing states a ping interval for links to control; see link.WithControlPing.
+func WithControlPing(interval time.Duration) Option {
+	return func(o *options) { o.controlPing = interval }
+}
+
 // WithTLS sets the TLS configuration of links that this process dials.
 func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
 
--- a/core/mesh/silence_test.go
+++ b/core/mesh/silence_test.go
@@ -115,11 +115,12 @@
 // open.
 func measureReplacement(t *testing.T, after time.Duration) time.Duration {
 	network := newPipes()
-	replica := mesh.New(mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "replica", Fleet: "f"} }))
+	replica := mesh.New(mesh.WithControlPing(link.ControlPing), mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "replica", Fleet: "f"} }))
 	server := &http.Server{Handler: replica.Handler()}
 	go func() { _ = server.Serve(network) }()
 	opened := make(chan *link.Conn, 2)
 	entry := mesh.New(
+		mesh.WithControlPing(link.ControlPing),
 		mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "entry", Fleet: "f"} }),
 		mesh.WithDial(network.dial),
 		mesh.WithControl(func(c *link.Conn, open bool) {
@@ -182,6 +183,7 @@
 		go func() { _ = server.Serve(network) }()
 		links := make(chan *link.Conn, 1)
 		entry := mesh.New(
+			mesh.WithControlPing(link.ControlPing),
 			mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "entry", Fleet: "f"} }),
 			mesh.WithDial(network.dial),
 			mesh.WithControl(func(c *link.Conn, open bool) {
--- a/core/wire/hello.go
+++ b/core/wire/hello.go
@@ -38,7 +38,7 @@
 	PeerAddress netip.AddrPort `cbor:"peer"`  // address of its peer listener
 	Start       time.Time      `cbor:"start"` // incarnation
 	Replica     uint64         `cbor:"replica,omitempty"`
-	// Ping is the longest time between two messages of the sender on links to control,
-	// 0 if the sender does not state it.
+	// Ping is the ping interval that the sender can keep on links to control, 0 if it does
+	// not state one. The longer one of both sides applies.
 	Ping time.Duration `cbor:"ping,omitempty"`
 }
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -113,6 +113,7 @@
 	a.path.tracker = s.Path
 	a.fleet.Store(&Fleet{})
 	a.mesh = hooks.OpenMesh(
+		mesh.WithControlPing(a.settings.controlPing()),
 		mesh.WithHello(a.settings.hello),
 		mesh.WithHandler(a.handle),
 		mesh.WithOverlay(a.overlayLinked, a.overlayUnlinked),
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -68,3 +68,12 @@
 
 // conns are the open links to control replicas, the preferred one first.
 type conns []*link.Conn
+
+// controlPing returns the ping interval to state on links to control. An entry without a
+// registry hears of changes from its neighbours as well and states none.
+func (s *Settings) controlPing() time.Duration {
+	if len(s.ControlSeeds) > 0 {
+		return link.ControlPing
+	}
+	return 0
+}
