--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -18,9 +18,6 @@
 	pullTimeout     = 2 * time.Second
 	confirmTimeout  = 2 * time.Second
 	confirmInterval = 5 * time.Second
-	// unconfirmedInterval is used while no confirmation by a majority is known. A
-	// round trip between regions takes 50 ms.
-	unconfirmedInterval = 100 * time.Millisecond
 )
 
 // restore installs the configuration stored by an earlier run.
