--- a/core/link/options.go
+++ b/core/link/options.go
@@ -14,7 +14,7 @@
 	defaultPingInterval   = time.Second
 	defaultReceiveTimeout = 3 * time.Second // three pings; less closes links while a busy instance pauses
 	defaultQueueSize      = 1024            // messages
-	missedPings           = 3               // after which a link is closed whose sides state their interval
+	missedPings           = 3               // that end a link of which both sides state their interval
 	maxConcurrentCalls    = 256             // calls handled concurrently for one peer
 	writeTimeout          = 3 * time.Second
 )
--- a/core/mesh/silence_test.go
+++ b/core/mesh/silence_test.go
@@ -110,6 +110,19 @@
 	return e.Conn.Close()
 }
 
+// newEntry returns the mesh of an entry that sends on each link to control that opens.
+func newEntry(network *pipes, opened chan<- *link.Conn) *mesh.Mesh {
+	return mesh.New(
+		mesh.WithControlPing(link.ControlPing),
+		mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "entry", Fleet: "f"} }),
+		mesh.WithDial(network.dial),
+		mesh.WithControl(func(c *link.Conn, open bool) {
+			if open {
+				opened <- c
+			}
+		}))
+}
+
 // measureReplacement links an entry to a control replica, lets all connections go
 // silent at a time after that and returns how long it takes until another link is
 // open.
@@ -119,15 +132,7 @@
 	server := &http.Server{Handler: replica.Handler()}
 	go func() { _ = server.Serve(network) }()
 	opened := make(chan *link.Conn, 2)
-	entry := mesh.New(
-		mesh.WithControlPing(link.ControlPing),
-		mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "entry", Fleet: "f"} }),
-		mesh.WithDial(network.dial),
-		mesh.WithControl(func(c *link.Conn, open bool) {
-			if open {
-				opened <- c
-			}
-		}))
+	entry := newEntry(network, opened)
 	defer func() { entry.Close(); replica.Close(); server.Close() }()
 	entry.KeepControlLink(netip.MustParseAddrPort("127.0.0.1:1"))
 	first := <-opened
@@ -182,15 +187,7 @@
 		})}
 		go func() { _ = server.Serve(network) }()
 		links := make(chan *link.Conn, 1)
-		entry := mesh.New(
-			mesh.WithControlPing(link.ControlPing),
-			mesh.WithHello(func() wire.Hello { return wire.Hello{Instance: "entry", Fleet: "f"} }),
-			mesh.WithDial(network.dial),
-			mesh.WithControl(func(c *link.Conn, open bool) {
-				if open {
-					links <- c
-				}
-			}))
+		entry := newEntry(network, links)
 		defer func() { entry.Close(); server.Close(); <-ended }()
 		entry.OpenControlLink(netip.MustParseAddrPort("127.0.0.1:1"), time.Second, func(err error) { t.Error(err) })
 		c := <-links
