Read again: one question whether an entry has a registry, a set of the project

Three places asked for seeds of control to tell whether the configuration comes from control only; Settings.hasRegistry answers all of them. The confirmer uses value.Set. Behaviour is unchanged.

--- a/core/update/confirmer.go
+++ b/core/update/confirmer.go
@@ -1,6 +1,10 @@
 package update
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenalock/galenalock/core/value"
+)
 
 const (
 	// unconfirmedInterval is the interval of calls until the first confirmation. A round
@@ -19,7 +23,7 @@
 	hedgeDelay time.Duration
 	next       int // position in the list of the replica to ask next
 	last       time.Time
-	pending    map[string]bool // replicas that have not answered
+	pending    value.Set[string] // replicas that have not answered
 }
 
 // ConfirmerOption configures a Confirmer.
@@ -37,7 +41,7 @@
 
 // NewConfirmer returns a Confirmer for a ready instance that asks at the given interval.
 func NewConfirmer(interval time.Duration, opts ...ConfirmerOption) *Confirmer {
-	c := &Confirmer{interval: interval, hedgeDelay: confirmHedgeDelay, pending: map[string]bool{}}
+	c := &Confirmer{interval: interval, hedgeDelay: confirmHedgeDelay, pending: value.NewSet[string]()}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -52,8 +56,9 @@
 	}
 	for i := range replicas {
 		position := (c.next + i) % len(replicas)
-		if name := replicas[position]; !c.pending[name] {
-			c.pending[name], c.last, c.next = true, now, position+1
+		if name := replicas[position]; !c.pending.Has(name) {
+			c.pending.Add(name)
+			c.last, c.next = now, position+1
 			return position, true
 		}
 	}
@@ -61,7 +66,7 @@
 }
 
 // Answered records that a replica has answered, or that the call to it has failed.
-func (c *Confirmer) Answered(replica string) { delete(c.pending, replica) }
+func (c *Confirmer) Answered(replica string) { c.pending.Remove(replica) }
 
 func (c *Confirmer) wait(ready bool) time.Duration {
 	switch {
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -103,7 +103,7 @@
 	if a.hooks.Connect == nil {
 		a.hooks.Connect = connect
 	}
-	if len(s.ControlSeeds) > 0 {
+	if s.hasRegistry() {
 		a.registry = newRegistry(&s)
 		a.update = update.New(s.Start, update.WithControlOnly())
 	}
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -110,7 +110,7 @@
 // newConfirmer returns the confirmer of an entry with these settings.
 func newConfirmer(s *Settings) *update.Confirmer {
 	interval := confirmInterval
-	if len(s.ControlSeeds) > 0 {
+	if s.hasRegistry() {
 		interval = registryConfirmInterval
 	}
 	return update.NewConfirmer(interval, update.WithFirst(rand.IntN(1<<16)))
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -69,10 +69,14 @@
 // conns are the open links to control replicas, the preferred one first.
 type conns []*link.Conn
 
+// hasRegistry reports whether the entry receives its targets and its configuration from
+// control only.
+func (s *Settings) hasRegistry() bool { return len(s.ControlSeeds) > 0 }
+
 // controlPing returns the ping interval to state on links to control. An entry without a
 // registry hears of changes from its neighbours as well and states none.
 func (s *Settings) controlPing() time.Duration {
-	if len(s.ControlSeeds) > 0 {
+	if s.hasRegistry() {
 		return link.ControlPing
 	}
 	return 0
