--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -121,6 +121,7 @@
 	}
 	tasks.start("links", func() error { d.maintainLinks(inner); return nil })
 	tasks.start("periodic", func() error { d.runPeriodic(inner); return nil })
+	tasks.start("load", func() error { d.watchLoad(inner); return nil })
 	tasks.start("registry", func() error { d.registry.run(inner); return nil })
 	if len(d.settings.Seeds) > 0 {
 		tasks.start("membership", func() error { d.maintainMembership(inner); return nil })
--- a/control/relay/links.go
+++ b/control/relay/links.go
@@ -71,6 +71,17 @@
 	return nil
 }
 
+// All returns every link to another replica.
+func (l *Links) All() []*link.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*link.Conn
+	for _, conns := range l.conns {
+		out = append(out, conns...)
+	}
+	return out
+}
+
 // Peers returns the hello message of each linked replica.
 func (l *Links) Peers() []wire.Hello {
 	l.mu.Lock()
--- a/core/group/status.go
+++ b/core/group/status.go
@@ -18,6 +18,8 @@
 	Members   raft.Members  // latest membership, committed or not
 	Peers     []raft.Peer   // progress of the other members, known to the leader only
 	Syncs     uint64        // log syncs since the store was opened
+	Inbox     int           // received messages that wait to be processed
+	Reads     int           // reads that wait for a quorum or for entries to be applied
 }
 
 // Status returns the state of the replica after the last processed event.
@@ -30,6 +32,7 @@
 	}
 	s.Staleness = max(0, g.clock().Sub(since))
 	s.Syncs = g.disk.syncs.Load()
+	s.Inbox = len(g.inbox)
 	return s
 }
 
@@ -46,6 +49,7 @@
 		status: Status{
 			ID: s.ID, Leader: s.Leader, Term: s.Term, Commit: s.Commit,
 			Applied: g.applied, Role: s.Role, Members: s.Members, Peers: s.Peers,
+			Reads: len(g.reads) + len(g.readyReads),
 		},
 		confirmed: s.Confirmed,
 	})
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -34,7 +34,7 @@
 	reason       atomic.Pointer[string]
 	lastReceived atomic.Int64 // steady time of the last message received, in nanoseconds
 	lastSent     atomic.Int64 // steady time of the last message written, in nanoseconds
-	handling     atomic.Bool  // the reader waits for a handler
+	handling     atomic.Int64 // steady time since which the reader waits for a handler, in nanoseconds, 0 if it does not
 	callSlots    chan struct{}
 
 	mu       sync.Mutex
@@ -85,6 +85,22 @@
 	return c.opts.steady() - time.Duration(c.lastReceived.Load())
 }
 
+// Load is the work that waits on a link.
+type Load struct {
+	Calls   int           // calls of the peer that are being handled
+	Queue   int           // messages to send
+	Blocked time.Duration // how long the reader has been waiting for a handler
+}
+
+// Load returns the work that waits on the link.
+func (c *Conn) Load() Load {
+	l := Load{Calls: len(c.callSlots), Queue: len(c.sendQueue)}
+	if since := c.handling.Load(); since != 0 {
+		l.Blocked = c.opts.steady() - time.Duration(since)
+	}
+	return l
+}
+
 func (c *Conn) markReceived() { c.lastReceived.Store(int64(c.opts.steady())) }
 
 // Close ends the link. Only the first call has an effect; its reason is kept.
@@ -231,7 +247,7 @@
 		case <-timer.C:
 		}
 		silence := c.Silence()
-		if c.handling.Load() {
+		if c.handling.Load() != 0 {
 			silence = 0 // the reader waits
 		}
 		if silence >= c.opts.receiveTimeout {
@@ -264,10 +280,10 @@
 			return
 		}
 		// While a handler blocks the reader, nothing can arrive from the peer.
-		c.handling.Store(true)
+		c.handling.Store(max(1, c.lastReceived.Load()))
 		more := c.dispatch(m)
 		c.markReceived()
-		c.handling.Store(false)
+		c.handling.Store(0)
 		if !more {
 			return
 		}
