Calls that wait no longer block the messages of a link

Cause: the reader of a link stopped while 256 calls of the peer were being handled. A follower sent the leader more than 256 confirmations, which the leader answers once an entry of its term is committed. The replies of the follower that commit it came behind the calls on the same link. The leader stepped down after 1 s, and the next one did the same.

Change: calls beyond the 256 wait in a queue of the link, up to 1,024 calls and 4 MiB. Further ones are answered with the fault busy at once. They have not been handled, so a forwarded command counts as not proposed. Raising the limit alone keeps the circle and has no bound.

Evidence: TestWaitingCallsDoNotBlockMessages fails on the code before (the message is not read within 10 s), TestExcessCallsAreRefusedAtOnce does not end there.

--- /dev/null
+++ b/core/link/calls_test.go
@@ -0,0 +1,72 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+// callUnanswered sends a call without waiting for its answer.
+func callUnanswered(t *testing.T, c *link.Conn) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := c.Call(ctx, wire.KindConfirm, nil, nil); !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+}
+
+// dialBlocked links to a peer whose calls end when it receives a plain message.
+func dialBlocked(t *testing.T) (c *link.Conn, received chan struct{}) {
+	t.Helper()
+	received = make(chan struct{})
+	to := serve(t, hello("a", "f"), link.WithHandler(func(_ *link.Conn, m wire.Message) (any, error) {
+		if m.Kind == wire.KindRaft {
+			close(received)
+			return nil, nil
+		}
+		<-received
+		return wire.Confirmed{}, nil
+	}))
+	c, err := link.NewDialer(hello("b", "f"), link.WithQueueSize(1<<12)).Dial(t.Context(), to)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { c.Close("test over") })
+	return c, received
+}
+
+// Guards against calls that block the message that they wait for.
+func TestWaitingCallsDoNotBlockMessages(t *testing.T) {
+	is := is.New(t)
+	c, received := dialBlocked(t)
+	for range 1000 {
+		callUnanswered(t, c)
+	}
+	is.NoErr(c.Send(wire.KindRaft, nil))
+	select {
+	case <-received:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the message was not read while calls were being handled")
+	}
+	is.NoErr(c.Call(t.Context(), wire.KindConfirm, nil, nil))
+}
+
+// Guards against a queue of calls without a limit, and against a refused call that is
+// answered late.
+func TestExcessCallsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c, received := dialBlocked(t)
+	for range 256 + 1024 {
+		callUnanswered(t, c)
+	}
+	var fault *wire.FaultError
+	is.True(errors.As(c.Call(t.Context(), wire.KindConfirm, nil, nil), &fault))
+	is.Equal(fault.Code, "busy")
+	is.NoErr(c.Send(wire.KindRaft, nil))
+	<-received
+}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -35,7 +35,7 @@
 	lastReceived atomic.Int64 // steady time of the last message received, in nanoseconds
 	lastSent     atomic.Int64 // steady time of the last message written, in nanoseconds
 	handling     atomic.Int64 // steady time since which the reader waits for a handler, in nanoseconds, 0 if it does not
-	callSlots    chan struct{}
+	calls        callQueue
 
 	mu       sync.Mutex
 	lastCall uint64
@@ -48,7 +48,6 @@
 		opts: o, ws: ws, dialed: dialed,
 		sendQueue: make(chan []byte, o.queueSize),
 		done:      make(chan struct{}),
-		callSlots: make(chan struct{}, maxConcurrentCalls),
 		pending:   map[uint64]chan wire.Message{},
 	}
 }
@@ -87,14 +86,14 @@
 
 // Load is the work that waits on a link.
 type Load struct {
-	Calls   int           // calls of the peer that are being handled
+	Calls   int           // calls of the peer that are being handled or wait for it
 	Queue   int           // messages to send
 	Blocked time.Duration // how long the reader has been waiting for a handler
 }
 
 // Load returns the work that waits on the link.
 func (c *Conn) Load() Load {
-	l := Load{Calls: len(c.callSlots), Queue: len(c.sendQueue)}
+	l := Load{Calls: c.calls.len(), Queue: len(c.sendQueue)}
 	if since := c.handling.Load(); since != 0 {
 		l.Blocked = c.opts.steady() - time.Duration(since)
 	}
@@ -325,15 +324,19 @@
 		}
 		return true
 	}
-	select {
-	case c.callSlots <- struct{}{}:
-		go func() {
-			defer func() { <-c.callSlots }()
-			c.handleCall(m)
-		}()
-		return true
-	case <-c.done:
-		return false
+	switch c.calls.add(m) {
+	case callStarts:
+		go c.handleCalls(m)
+	case callRefused:
+		c.answer(m, wire.KindFault, &wire.FaultError{Code: "busy", Detail: "too many calls wait on the link"})
+	}
+	return true
+}
+
+// handleCalls handles a call and those that wait behind it.
+func (c *Conn) handleCalls(m wire.Message) {
+	for ok := true; ok; m, ok = c.calls.next(c.Ended()) {
+		c.handleCall(m)
 	}
 }
 
@@ -347,6 +350,11 @@
 		}
 		kind, body = wire.KindFault, fault
 	}
+	c.answer(m, kind, body)
+}
+
+// answer sends the answer to a call.
+func (c *Conn) answer(m wire.Message, kind wire.Kind, body any) {
 	data, err := encodeMessage(kind, m.Call, true, body)
 	if err != nil {
 		c.Close(err.Error())
--- a/core/link/options.go
+++ b/core/link/options.go
@@ -16,6 +16,8 @@
 	defaultQueueSize      = 1024            // messages
 	missedPings           = 3               // that end a link of which both sides state their interval
 	maxConcurrentCalls    = 256             // calls handled concurrently for one peer
+	maxWaitingCalls       = 1024            // further calls of one peer that wait to be handled
+	maxWaitingBytes       = 4 << 20         // bytes of the calls of one peer that wait
 	writeTimeout          = 3 * time.Second
 )
 
