Confirmations of entries share one attempt of their replica

Each call of an entry that waits for a confirmed revision was a loop of its own on its replica, which asked the leader again every 20 ms and went on after the entry had given up. At a start 443 entries with up to three calls each did so at once, and each read of the leader started a round of heartbeats to all followers.

Change: the callers that wait on a replica share one attempt at a time. An attempt serves those that arrived before it started, since what it confirms may be older than a later call. It ends when the replica learns of another leader, and the next one starts at once; core/group has a hook for that. Attempts end when nobody waits, and callers are refused at once when the replica stops.

--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/group"
-	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -40,14 +39,21 @@
 	replica LocalReplica
 	links   *Links
 	clock   func() time.Time
+	confirm *confirmations
 }
 
 // New returns a relay for the local replica. It uses links to reach the leader and
 // clock for the time of commands.
 func New(local LocalReplica, links *Links, clock func() time.Time) *Relay {
-	return &Relay{replica: local, links: links, clock: clock}
+	r := &Relay{replica: local, links: links, clock: clock}
+	r.confirm = newConfirmations(r.confirmOnce)
+	return r
 }
 
+// LeaderChanged notifies the relay that the local replica has learned of another
+// leader or has lost its leader. It does not block.
+func (r *Relay) LeaderChanged() { r.confirm.restart() }
+
 // Propose sets the time of a command, proposes it to the leader and returns its
 // result. It retries until ctx ends, unless the error is permanent. A command
 // whose outcome is unknown or whose result cannot be decoded is retried too,
@@ -211,55 +217,6 @@
 	return wire.Proposed{Result: response}, toFault(err)
 }
 
-// ServeConfirm handles a Confirm forwarded by another replica.
-func (r *Relay) ServeConfirm(ctx context.Context) (wire.Confirmed, error) {
-	confirmed, err := r.confirmLocal(ctx)
-	return confirmed, toFault(err)
-}
-
-func (r *Relay) confirmLocal(ctx context.Context) (wire.Confirmed, error) {
-	if err := fromGroupError(r.replica.Read(ctx)); err != nil {
-		return wire.Confirmed{}, err
-	}
-	newest := r.replica.View().Newest()
-	return wire.Confirmed{Number: newest.Number, Checksum: newest.Sum}, nil
-}
-
-// Confirm returns the newest revision accepted before the call, as confirmed by a
-// majority. It retries until ctx ends; its error is a *NoQuorumError.
-func (r *Relay) Confirm(ctx context.Context) (wire.Confirmed, error) {
-	for {
-		confirmed, err := r.confirmOnce(ctx)
-		if err == nil {
-			return confirmed, nil
-		}
-		select {
-		case <-time.After(retryInterval):
-		case <-ctx.Done():
-			return confirmed, &NoQuorumError{Reason: err.Error()}
-		}
-	}
-}
-
-func (r *Relay) confirmOnce(ctx context.Context) (wire.Confirmed, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	confirmed, err := r.confirmLocal(ctx)
-	var notLeader *notLeaderError
-	if !errors.As(err, &notLeader) {
-		return confirmed, err
-	}
-	var c *link.Conn
-	if notLeader.leader != 0 {
-		c = r.links.Get(notLeader.leader)
-	}
-	if c == nil {
-		return confirmed, err
-	}
-	err = c.Call(ctx, wire.KindConfirm, wire.Confirm{}, &confirmed)
-	return confirmed, err
-}
-
 // CatchUp waits until the local state contains every revision that was accepted
 // before the call. Its error is a *NoQuorumError.
 func (r *Relay) CatchUp(ctx context.Context) error {
--- a/core/group/option.go
+++ b/core/group/option.go
@@ -27,6 +27,7 @@
 	machine           Machine
 	peers             map[uint64]netip.AddrPort
 	send              func(to uint64, message []byte)
+	onLeaderChange    func()
 	found             bool
 	logger            *logrus.Entry
 	clock             func() time.Time
@@ -43,6 +44,7 @@
 	logger.SetOutput(io.Discard)
 	return settings{
 		send:              func(uint64, []byte) {},
+		onLeaderChange:    func() {},
 		logger:            logrus.NewEntry(logger),
 		clock:             time.Now,
 		files:             store.OS(),
@@ -77,6 +79,11 @@
 	return func(s *settings) { s.send = send }
 }
 
+// WithLeaderHook sets a function that is called when this replica learns of another
+// leader or term, or loses its leader. Status already shows the change. The function
+// must not block.
+func WithLeaderHook(f func()) Option { return func(s *settings) { s.onLeaderChange = f } }
+
 // WithFound lets a replica with an empty data directory found a group of its
 // peers. It has no effect on a directory that is in use. Turn it off after the
 // first start: a founder that lost its disk while the option is on recovers
--- a/core/group/status.go
+++ b/core/group/status.go
@@ -45,7 +45,7 @@
 
 func (g *Group) publishStatus() {
 	s := g.core.Status()
-	g.view.Store(&statusView{
+	previous := g.view.Swap(&statusView{
 		status: Status{
 			ID: s.ID, Leader: s.Leader, Term: s.Term, Commit: s.Commit,
 			Applied: g.applied, Role: s.Role, Members: s.Members, Peers: s.Peers,
@@ -53,4 +53,7 @@
 		},
 		confirmed: s.Confirmed,
 	})
+	if previous == nil || previous.status.Leader != s.Leader || previous.status.Term != s.Term {
+		g.onLeaderChange()
+	}
 }
