Commands that wait for the leader take turns

Each announcement of one of 720 targets, and each other command, was a loop of its own that tried the leader every 20 ms while there was none or while the group was forming, and each try of a follower was a call to the leader.

Change: control/turns decides when the callers of a replica may try. While attempts fail, one caller tries every 20 ms; after a success all may, 128 at a time, in the order in which they came. When the replica learns of another leader one tries at once, and attempts that hang at the former one no longer count. Callers beyond 4,096 are refused at once. A caller that gives up tells nothing about the leader and does not close the line.

A window without the order of arrival was left out: with 720 callers the last ones would wait past their deadline again and again.

--- a/control/daemon/load.go
+++ b/control/daemon/load.go
@@ -31,6 +31,7 @@
 	queue   int           // messages to one replica that are not sent
 	inbox   int           // messages of the group that are not processed
 	reads   int           // reads that wait for a quorum
+	waiting int           // commands that wait to be proposed
 }
 
 // watchLoad logs the work that waits while it delays the control group, or while
@@ -48,6 +49,7 @@
 			lastLeader = now
 		}
 		largest.inbox, largest.reads = max(largest.inbox, status.Inbox), max(largest.reads, status.Reads)
+		largest.waiting = max(largest.waiting, d.parts.relay.Waiting())
 		for _, c := range d.parts.links.All() {
 			l := c.Load()
 			largest.calls, largest.queue = max(largest.calls, l.Calls), max(largest.queue, l.Queue)
@@ -61,7 +63,7 @@
 		}
 		d.parts.log.WithFields(map[string]any{
 			"late": largest.late.String(), "blocked": largest.blocked.String(), "peer": largest.peer,
-			"calls": largest.calls, "queue": largest.queue, "inbox": largest.inbox, "reads": largest.reads,
+			"calls": largest.calls, "queue": largest.queue, "inbox": largest.inbox, "reads": largest.reads, "waiting": largest.waiting,
 			"leaderless": (now - lastLeader).String(), "staleness": status.Staleness.String(),
 		}).Warn("messages of the control group are delayed")
 		lastLog, largest = now, loadSample{}
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/galenalock/galenalock/control/turns"
 	"github.com/galenalock/galenalock/core/group"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
@@ -14,7 +15,7 @@
 const (
 	// retryInterval is the pause between attempts. It is short against an
 	// election, which takes a second or more.
-	retryInterval = 20 * time.Millisecond
+	retryInterval = turns.DefaultInterval
 	// attemptTimeout limits one attempt, so that a leader that has gone silent
 	// does not use up the caller's whole deadline.
 	attemptTimeout = 2 * time.Second
@@ -40,58 +41,77 @@
 	links   *Links
 	clock   func() time.Time
 	confirm *confirmations
+	line    *line
 }
 
 // New returns a relay for the local replica. It uses links to reach the leader and
 // clock for the time of commands.
 func New(local LocalReplica, links *Links, clock func() time.Time) *Relay {
-	r := &Relay{replica: local, links: links, clock: clock}
+	r := &Relay{replica: local, links: links, clock: clock, line: newLine()}
 	r.confirm = newConfirmations(r.confirmOnce)
 	return r
 }
 
 // LeaderChanged notifies the relay that the local replica has learned of another
 // leader or has lost its leader. It does not block.
-func (r *Relay) LeaderChanged() { r.confirm.restart() }
+func (r *Relay) LeaderChanged() {
+	r.confirm.restart()
+	r.line.reset()
+}
 
 // Propose sets the time of a command, proposes it to the leader and returns its
 // result. It retries until ctx ends, unless the error is permanent. A command
 // whose outcome is unknown or whose result cannot be decoded is retried too,
 // unless it is a grant: all others give the same result when they are applied
-// again. The errors are *UnknownError, *NoQuorumError, *StoppedError, *SizeError
-// and *MalformedError.
+// again. While attempts fail, the callers of a replica try one at a time. The errors
+// are *UnknownError, *NoQuorumError, *StoppedError, *SizeError and *MalformedError.
 func (r *Relay) Propose(ctx context.Context, c state.Command) (state.Result, error) {
 	maybeApplied := false
+	fail := func(result state.Result, err error) (state.Result, error) {
+		if maybeApplied {
+			return result, &UnknownError{Reason: err.Error()}
+		}
+		return result, err
+	}
+	turn, err := r.line.join()
+	if err != nil {
+		return state.Result{}, err
+	}
 	for {
+		if err := r.line.wait(ctx, turn); err != nil {
+			return fail(state.Result{}, err)
+		}
 		result, err := r.proposeOnce(ctx, c)
 		var unknown *UnknownError
 		switch {
 		case err == nil && result.Fault != "":
+			r.line.succeed(turn)
 			return result, &MalformedError{Reason: result.Fault}
 		case err == nil:
+			r.line.succeed(turn)
 			return result, nil
+		case isPermanent(err):
+			r.line.leave(turn)
+			return fail(result, err)
 		case errors.As(err, &unknown):
 			if c.Grant != nil {
+				r.line.leave(turn)
 				return result, err
 			}
 			maybeApplied = true
-		case isPermanent(err):
-			if maybeApplied {
-				return result, &UnknownError{Reason: err.Error()}
-			}
-			return result, err
 		}
-		select {
-		case <-time.After(retryInterval):
-		case <-ctx.Done():
-			if maybeApplied {
-				return result, &UnknownError{Reason: err.Error()}
-			}
-			return result, &NoQuorumError{Reason: err.Error()}
+		if ctx.Err() != nil {
+			// That the caller gave up tells nothing about the leader.
+			r.line.leave(turn)
+			return fail(result, &NoQuorumError{Reason: err.Error()})
 		}
+		r.line.fail(turn, err)
 	}
 }
 
+// Waiting returns the number of commands that wait for their turn to be proposed.
+func (r *Relay) Waiting() int { return r.line.waiting() }
+
 // isPermanent reports whether every further attempt would fail in the same way.
 func isPermanent(err error) bool {
 	var tooLarge *SizeError
