Messages of the control group are sent before others of a link

A vote, a heartbeat or a reply of a replica waited behind all answers, reports and notices in the queue of a link. They have a queue of their own now, which the writer empties first.

TestUrgentMessagesAreSentFirst fails when the message is sent as before.

--- a/control/relay/links.go
+++ b/control/relay/links.go
@@ -52,7 +52,7 @@
 // dropped, which Raft tolerates.
 func (l *Links) SendRaft(to uint64, message []byte) {
 	if c := l.Get(to); c != nil {
-		_ = c.Send(wire.KindRaft, message) // a failed send closes the link
+		_ = c.SendUrgent(wire.KindRaft, message) // a failed send closes the link
 	}
 }
 
--- a/core/link/calls_test.go
+++ b/core/link/calls_test.go
@@ -70,3 +70,32 @@
 	is.NoErr(c.Send(wire.KindRaft, nil))
 	<-received
 }
+
+// Guards against urgent messages that wait behind others.
+func TestUrgentMessagesAreSentFirst(t *testing.T) {
+	const bulk, size = 64, 1 << 20 // more than the buffers of a connection hold
+	is := is.New(t)
+	begin := make(chan struct{})
+	kinds := make(chan wire.Kind, bulk+1)
+	to := serve(t, hello("a", "f"), link.WithHandler(func(_ *link.Conn, m wire.Message) (any, error) {
+		<-begin
+		kinds <- m.Kind
+		return nil, nil
+	}))
+	c, err := link.NewDialer(hello("b", "f")).Dial(t.Context(), to)
+	is.NoErr(err)
+	defer c.Close("test over")
+	for range bulk {
+		is.NoErr(c.Send(wire.KindGossip, make([]byte, size)))
+	}
+	is.NoErr(c.SendUrgent(wire.KindRaft, nil))
+	close(begin)
+	position := 0
+	for range bulk + 1 {
+		if kind := <-kinds; kind == wire.KindRaft {
+			break
+		}
+		position++
+	}
+	is.True(position < bulk)
+}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -29,6 +29,7 @@
 	dialed bool
 
 	sendQueue    chan []byte
+	urgentQueue  chan []byte // is sent before sendQueue
 	done         chan struct{}
 	closeOnce    sync.Once
 	reason       atomic.Pointer[string]
@@ -46,9 +47,10 @@
 	ws.SetReadLimit(wire.MaxMessage)
 	return &Conn{
 		opts: o, ws: ws, dialed: dialed,
-		sendQueue: make(chan []byte, o.queueSize),
-		done:      make(chan struct{}),
-		pending:   map[uint64]chan wire.Message{},
+		sendQueue:   make(chan []byte, o.queueSize),
+		urgentQueue: make(chan []byte, o.queueSize),
+		done:        make(chan struct{}),
+		pending:     map[uint64]chan wire.Message{},
 	}
 }
 
@@ -93,7 +95,7 @@
 
 // Load returns the work that waits on the link.
 func (c *Conn) Load() Load {
-	l := Load{Calls: c.calls.len(), Queue: len(c.sendQueue)}
+	l := Load{Calls: c.calls.len(), Queue: len(c.sendQueue) + len(c.urgentQueue)}
 	if since := c.handling.Load(); since != 0 {
 		l.Blocked = c.opts.steady() - time.Duration(since)
 	}
@@ -123,6 +125,16 @@
 	return c.enqueue(data)
 }
 
+// SendUrgent is like Send for a message that is sent before those that wait. It keeps
+// its order among urgent messages only.
+func (c *Conn) SendUrgent(kind wire.Kind, body any) error {
+	data, err := encodeMessage(kind, 0, false, body)
+	if err != nil {
+		return err
+	}
+	return c.enqueueTo(c.urgentQueue, data)
+}
+
 // Encoded is an encoded message without an answer. It can be sent on many links.
 type Encoded []byte
 
@@ -179,12 +191,14 @@
 	return wire.Decode(m.Body, answer)
 }
 
-func (c *Conn) enqueue(data []byte) error {
+func (c *Conn) enqueue(data []byte) error { return c.enqueueTo(c.sendQueue, data) }
+
+func (c *Conn) enqueueTo(queue chan<- []byte, data []byte) error {
 	if c.Ended() {
 		return &ClosedError{Reason: c.Reason()}
 	}
 	select {
-	case c.sendQueue <- data:
+	case queue <- data:
 		return nil
 	default:
 		c.Close("send queue is full")
@@ -217,20 +231,36 @@
 
 func (c *Conn) writeLoop() {
 	for {
-		select {
-		case <-c.done:
+		data, ok := c.nextToSend()
+		if !ok {
 			return
-		case data := <-c.sendQueue:
-			ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-			err := c.ws.Write(ctx, websocket.MessageBinary, data)
-			cancel()
-			if err != nil {
-				c.Close("write: " + err.Error())
-				return
-			}
-			c.lastSent.Store(int64(c.opts.steady()))
-			c.opts.countBytes("out", len(data))
 		}
+		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+		err := c.ws.Write(ctx, websocket.MessageBinary, data)
+		cancel()
+		if err != nil {
+			c.Close("write: " + err.Error())
+			return
+		}
+		c.lastSent.Store(int64(c.opts.steady()))
+		c.opts.countBytes("out", len(data))
+	}
+}
+
+// nextToSend waits for a message to send. It returns false once the link has ended.
+func (c *Conn) nextToSend() ([]byte, bool) {
+	select {
+	case data := <-c.urgentQueue:
+		return data, true
+	default:
+	}
+	select {
+	case <-c.done:
+		return nil, false
+	case data := <-c.urgentQueue:
+		return data, true
+	case data := <-c.sendQueue:
+		return data, true
 	}
 }
 
