The list of instances is published once in 0.1 s, not with each report

Each report and each link that opened or closed sorted and copied the list of all instances: 0.16 ms with 443 of them and 0.33 ms with 1,000, in the goroutine that also opens the links of other replicas.

The list is published by the tick of 0.1 s if it has changed.

--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -98,6 +98,7 @@
 	revisions         delta.RevisionStore
 	sessions          map[*link.Conn]*session
 	instances         map[string]*Instance
+	instancesChanged  bool // since they were published
 	relayedReports    map[string]relayedReport
 	sentOrders        []byte // encoding of the last orders, with the expiry of leases instead of their remaining time
 	observedLeases    map[leaseKey]observedLease
@@ -214,8 +215,8 @@
 	}
 }
 
-// Instances returns the known instances, sorted by name. It is safe for
-// concurrent use.
+// Instances returns the known instances, sorted by name, as they were at most
+// decisionInterval ago. It is safe for concurrent use.
 func (f *Fleet) Instances() []Instance { return *f.published.Load() }
 
 // LinkOpened registers a new link. An entry receives the digest of the newest
@@ -230,7 +231,7 @@
 			i.Role, i.Region, i.DataCentre, i.Peer = p.Role, p.Region, p.DataCentre, p.PeerAddress
 			i.LastSeen = f.Clock()
 		}
-		f.publishInstances()
+		f.instancesChanged = true
 		if p.Role != wire.RoleEntry {
 			// Reports relayed before the link was opened did not reach this replica.
 			for _, known := range f.relayedReports {
@@ -250,7 +251,7 @@
 func (f *Fleet) LinkClosed(c *link.Conn) {
 	f.post(func() {
 		delete(f.sessions, c)
-		f.publishInstances()
+		f.instancesChanged = true
 	})
 }
 
@@ -270,7 +271,7 @@
 			f.relayedReports[r.Instance] = relayedReport{report: r, at: now}
 			f.SendReport(r)
 		}
-		f.publishInstances()
+		f.instancesChanged = true
 	})
 }
 
@@ -338,7 +339,13 @@
 	return i
 }
 
+// publishInstances publishes the instances if they have changed. It sorts and copies
+// all of them, so it is not called for each change.
 func (f *Fleet) publishInstances() {
+	if !f.instancesChanged {
+		return
+	}
+	f.instancesChanged = false
 	linked := map[string]bool{}
 	for c := range f.sessions {
 		linked[c.Peer().Instance] = true
--- a/control/fleet/push.go
+++ b/control/fleet/push.go
@@ -148,6 +148,7 @@
 // neither linked nor reported.
 func (f *Fleet) tick(ctx context.Context) {
 	now := f.Clock()
+	f.publishInstances()
 	f.proposeDecisions(ctx, now)
 	f.pushOrders()
 	f.pushDigests(now)
@@ -165,6 +166,7 @@
 		if now.Sub(i.LastSeen) > instanceRetention && !f.isLinked(name) {
 			delete(f.instances, name)
 			delete(f.relayedReports, name)
+			f.instancesChanged = true
 		}
 	}
 }
