A leader shares reads among forwarded confirmations; they end with their link

Forwarded confirmations that wait at the same time share a read now, and get its error at once, as before.

TestForwardedConfirmationsShareReads: 1,000 calls, two reads at most while they wait.

--- a/control/daemon/handle.go
+++ b/control/daemon/handle.go
@@ -36,17 +36,17 @@
 		defer cancel()
 		return p.relay.ServePropose(ctx, in)
 	case wire.KindConfirm:
-		return d.handleConfirm(fromReplica)
+		return d.handleConfirm(c, fromReplica)
 	case wire.KindPull:
 		var in wire.Pull
 		if err := wire.Decode(m.Body, &in); err != nil {
 			return nil, err
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
+		ctx, cancel := context.WithTimeout(c.Context(), entryTimeout)
 		defer cancel()
 		return p.fleet.Pull(ctx, c, in)
 	case wire.KindHelpers:
-		ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
+		ctx, cancel := context.WithTimeout(c.Context(), entryTimeout)
 		defer cancel()
 		return p.fleet.Helpers(ctx, c)
 	case wire.KindClaim:
@@ -103,8 +103,8 @@
 	return nil
 }
 
-func (d *Daemon) handleConfirm(fromReplica bool) (any, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
+func (d *Daemon) handleConfirm(c *link.Conn, fromReplica bool) (any, error) {
+	ctx, cancel := context.WithTimeout(c.Context(), entryTimeout)
 	defer cancel()
 	if fromReplica {
 		return d.parts.relay.ServeConfirm(ctx)
--- a/control/relay/confirm.go
+++ b/control/relay/confirm.go
@@ -16,9 +16,10 @@
 // until ctx ends. Its errors are *NoQuorumError and *StoppedError.
 func (r *Relay) Confirm(ctx context.Context) (wire.Confirmed, error) { return r.confirm.wait(ctx) }
 
-// ServeConfirm handles a Confirm forwarded by another replica.
+// ServeConfirm handles a Confirm forwarded by another replica. Replicas of earlier
+// versions forward each call of their entries.
 func (r *Relay) ServeConfirm(ctx context.Context) (wire.Confirmed, error) {
-	confirmed, err := r.confirmLocal(ctx)
+	confirmed, err := r.served.wait(ctx)
 	return confirmed, toFault(err)
 }
 
@@ -52,6 +53,7 @@
 // what it confirms may be older than a later call.
 type confirmations struct {
 	attempt func(ctx context.Context) (wire.Confirmed, error)
+	retry   bool // a failed attempt is repeated and not reported to the callers
 
 	mu      sync.Mutex
 	waiting []confirmWaiter // not served by the attempt in progress
@@ -70,8 +72,8 @@
 	err       error
 }
 
-func newConfirmations(attempt func(ctx context.Context) (wire.Confirmed, error)) *confirmations {
-	return &confirmations{attempt: attempt, changed: make(chan struct{})}
+func newConfirmations(attempt func(ctx context.Context) (wire.Confirmed, error), retry bool) *confirmations {
+	return &confirmations{attempt: attempt, retry: retry, changed: make(chan struct{})}
 }
 
 func (s *confirmations) wait(ctx context.Context) (wire.Confirmed, error) {
@@ -114,7 +116,7 @@
 		}
 		confirmed, err := s.try(changed)
 		var stopped *StoppedError
-		if err == nil || errors.As(err, &stopped) {
+		if err == nil || !s.retry || errors.As(err, &stopped) {
 			for _, w := range served {
 				w.result <- confirmResult{confirmed, err}
 			}
--- a/control/relay/confirm_test.go
+++ b/control/relay/confirm_test.go
@@ -14,6 +14,7 @@
 	"github.com/galenalock/galenalock/control/relay"
 	"github.com/galenalock/galenalock/core/group"
 	"github.com/galenalock/galenalock/core/state"
+	"github.com/galenalock/galenalock/core/wire"
 )
 
 // confirmAll starts confirmations and returns a function that counts those that
@@ -153,3 +154,37 @@
 		is.Equal(time.Since(begin), time.Duration(0))
 	})
 }
+
+// Guards against a leader that starts a read for each confirmation that replicas of
+// earlier versions forward, and against an answer that hides who leads.
+func TestForwardedConfirmationsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var reads atomic.Int64
+		lost := make(chan struct{})
+		r := relay.New(relay.LocalReplica{Read: func(ctx context.Context) error {
+			reads.Add(1)
+			select {
+			case <-lost:
+			case <-ctx.Done():
+			}
+			return &group.NotLeaderError{Leader: 3}
+		}}, relay.NewLinks(), time.Now)
+		var refused atomic.Int64
+		for range 1000 {
+			go func() {
+				_, err := r.ServeConfirm(t.Context())
+				var fault *wire.FaultError
+				if errors.As(err, &fault) && fault.Code == "notleader" && fault.Detail == "3" {
+					refused.Add(1)
+				}
+			}()
+		}
+		synctest.Wait()
+		is.True(reads.Load() <= 2)
+		close(lost)
+		synctest.Wait()
+		is.Equal(refused.Load(), int64(1000))
+		is.True(reads.Load() <= 3)
+	})
+}
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -40,7 +40,8 @@
 	replica LocalReplica
 	links   *Links
 	clock   func() time.Time
-	confirm *confirmations
+	confirm *confirmations // for entries
+	served  *confirmations // for other replicas
 	line    *line
 }
 
@@ -48,7 +49,8 @@
 // clock for the time of commands.
 func New(local LocalReplica, links *Links, clock func() time.Time) *Relay {
 	r := &Relay{replica: local, links: links, clock: clock, line: newLine()}
-	r.confirm = newConfirmations(r.confirmOnce)
+	r.confirm = newConfirmations(r.confirmOnce, true)
+	r.served = newConfirmations(r.confirmLocal, false)
 	return r
 }
 
@@ -56,6 +58,7 @@
 // leader or has lost its leader. It does not block.
 func (r *Relay) LeaderChanged() {
 	r.confirm.restart()
+	r.served.restart()
 	r.line.reset()
 }
 
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -29,8 +29,9 @@
 	dialed bool
 
 	sendQueue    chan []byte
-	urgentQueue  chan []byte // is sent before sendQueue
-	done         chan struct{}
+	urgentQueue  chan []byte     // is sent before sendQueue
+	ctx          context.Context // ends with the link
+	cancel       context.CancelFunc
 	closeOnce    sync.Once
 	reason       atomic.Pointer[string]
 	lastReceived atomic.Int64 // steady time of the last message received, in nanoseconds
@@ -45,11 +46,11 @@
 
 func newConn(ws *websocket.Conn, o options, dialed bool) *Conn {
 	ws.SetReadLimit(wire.MaxMessage)
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Conn{
-		opts: o, ws: ws, dialed: dialed,
+		opts: o, ws: ws, dialed: dialed, ctx: ctx, cancel: cancel,
 		sendQueue:   make(chan []byte, o.queueSize),
 		urgentQueue: make(chan []byte, o.queueSize),
-		done:        make(chan struct{}),
 		pending:     map[uint64]chan wire.Message{},
 	}
 }
@@ -61,16 +62,14 @@
 func (c *Conn) Dialed() bool { return c.dialed }
 
 // Done is closed when the link ends.
-func (c *Conn) Done() <-chan struct{} { return c.done }
+func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
+
+// Context returns a context that ends with the link.
+func (c *Conn) Context() context.Context { return c.ctx }
 
 // Ended reports whether the link has ended.
 func (c *Conn) Ended() bool {
-	select {
-	case <-c.done:
-		return true
-	default:
-		return false
-	}
+	return c.ctx.Err() != nil
 }
 
 // Reason returns why the link ended, or an empty string while it is open.
@@ -108,7 +107,7 @@
 func (c *Conn) Close(reason string) {
 	c.closeOnce.Do(func() {
 		c.reason.Store(&reason)
-		close(c.done)
+		c.cancel()
 		// The peer detects the closed connection. A WebSocket close handshake
 		// would wait for a peer that may not respond.
 		_ = c.ws.CloseNow()
@@ -170,7 +169,7 @@
 	select {
 	case m := <-reply:
 		return decodeAnswer(m, answer)
-	case <-c.done:
+	case <-c.ctx.Done():
 		return &ClosedError{Reason: c.Reason()}
 	case <-ctx.Done():
 		return eris.Wrapf(ctx.Err(), "call %s", kind)
@@ -255,7 +254,7 @@
 	default:
 	}
 	select {
-	case <-c.done:
+	case <-c.ctx.Done():
 		return nil, false
 	case data := <-c.urgentQueue:
 		return data, true
@@ -271,7 +270,7 @@
 	defer timer.Stop()
 	for {
 		select {
-		case <-c.done:
+		case <-c.ctx.Done():
 			return
 		case <-timer.C:
 		}
