--- a/control/daemon/load.go
+++ b/control/daemon/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/galenalock/galenalock/core/group"
 	"github.com/galenalock/galenalock/core/pace"
 )
 
@@ -34,38 +35,58 @@
 	waiting int           // commands that wait to be proposed
 }
 
+// merge keeps the largest values.
+func (s *loadSample) merge(o loadSample) {
+	if o.blocked > s.blocked {
+		s.blocked, s.peer = o.blocked, o.peer
+	}
+	s.late = max(s.late, o.late)
+	s.calls, s.queue = max(s.calls, o.calls), max(s.queue, o.queue)
+	s.inbox, s.reads, s.waiting = max(s.inbox, o.inbox), max(s.reads, o.reads), max(s.waiting, o.waiting)
+}
+
+// fields returns the fields of the log line.
+func (s *loadSample) fields() map[string]any {
+	return map[string]any{
+		"late": s.late.String(), "blocked": s.blocked.String(), "peer": s.peer,
+		"calls": s.calls, "queue": s.queue, "inbox": s.inbox, "reads": s.reads, "waiting": s.waiting,
+	}
+}
+
 // watchLoad logs the work that waits while it delays the control group, or while
 // there is no leader.
 func (d *Daemon) watchLoad(ctx context.Context) {
 	start := time.Now()
-	expected, lastLog, lastLeader := loadInterval, time.Duration(0), time.Duration(0)
+	var expected, lastLog, lastLeader time.Duration // since start
 	var largest loadSample
+	expected = loadInterval
 	pace.Every(ctx, loadInterval, func() {
 		now := time.Since(start)
-		largest.late = max(largest.late, now-expected)
-		expected = now + loadInterval
 		status := d.parts.group.Status()
 		if status.Leader != 0 {
 			lastLeader = now
 		}
-		largest.inbox, largest.reads = max(largest.inbox, status.Inbox), max(largest.reads, status.Reads)
-		largest.waiting = max(largest.waiting, d.parts.relay.Waiting())
-		for _, c := range d.parts.links.All() {
-			l := c.Load()
-			largest.calls, largest.queue = max(largest.calls, l.Calls), max(largest.queue, l.Queue)
-			if l.Blocked > largest.blocked {
-				largest.blocked, largest.peer = l.Blocked, c.Peer().Instance
-			}
-		}
-		delay := max(largest.late, largest.blocked, now-lastLeader)
-		if now-lastLog < loadLogInterval || delay < loadLogDelay && largest.inbox < loadLogInbox {
+		sample := d.sampleLoad(status)
+		sample.late = now - expected
+		expected = now + loadInterval
+		largest.merge(sample)
+		leaderless := now - lastLeader
+		delayed := max(largest.late, largest.blocked, leaderless) >= loadLogDelay || largest.inbox >= loadLogInbox
+		if !delayed || now-lastLog < loadLogInterval {
 			return
 		}
-		d.parts.log.WithFields(map[string]any{
-			"late": largest.late.String(), "blocked": largest.blocked.String(), "peer": largest.peer,
-			"calls": largest.calls, "queue": largest.queue, "inbox": largest.inbox, "reads": largest.reads, "waiting": largest.waiting,
-			"leaderless": (now - lastLeader).String(), "staleness": status.Staleness.String(),
-		}).Warn("messages of the control group are delayed")
+		d.parts.log.WithFields(largest.fields()).WithField("leaderless", leaderless.String()).
+			WithField("staleness", status.Staleness.String()).Warn("messages of the control group are delayed")
 		lastLog, largest = now, loadSample{}
 	})
 }
+
+// sampleLoad returns the work that waits now.
+func (d *Daemon) sampleLoad(status group.Status) loadSample {
+	s := loadSample{inbox: status.Inbox, reads: status.Reads, waiting: d.parts.relay.Waiting()}
+	for _, c := range d.parts.links.All() {
+		l := c.Load()
+		s.merge(loadSample{calls: l.Calls, queue: l.Queue, blocked: l.Blocked, peer: c.Peer().Instance})
+	}
+	return s
+}
