The end of a target is committed also where the replica does not know the target

Cause: a replica took the end of a target that it does not know for an announcement that changes nothing, and answered it without the log. A replica that is cut off or has just restarted does not know every registered target. Every end of a target goes through the log now; the state machine decides by the newest state whether it changes something. A confirmed read before the answer was left out: it tells the newest revision, not the newest target, and earlier leaders could not answer more.

TestLaggingReplicaDoesNotAcknowledgeTheEndOfATarget fails on the code before.

--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -47,8 +47,9 @@
 	return &registry{daemon: d, census: census.New(d.settings.Life)}
 }
 
-// announce returns when the announcement has been committed. An announcement that
-// changes nothing is answered without the log, even if there is no majority.
+// announce returns when the announcement has been committed. A renewal that changes
+// nothing is answered without the log, even if there is no majority. The end of a target
+// is not: this replica may not know yet that the target is registered.
 func (r *registry) announce(ctx context.Context, a enrol.Announcement) error {
 	if err := a.Check(); err != nil {
 		return err
@@ -61,7 +62,7 @@
 	p := r.daemon.parts
 	targets := p.machine.view.Load().Targets
 	effect := targets.Evaluate(a)
-	if effect == enrol.Changed {
+	if effect == enrol.Changed || a.State == enrol.Gone {
 		result, err := p.relay.Propose(ctx, state.Command{Announce: &a})
 		if err != nil {
 			return err
--- a/control/daemon/seeds_test.go
+++ b/control/daemon/seeds_test.go
@@ -49,6 +49,10 @@
 func newSeededReplica(t *testing.T, id int, seeds []netip.AddrPort, tolerance int) *seededReplica {
 	s := &seededReplica{replica: &replica{t: t, settings: settings(t, id, nil), scheme: "http", client: client}}
 	s.settings.Seeds, s.settings.Tolerance, s.settings.Found = seeds, tolerance, true
+	// Connections have the source address 127.0.0.1, so that none takes the port of a
+	// replica that is restarted.
+	own := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + id)}), 0)
+	s.settings.Peer, s.settings.Admin = own, own
 	s.settings.Regions = map[string]string{"salish-1": "salish"}
 	s.settings.PeerHandler = func(services daemon.Services) http.Handler {
 		s.services = services
@@ -244,6 +248,49 @@
 	is.True((<-e.updates).Rows[0].Silent) // it has not announced itself for a second
 }
 
+// Guards against the end of a target that is acknowledged by a replica which does not
+// know the target yet, and is then lost.
+func TestLaggingReplicaDoesNotAcknowledgeTheEndOfATarget(t *testing.T) {
+	is := is.New(t)
+	group := seedGroup(t, 3, 3, 1)
+	for _, r := range group {
+		r.run()
+	}
+	submitRanked(t, group, 1)
+	awaitRank(t, group, 1)
+	lagging := group[2]
+	lagging.stop()
+	a := enrol.Announcement{
+		Name: "t-1", Service: "ledger", Address: netip.MustParseAddrPort("10.0.0.1:80"), Region: "salish", DataCentre: "salish-1",
+		Slots: 6, Start: time.UnixMilli(1_800_000_000_000).UTC(), Seq: 1, State: enrol.Ready,
+	}
+	announce := func(r *seededReplica) error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return r.services.Announce(ctx, a)
+	}
+	waitUntil(t, "target registered", func() bool { return announce(group[0]) == nil })
+	group[0].stop()
+	group[1].stop()
+	lagging.restart()
+	a = enrol.Announcement{Name: "t-1", State: enrol.Gone}
+	var noQuorum *relay.NoQuorumError
+	waitUntil(t, "the replica has read its disk", func() bool {
+		err := announce(lagging)
+		return err == nil || !strings.Contains(err.Error(), "is starting")
+	})
+	is.True(errors.As(announce(lagging), &noQuorum))
+
+	group[0].restart()
+	group[1].restart()
+	waitUntil(t, "end acknowledged", func() bool { return announce(lagging) == nil })
+	follower := dialFollower(t, group[0].replica)
+	waitUntil(t, "end known", func() bool {
+		update := <-follower.updates
+		return len(update.Rows) == 0 || update.Rows[0].State == enrol.Gone
+	})
+}
+
 // Guards against one odd announcement that ends replicas, that entries cannot read, or
 // that keeps the target whose address it names out of service.
 func TestOddAnnouncementsHarmNoOther(t *testing.T) {
