--- a/core/raft/config.go
+++ b/core/raft/config.go
@@ -12,6 +12,7 @@
 	DefaultMaxMessageBytes   = 256 << 10   // bytes of entries or snapshot data in one message
 	DefaultMaxInflightBytes  = 2 << 20     // unacknowledged bytes per follower; 100 MB/s at a round trip of 20 ms
 	DefaultTrailingEntries   = 1024        // entries kept before a snapshot for slow followers
+	DefaultTrailingBytes     = 8 << 20     // their size; a follower that lacks more gets the snapshot
 )
 
 // Config holds the stored state that a Core starts from, and its limits.
@@ -30,6 +31,7 @@
 	MaxMessageBytes   int
 	MaxInflightBytes  int
 	TrailingEntries   uint64
+	TrailingBytes     int
 	DisabledRules     Rules // only for tests
 }
 
@@ -58,6 +60,9 @@
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = DefaultTrailingEntries
 	}
+	if c.TrailingBytes == 0 {
+		c.TrailingBytes = DefaultTrailingBytes
+	}
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewSource(int64(c.ID ^ c.Incarnation)))
 	}
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -52,6 +52,20 @@
 
 func (l *memLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
 
+// firstKept returns the index of the first of the entries up to and including index
+// that fit into a number of entries and bytes. If none fits, it is the next index.
+func (l *memLog) firstKept(index, entries uint64, bytes int) uint64 {
+	first, size := index+1, 0
+	for first > l.offset+1 && index-first+1 < entries {
+		size += l.entries[first-l.offset-2].size()
+		if size > bytes {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // compact drops the entries up to and including index.
 func (l *memLog) compact(index uint64) {
 	term, ok := l.term(index)
--- a/core/raft/persist.go
+++ b/core/raft/persist.go
@@ -157,14 +157,15 @@
 }
 
 // compact switches to a snapshot that the owner has stored, and drops the log
-// before it except for the entries that slow followers may still need.
+// before it except for the entries that slow followers may still need, which have a
+// limit in number and bytes.
 func (c *Core) compact(s Snapshot) {
 	if s.Index <= c.snapshot.Index || s.Index > c.applied {
 		return
 	}
 	c.snapshot = s
-	if s.Index > c.cfg.TrailingEntries {
-		c.compactLog(min(s.Index-c.cfg.TrailingEntries, c.applied))
+	if first := c.log.firstKept(s.Index, c.cfg.TrailingEntries, c.cfg.TrailingBytes); first > 0 {
+		c.compactLog(min(first-1, c.applied))
 	}
 }
 
