--- a/core/raft/install.go
+++ b/core/raft/install.go
@@ -10,21 +10,30 @@
 	data    []byte
 }
 
-// sendSnapshotPart sends the next part of the snapshot. Only one part is in
-// flight at a time.
-func (c *Core) sendSnapshotPart(id uint64, p *progress) {
+// sendSnapshot sends the next parts of the snapshot, as far as the window of the
+// follower allows. After a time without progress it sends one part at a time from the
+// last acknowledged one on, because parts may have been lost or the follower is busy
+// storing the snapshot.
+func (c *Core) sendSnapshot(id uint64, p *progress) {
 	if p.snapshotIndex != c.snapshot.Index {
-		p.snapshotIndex, p.snapshotOffset = c.snapshot.Index, 0
+		p.startSnapshot(c.snapshot.Index, c.now)
 	}
 	p.probing, p.paused = true, true
 	p.inflight, p.inflightBytes = nil, 0
-	data := c.snapshot.Data
-	end := min(uint64(len(data)), p.snapshotOffset+uint64(c.cfg.MaxMessageBytes))
-	c.send(Message{
-		Kind: MessageSnapshot, To: id, Round: c.round,
-		Index: c.snapshot.Index, LogTerm: c.snapshot.Term, Members: c.snapshot.Members,
-		Offset: p.snapshotOffset, Total: uint64(len(data)), Part: data[p.snapshotOffset:end],
-	})
+	window := uint64(c.cfg.MaxInflightBytes)
+	if c.now.Sub(p.lastProgress) >= retryAfterHeartbeats*c.cfg.HeartbeatInterval {
+		p.snapshotSent, p.snapshotStarted, window = p.snapshotOffset, false, 1
+	}
+	total := uint64(len(c.snapshot.Data))
+	for !p.snapshotStarted || p.snapshotSent < total && p.snapshotSent-p.snapshotOffset < window {
+		end := min(total, p.snapshotSent+uint64(c.cfg.MaxMessageBytes))
+		c.send(Message{
+			Kind: MessageSnapshot, To: id, Round: c.round,
+			Index: c.snapshot.Index, LogTerm: c.snapshot.Term, Members: c.snapshot.Members,
+			Offset: p.snapshotSent, Total: total, Part: c.snapshot.Data[p.snapshotSent:end],
+		})
+		p.snapshotSent, p.snapshotStarted = end, true
+	}
 }
 
 func (c *Core) handleSnapshotReply(p *progress, m Message) {
@@ -35,9 +44,15 @@
 		p.probe(p.next) // the snapshot has been replaced by a newer one
 		return
 	}
-	if m.Offset != p.snapshotOffset {
-		p.snapshotOffset, p.paused = m.Offset, false
+	switch {
+	case m.Offset > p.snapshotOffset:
+		p.snapshotSent = max(p.snapshotSent, m.Offset)
+	case m.Offset < p.snapshotOffset:
+		p.snapshotSent = m.Offset // the follower has lost the parts that it had
+	default:
+		return
 	}
+	p.snapshotOffset, p.paused, p.lastProgress = m.Offset, false, c.now
 }
 
 // handleSnapshot processes one part of a snapshot. The last part is answered
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -94,7 +94,7 @@
 		}
 		term, ok := c.log.term(p.next - 1)
 		if !ok || p.snapshotIndex != 0 {
-			c.sendSnapshotPart(id, p)
+			c.sendSnapshot(id, p)
 			return
 		}
 		entries := c.log.slice(p.next-1, c.log.lastIndex(), c.cfg.MaxMessageBytes)
--- a/core/raft/trail_test.go
+++ b/core/raft/trail_test.go
@@ -74,3 +74,84 @@
 	is.Equal(firstToFollower(t, 5000, last-3), raft.MessageAppend)
 	is.Equal(firstToFollower(t, 1<<20, last-50), raft.MessageAppend) // the limit is not reached
 }
+
+// snapshotRoundTrips returns the number of round trips in which a leader sends a snapshot
+// of 8 MiB to a follower that loses every message of one round trip.
+func snapshotRoundTrips(t *testing.T, inflight, lostRound int) int {
+	t.Helper()
+	const size, roundTrip = 8 << 20, 40 * time.Millisecond
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	snapshot := raft.Founding(raft.Members{{ID: 1}, {ID: 2}})
+	snapshot.Index, snapshot.Term, snapshot.Data = 500, 1, make([]byte, size)
+	core, err := raft.New(raft.Config{
+		ID: 1, Snapshot: snapshot, Hard: raft.HardState{Term: 1, Commit: 500},
+		Rand: rand.New(rand.NewSource(1)), MaxInflightBytes: inflight,
+	}, now)
+	is.NoErr(err)
+	received := uint64(0)
+	installed := false
+	answer := func(m raft.Message) raft.Message {
+		reply, _ := acknowledgeEmpty(m)
+		switch m.Kind {
+		case raft.MessageHeartbeat:
+			reply.Kind, reply.Round = raft.MessageHeartbeatReply, m.Round
+		case raft.MessageAppend:
+			reply.Kind, reply.Reject, reply.Index, reply.Hint = raft.MessageAppendReply, !installed, m.Index, 0
+		case raft.MessageSnapshot:
+			if m.Offset == received {
+				received += uint64(len(m.Part))
+			}
+			installed = received == size
+			reply.Kind, reply.Index, reply.Offset, reply.Total = raft.MessageSnapshotReply, m.Index, received, size
+			if installed {
+				reply.Kind = raft.MessageAppendReply
+			}
+		}
+		return reply
+	}
+	events := []raft.Event{raft.Tick{}}
+	now = now.Add(3 * time.Second)
+	for round := range 500 {
+		var sent []raft.Message
+		for len(events) > 0 {
+			actions := core.Step(now, events[0])
+			events = events[1:]
+			for _, action := range actions {
+				switch a := action.(type) {
+				case raft.Persist:
+					events = append(events, raft.Persisted{Seq: a.Seq})
+				case raft.Send:
+					sent = append(sent, a.Message)
+				}
+			}
+		}
+		if installed {
+			return round
+		}
+		now = now.Add(roundTrip)
+		events = append(events, raft.Tick{})
+		if round == lostRound {
+			continue
+		}
+		for _, m := range sent {
+			if reply := answer(m); reply.Kind != "" {
+				events = append(events, raft.Receive{Message: reply})
+			}
+		}
+	}
+	t.Fatal("the snapshot was not installed")
+	return 0
+}
+
+// Guards against a snapshot that takes a round trip for each of its parts, so that a
+// replica with an empty disk is missing for seconds, and against one that stops after a
+// loss.
+func TestPartsOfASnapshotAreInFlightTogether(t *testing.T) {
+	is := is.New(t)
+	is.True(snapshotRoundTrips(t, raft.DefaultMaxInflightBytes, -1) <= 10)
+	is.True(snapshotRoundTrips(t, 1, -1) >= 32) // one part of 256 KiB at a time
+	for lost := 2; lost < 10; lost++ { // after the election
+		is.True(snapshotRoundTrips(t, raft.DefaultMaxInflightBytes, lost) <= 20)
+	}
+}
