--- a/core/raft/trail_test.go
+++ b/core/raft/trail_test.go
@@ -151,7 +151,7 @@
 	is := is.New(t)
 	is.True(snapshotRoundTrips(t, raft.DefaultMaxInflightBytes, -1) <= 10)
 	is.True(snapshotRoundTrips(t, 1, -1) >= 32) // one part of 256 KiB at a time
-	for lost := 2; lost < 10; lost++ { // after the election
+	for lost := 2; lost < 10; lost++ {          // after the election
 		is.True(snapshotRoundTrips(t, raft.DefaultMaxInflightBytes, lost) <= 20)
 	}
 }
