Places of commands are given back on every way out; urgent queues only between replicas

A panic while a command is handled kept its place among the 128 that may try at a time. The place is given back by a deferred call now, which has no effect after a success. TestPanicGivesThePlaceBack and TestLeaveAfterTheEndHasNoEffect.

--- a/control/relay/line.go
+++ b/control/relay/line.go
@@ -45,22 +45,19 @@
 	return turn, err
 }
 
-// wait returns when the caller may try. An error is of type *NoQuorumError; the caller
-// has then left.
+// wait returns when the caller may try. An error is of type *NoQuorumError.
 func (l *line) wait(ctx context.Context, turn *turns.Turn) error {
 	select {
 	case <-turn.Start:
 		return nil
 	case <-ctx.Done():
 	}
-	reason := ctx.Err()
-	l.update(func(time.Time) {
-		l.queue.Leave(turn)
-		if l.lastErr != nil {
-			reason = l.lastErr
-		}
-	})
-	return &NoQuorumError{Reason: reason.Error()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lastErr != nil {
+		return &NoQuorumError{Reason: l.lastErr.Error()}
+	}
+	return &NoQuorumError{Reason: ctx.Err().Error()}
 }
 
 func (l *line) succeed(turn *turns.Turn) {
@@ -70,6 +67,7 @@
 	})
 }
 
+// leave removes a caller that waits or tries. It has no effect on one that has succeeded.
 func (l *line) leave(turn *turns.Turn) { l.update(func(time.Time) { l.queue.Leave(turn) }) }
 
 // fail ends an attempt. The caller waits again.
--- a/control/relay/line_test.go
+++ b/control/relay/line_test.go
@@ -110,3 +110,33 @@
 		is.Equal(time.Since(begin), 30*time.Millisecond)
 	})
 }
+
+// Guards against places that are lost when the handling of a command panics.
+func TestPanicGivesThePlaceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		result, err := wire.Encode(state.Result{})
+		is.NoErr(err)
+		broken := true
+		r := relay.New(relay.LocalReplica{Propose: func(context.Context, []byte) ([]byte, error) {
+			if broken {
+				panic("unexpected")
+			}
+			return result, nil
+		}}, relay.NewLinks(), time.Now)
+		propose := func() (err error) {
+			defer func() {
+				if recover() != nil {
+					err = errors.New("panicked")
+				}
+			}()
+			_, err = r.Propose(t.Context(), state.Command{Submit: &state.Submit{}})
+			return err
+		}
+		for range 200 {
+			is.True(propose() != nil)
+		}
+		broken = false
+		is.NoErr(propose())
+	})
+}
--- a/control/relay/relay.go
+++ b/control/relay/relay.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return state.Result{}, err
 	}
+	defer r.line.leave(turn)
 	for {
 		if err := r.line.wait(ctx, turn); err != nil {
 			return fail(state.Result{}, err)
@@ -94,18 +95,15 @@
 			r.line.succeed(turn)
 			return result, nil
 		case isPermanent(err):
-			r.line.leave(turn)
 			return fail(result, err)
 		case errors.As(err, &unknown):
 			if c.Grant != nil {
-				r.line.leave(turn)
 				return result, err
 			}
 			maybeApplied = true
 		}
 		if ctx.Err() != nil {
-			// That the caller gave up tells nothing about the leader.
-			r.line.leave(turn)
+			// Not recorded as a failure: that the caller gave up tells nothing about the leader.
 			return fail(result, &NoQuorumError{Reason: err.Error()})
 		}
 		r.line.fail(turn, err)
--- a/control/turns/turns.go
+++ b/control/turns/turns.go
@@ -30,6 +30,7 @@
 	sequence uint64
 	opened   uint64 // Queue.opened when the attempt started
 	reset    uint64 // Queue.resets when the attempt started
+	running  bool
 	// Start is closed when the caller may try. It is replaced when an attempt fails.
 	Start chan struct{}
 }
@@ -82,7 +83,7 @@
 }
 
 // Leave removes a caller that no longer waits, or that ends its attempt without
-// knowing whether the dependency is available.
+// knowing whether the dependency is available. It has no effect after Succeed or Leave.
 func (q *Queue) Leave(t *Turn) {
 	if i := slices.Index(q.waiting, t); i >= 0 {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
@@ -139,6 +140,7 @@
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		q.running++
+		t.running = true
 		t.opened, t.reset = q.opened, q.resets
 		if q.failing {
 			q.probing = t
@@ -152,10 +154,11 @@
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
 func (q *Queue) stop(t *Turn) {
-	if t.reset == q.resets {
+	if t.running && t.reset == q.resets {
 		q.running--
 	}
 	if q.probing == t {
 		q.probing = nil
 	}
+	t.running = false
 }
--- a/control/turns/turns_test.go
+++ b/control/turns/turns_test.go
@@ -160,6 +160,24 @@
 	<-second.Start
 }
 
+// Guards against a place that is given back twice, so that more callers try at a time
+// than allowed.
+func TestLeaveAfterTheEndHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	q := turns.New(turns.WithRunning(1))
+	first, err := q.Add()
+	is.NoErr(err)
+	for range 2 {
+		_, err := q.Add()
+		is.NoErr(err)
+	}
+	q.Advance(start)
+	q.Succeed(first)
+	q.Leave(first)
+	q.Advance(start)
+	is.Equal(q.Waiting(), 1)
+}
+
 // Guards against a queue that stops for ever in some order of events.
 func TestCallersAreServedAfterAnyOrder(t *testing.T) {
 	for seed := range int64(200) {
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -29,7 +29,7 @@
 	dialed bool
 
 	sendQueue    chan []byte
-	urgentQueue  chan []byte     // is sent before sendQueue
+	urgentQueue  chan []byte     // is sent before sendQueue; nil unless both sides are control replicas
 	ctx          context.Context // ends with the link
 	cancel       context.CancelFunc
 	closeOnce    sync.Once
@@ -49,9 +49,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Conn{
 		opts: o, ws: ws, dialed: dialed, ctx: ctx, cancel: cancel,
-		sendQueue:   make(chan []byte, o.queueSize),
-		urgentQueue: make(chan []byte, o.queueSize),
-		pending:     map[uint64]chan wire.Message{},
+		sendQueue: make(chan []byte, o.queueSize),
+		pending:   map[uint64]chan wire.Message{},
 	}
 }
 
@@ -124,13 +123,16 @@
 	return c.enqueue(data)
 }
 
-// SendUrgent is like Send for a message that is sent before those that wait. It keeps
-// its order among urgent messages only.
+// SendUrgent is like Send. Between control replicas the message is sent before others
+// that wait, and keeps its order among urgent messages only.
 func (c *Conn) SendUrgent(kind wire.Kind, body any) error {
 	data, err := encodeMessage(kind, 0, false, body)
 	if err != nil {
 		return err
 	}
+	if c.urgentQueue == nil {
+		return c.enqueue(data)
+	}
 	return c.enqueueTo(c.urgentQueue, data)
 }
 
--- a/core/link/hello.go
+++ b/core/link/hello.go
@@ -59,6 +59,9 @@
 		use = c.peer.Use
 	}
 	c.setKeepalive(use)
+	if own.Replica != 0 && c.peer.Replica != 0 {
+		c.urgentQueue = make(chan []byte, c.opts.queueSize)
+	}
 	return nil
 }
 
