The rest of an upload is not taken for the next request of its connection

Cause: while an upload is streamed, net/http neither reads nor counts the rest of the body (full duplex). The entry interrupts the read with a deadline, and net/http ignores the error of the read with which it closes the body, resets the deadline and serves the connection on.

Change: a response to an upload that has not been read to its end says Connection: close, which ends the connection after it. The rest is read for up to 0.5 s and 256 KiB, so that a reset does not overtake the response; a refusal has its length then, so that it is complete before. HTTP/2 is not concerned. Reading the rest before the response was left out: it would delay refusals.

TestRestOfAnUploadIsNoRequest fails on the code before in all six cases: the following request was answered, with 405, on a connection in the middle of an upload.

--- a/core/refuse/error.go
+++ b/core/refuse/error.go
@@ -1,6 +1,7 @@
 package refuse
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -48,6 +49,7 @@
 type Style struct {
 	FractionalRetryAfter bool // send Retry-After with milliseconds, although RFC 9110 allows whole seconds only
 	StatusOverride       int  // replaces the status of the reason, 0: keep it
+	SetLength            bool // sets Content-Length, so that the response is complete once it is flushed
 }
 
 // Write responds with the refusal that err wraps. Any other error is sent with
@@ -67,11 +69,9 @@
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", style.retryAfter(refusal.RetryAfter))
 	}
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.Header().Del("Content-Length")
-	w.WriteHeader(status)
-	// An error means that the caller has disconnected; it cannot be reported.
-	_ = json.NewEncoder(w).Encode(Document{
+	var body bytes.Buffer
+	// A document of strings and numbers can always be encoded.
+	_ = json.NewEncoder(&body).Encode(Document{
 		Type:    "about:blank#" + string(refusal.Reason),
 		Title:   refusal.Reason.Title(),
 		Status:  status,
@@ -80,6 +80,14 @@
 		Run:     refusal.Run,
 		Request: request,
 	})
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Del("Content-Length")
+	if style.SetLength {
+		w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	}
+	w.WriteHeader(status)
+	// An error means that the caller has disconnected; it cannot be reported.
+	_, _ = w.Write(body.Bytes())
 }
 
 // retryAfter formats a duration for the Retry-After header, rounded up.
--- a/entry/proxy/claim.go
+++ b/entry/proxy/claim.go
@@ -141,7 +141,7 @@
 	if allowsBody(c.r.Method, answer.Status) {
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Body))}
 	}
-	c.closeWhenDraining(h)
+	c.setClose(h)
 	c.markRelayed(h, nil)
 	c.wroteHeader, c.status = true, answer.Status
 	c.w.WriteHeader(answer.Status)
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		c.refuse(err)
 	}
+	c.drainUpload()
 }
 
 // reportFinish reports the end of the request to the Finished hook. An error
--- a/entry/proxy/refusal.go
+++ b/entry/proxy/refusal.go
@@ -60,19 +60,38 @@
 	if d.RefusalID != "" {
 		h[d.RefusalID] = []string{c.request.ID}
 	}
-	c.closeWhenDraining(h)
+	c.setClose(h)
 	c.markRefused(h, refusal)
 	style := d.Style
 	if d.NotRunAs503 && refusal.Run == refuse.NotRun && refusal.Reason.Status() >= http.StatusBadGateway {
 		style.StatusOverride = http.StatusServiceUnavailable
 	}
+	style.SetLength = c.leavesBodyUnread()
 	refuse.WriteStyled(c.w, c.request.ID, refusal, style)
 }
 
-// closeWhenDraining sets Connection: close while the instance drains, so that the
-// caller reconnects elsewhere.
-func (c *call) closeWhenDraining(h http.Header) {
-	if v := c.proxy.hooks.View(); v != nil && v.Draining {
+// setClose sets Connection: close while the instance drains, so that the caller
+// reconnects elsewhere, and if the request body was not read to its end.
+func (c *call) setClose(h http.Header) {
+	v := c.proxy.hooks.View()
+	if v != nil && v.Draining || c.leavesBodyUnread() {
 		h["Connection"] = []string{"close"}
 	}
 }
+
+// leavesBodyUnread reports whether the rest of the request body would be taken for the
+// next request on the connection.
+func (c *call) leavesBodyUnread() bool {
+	return c.r.ProtoMajor == 1 && c.upload != nil && c.upload.isUnread()
+}
+
+// drainUpload reads the rest of an unread body while the caller receives the response.
+// Without a length the caller would wait for the end of the response meanwhile.
+func (c *call) drainUpload() {
+	if !c.leavesBodyUnread() || c.w.Header().Get("Content-Length") == "" {
+		return
+	}
+	if c.controller.Flush() == nil {
+		c.upload.drain()
+	}
+}
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -48,7 +48,7 @@
 	if a.prefetchComplete && a.response.ContentLength < 0 {
 		h["Content-Length"] = []string{strconv.Itoa(len(a.prefetched))}
 	}
-	c.closeWhenDraining(h)
+	c.setClose(h)
 	c.markRelayed(h, a)
 	c.wroteHeader, c.status = true, a.response.StatusCode
 	c.w.WriteHeader(a.response.StatusCode)
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -91,6 +91,27 @@
 	_ = u.controller.SetReadDeadline(time.Unix(1, 0))
 }
 
+const (
+	// drainTimeout and drainBytes limit how long the rest of a body is read after the
+	// response, so that closing the connection does not reset it before the caller has
+	// the response. net/http uses the same limits.
+	drainTimeout = 500 * time.Millisecond
+	drainBytes   = 256 << 10
+)
+
+// isUnread reports whether a body that is read during the response was not read to its
+// end. net/http does not see that reading was interrupted, and reuses the connection.
+func (u *upload) isUnread() bool { return u.duplex && !u.ended.Load() }
+
+// drain reads the rest of the body after the response was sent.
+func (u *upload) drain() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.controller.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.CopyN(io.Discard, u.body, drainBytes) // the connection is closed in any case
+	u.interrupt()
+}
+
 // stop ends reading and returns when no read is in progress, since the request
 // body must not be read after the handler has returned.
 func (u *upload) stop() {
