Read again: one search for a place in the queue, one refusal at the deadline

turns.Queue found a waiting caller in two ways; the linear one ran for each command that ended, since its place is given back by a deferred call. Both use one binary search now. The callers that wait for a confirmation and those that wait to propose build the refusal at their deadline with one function. Behaviour is unchanged.

--- a/control/daemon/group.go
+++ b/control/daemon/group.go
@@ -15,7 +15,8 @@
 func (p *parts) openGroup(s *Settings) error {
 	g, err := group.New(
 		group.WithID(s.replicaNumber()), group.WithDir(s.Data), group.WithFound(s.mayFound()),
-		group.WithPeers(s.founderAddresses()), group.WithMachine(p.machine.callbacks()), group.WithSend(p.links.SendRaft), group.WithLeaderHook(p.relay.LeaderChanged),
+		group.WithPeers(s.founderAddresses()), group.WithMachine(p.machine.callbacks()), group.WithSend(p.links.SendRaft),
+		group.WithLeaderHook(p.relay.LeaderChanged),
 		group.WithLogger(p.log), group.WithClock(s.Clock),
 		group.WithSnapshotInterval(uint64(s.Snapshot), maxLogBytes),
 	)
--- a/control/relay/confirm.go
+++ b/control/relay/confirm.go
@@ -91,11 +91,7 @@
 	case <-ctx.Done():
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		reason := ctx.Err()
-		if s.lastErr != nil {
-			reason = s.lastErr
-		}
-		return wire.Confirmed{}, &NoQuorumError{Reason: reason.Error()}
+		return wire.Confirmed{}, deadlineError(ctx, s.lastErr)
 	}
 }
 
--- a/control/relay/error.go
+++ b/control/relay/error.go
@@ -1,6 +1,9 @@
 package relay
 
-import "fmt"
+import (
+	"context"
+	"fmt"
+)
 
 // UnknownError reports a command that may or may not have been applied.
 type UnknownError struct{ Reason string }
@@ -15,6 +18,15 @@
 // Error includes the reason.
 func (e *NoQuorumError) Error() string { return "no quorum: " + e.Reason }
 
+// deadlineError refuses a caller whose context has ended. The reason is the error of the
+// last attempt if there is one.
+func deadlineError(ctx context.Context, lastErr error) *NoQuorumError {
+	if lastErr == nil {
+		lastErr = ctx.Err()
+	}
+	return &NoQuorumError{Reason: lastErr.Error()}
+}
+
 // MalformedError reports a command that cannot be encoded or that the state machine
 // rejected as invalid.
 type MalformedError struct{ Reason string }
--- a/control/relay/line.go
+++ b/control/relay/line.go
@@ -54,10 +54,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.lastErr != nil {
-		return &NoQuorumError{Reason: l.lastErr.Error()}
-	}
-	return &NoQuorumError{Reason: ctx.Err().Error()}
+	return deadlineError(ctx, l.lastErr)
 }
 
 func (l *line) succeed(turn *turns.Turn) {
--- a/control/turns/turns.go
+++ b/control/turns/turns.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -85,7 +86,7 @@
 // Leave removes a caller that no longer waits, or that ends its attempt without
 // knowing whether the dependency is available. It has no effect after Succeed or Leave.
 func (q *Queue) Leave(t *Turn) {
-	if i := slices.Index(q.waiting, t); i >= 0 {
+	if i, ok := q.position(t); ok {
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		return
 	}
@@ -110,12 +111,7 @@
 		q.failing, q.retryAt = true, now.Add(q.interval)
 	}
 	t.Start = make(chan struct{})
-	i, _ := slices.BinarySearchFunc(q.waiting, t.sequence, func(w *Turn, sequence uint64) int {
-		if w.sequence < sequence {
-			return -1
-		}
-		return 1
-	})
+	i, _ := q.position(t)
 	q.waiting = slices.Insert(q.waiting, i, t)
 }
 
@@ -153,6 +149,14 @@
 // Waiting returns the number of callers that wait.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
+// position returns the index of a caller among those that wait, or the one at which it
+// belongs if it does not wait.
+func (q *Queue) position(t *Turn) (int, bool) {
+	return slices.BinarySearchFunc(q.waiting, t.sequence, func(w *Turn, sequence uint64) int {
+		return cmp.Compare(w.sequence, sequence)
+	})
+}
+
 func (q *Queue) stop(t *Turn) {
 	if t.running && t.reset == q.resets {
 		q.running--
