Service text: keys, burst and priority of workspaces, public routes

A read of the configuration has to return what was sent, so control keeps the plain form; Redact gives entries and people the digests. Keeping only digests was ruled out for that reason. Errors name the place of a faulty key, never the key. Nothing uses the new fields yet.

--- a/core/spec/check.go
+++ b/core/spec/check.go
@@ -65,6 +65,7 @@
 		services:   make(map[string]*Service, len(raw.Service)),
 		routes:     map[string]map[string]*Route{},
 		workspaces: make(map[string]*Workspace, len(raw.Workspace)),
+		keys:       map[Digest]*Workspace{},
 	}
 	for i := range raw.Service {
 		c.checkService(t, &raw.Service[i], fmt.Sprintf("service[%d]", i))
@@ -260,7 +261,7 @@
 func (c *checker) checkRoute(t *Text, raw *rawRoute, table string) {
 	r := &Route{
 		Host: strings.ToLower(raw.Host), Prefix: strings.TrimSuffix(raw.Prefix, "/"),
-		Name: raw.Name, Service: raw.Service, StripPrefix: raw.Strip,
+		Name: raw.Name, Service: raw.Service, StripPrefix: raw.Strip, Public: raw.Public,
 	}
 	r.Kind = c.parseRouteKind(raw, table)
 	if r.Host != "" && !hostPattern.MatchString(r.Host) {
@@ -306,7 +307,7 @@
 }
 
 func (c *checker) checkWorkspace(t *Text, raw *rawWorkspace, table string) {
-	w := &Workspace{Name: raw.Name, Services: raw.Services, RateLimit: raw.Rate}
+	w := &Workspace{Name: raw.Name, Services: raw.Services, RateLimit: raw.Rate, Burst: raw.Burst, Priority: raw.Priority}
 	if c.checkName(table+".name", raw.Name) && t.workspaces[raw.Name] != nil {
 		c.addError(table+".name", "workspace %q is listed twice", raw.Name)
 	}
@@ -318,10 +319,35 @@
 	if raw.Rate < 0 || math.IsNaN(raw.Rate) || math.IsInf(raw.Rate, 0) {
 		c.addError(table+".rate", "must be a number from 0 on")
 	}
+	if raw.Burst < 0 || math.IsNaN(raw.Burst) || math.IsInf(raw.Burst, 0) {
+		c.addError(table+".burst", "must be a number from 0 on")
+	}
+	if raw.Priority != nil && (*raw.Priority < 0 || *raw.Priority > maxPriority) {
+		c.addError(table+".priority", "lies outside 0 to %d", maxPriority)
+	}
+	c.checkKeys(t, w, raw, table)
 	t.Workspaces = append(t.Workspaces, w)
 	t.workspaces[w.Name] = w
 }
 
+// checkKeys parses the keys of a workspace. Its errors never contain a key.
+func (c *checker) checkKeys(t *Text, w *Workspace, raw *rawWorkspace, table string) {
+	for i, source := range raw.Keys {
+		place := fmt.Sprintf("%s.keys[%d]", table, i)
+		key, reason := parseKey(source)
+		if reason != "" {
+			c.addError(place, "%s", reason)
+			continue
+		}
+		if other := t.keys[key.Digest]; other != nil && other != w {
+			c.addError(place, "workspace %q has the same key", other.Name)
+			continue
+		}
+		w.Keys = append(w.Keys, key)
+		t.keys[key.Digest] = w
+	}
+}
+
 // checkDependencies reports dependencies on unknown services and dependency cycles.
 func (c *checker) checkDependencies(t *Text) {
 	const visiting, visited = 1, 2
--- a/core/spec/encode.go
+++ b/core/spec/encode.go
@@ -29,7 +29,7 @@
 		raw.Service = append(raw.Service, item)
 	}
 	for _, r := range t.Routes {
-		item := rawRoute{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Strip: r.StripPrefix}
+		item := rawRoute{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Strip: r.StripPrefix, Public: r.Public}
 		for _, p := range r.Split {
 			item.Split = append(item.Split, rawSplitPart{Service: p.Service, Weight: &p.Weight})
 		}
@@ -39,7 +39,11 @@
 		raw.Route = append(raw.Route, item)
 	}
 	for _, w := range t.Workspaces {
-		raw.Workspace = append(raw.Workspace, rawWorkspace{Name: w.Name, Services: w.Services, Rate: w.RateLimit})
+		item := rawWorkspace{Name: w.Name, Services: w.Services, Rate: w.RateLimit, Burst: w.Burst, Priority: w.Priority}
+		for i := range w.Keys {
+			item.Keys = append(item.Keys, w.Keys[i].source())
+		}
+		raw.Workspace = append(raw.Workspace, item)
 	}
 	text, err := toml.Marshal(raw)
 	return text, eris.Wrap(err, "encode service text")
--- a/core/spec/encode_test.go
+++ b/core/spec/encode_test.go
@@ -1,6 +1,7 @@
 package spec_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -81,3 +82,54 @@
 	is.Equal(unweighted.PickService(0.2), "a")
 	is.Equal(unweighted.PickService(0.7), "b")
 }
+
+const keyed = `
+[[service]]
+name = "one"
+floor = "70%"
+
+[[route]]
+prefix = "/open/"
+service = "one"
+public = true
+
+[[workspace]]
+name = "a"
+rate = 2.5
+burst = 4
+priority = 3
+keys = ["plain:s3cret", 'plain:t"ick', "sha256:2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]
+`
+
+// Guards against a redacted text that differs in meaning or still holds a key.
+func TestRedact(t *testing.T) {
+	is := is.New(t)
+	text, err := spec.Parse([]byte(keyed))
+	is.NoErr(err)
+	encoded, err := spec.Encode(text)
+	is.NoErr(err)
+	for _, source := range [][]byte{[]byte(keyed), encoded} {
+		redacted := spec.Redact(source)
+		is.True(!strings.Contains(string(redacted), "s3cret") && !strings.Contains(string(redacted), "ick"))
+		parsed, err := spec.Parse(redacted)
+		is.NoErr(err)
+		for _, key := range []string{"s3cret", `t"ick`, "secret"} {
+			is.Equal(parsed.WorkspaceOfKey(spec.DigestKey(key)).Name, "a")
+		}
+		w := parsed.Workspace("a")
+		is.Equal([]float64{w.RateLimit, w.Burst, float64(*w.Priority)}, []float64{2.5, 4, 3})
+		is.True(parsed.Routes[0].Public)
+		is.Equal(spec.Redact(redacted), redacted)
+	}
+}
+
+// Guards against an error message that contains a key.
+func TestKeyErrors(t *testing.T) {
+	is := is.New(t)
+	for _, keys := range []string{`["s3cret"]`, `["plain:s3cret x"]`, `["sha256:s3cret"]`, `["plain:"]`} {
+		_, err := spec.Parse([]byte("[[workspace]]\nname = \"a\"\nkeys = " + keys + "\n"))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "workspace[0].keys[0]"))
+		is.True(!strings.Contains(err.Error(), "s3cret"))
+	}
+}
--- a/core/spec/parse.go
+++ b/core/spec/parse.go
@@ -60,6 +60,7 @@
 	Service string         `toml:"service,omitempty"`
 	Split   []rawSplitPart `toml:"split,omitempty,inline"`
 	Strip   bool           `toml:"strip,omitempty"`
+	Public  bool           `toml:"public,omitempty"`
 	Kind    *rawKind       `toml:"kind,omitempty,inline"`
 }
 
@@ -72,6 +73,9 @@
 	Name     string   `toml:"name"`
 	Services []string `toml:"services,omitempty"`
 	Rate     float64  `toml:"rate,omitempty"`
+	Burst    float64  `toml:"burst,omitempty"`
+	Priority *int     `toml:"priority,omitempty"`
+	Keys     []string `toml:"keys,omitempty"`
 }
 
 // Parse parses and validates a service text. An error is of type Errors.
--- a/core/spec/text.go
+++ b/core/spec/text.go
@@ -15,6 +15,7 @@
 	services   map[string]*Service
 	routes     map[string]map[string]*Route // host, then prefix
 	workspaces map[string]*Workspace
+	keys       map[Digest]*Workspace
 }
 
 // Policy determines what the detection of unhealthy targets of a service favours.
@@ -65,6 +66,7 @@
 	Service     string // empty with a split
 	Split       []SplitPart
 	StripPrefix bool  // remove the prefix before the request is sent to the target
+	Public      bool  // requests need no key
 	Kind        *Kind // kind of all requests of the route, nil: the kinds of the service apply
 }
 
@@ -87,6 +89,9 @@
 	Name      string
 	Services  []string
 	RateLimit float64 // requests per second in the whole fleet, 0: no limit
+	Burst     float64 // requests beyond RateLimit that the whole fleet may send at once
+	Priority  *int    // replaces the priority of the kind of a request, nil: the kind's applies
+	Keys      []Key   // by which callers prove that a request belongs to the workspace
 }
 
 // Service returns the service of that name, or nil.
@@ -95,6 +100,13 @@
 // Workspace returns the workspace of that name, or nil.
 func (t *Text) Workspace(name string) *Workspace { return t.workspaces[name] }
 
+// HasKeys reports whether any workspace has a key. Requests on routes that are not
+// public need one then.
+func (t *Text) HasKeys() bool { return len(t.keys) > 0 }
+
+// WorkspaceOfKey returns the workspace that has the key with the given digest, or nil.
+func (t *Text) WorkspaceOfKey(digest Digest) *Workspace { return t.keys[digest] }
+
 // PickService returns the service for one request. The random value draw in [0, 1)
 // selects a part of a split with a probability proportional to its weight, or
 // with equal probability if all weights are 0.
