An acknowledged end binds for targets that the registry does not know

A target's first announcement failed while control was partitioned. Its end was acknowledged although the registry did not know it, and the delayed announcement then made it ready: requests reached a target that had left. The same happened with an end of a later incarnation than the registered one.

The replica that receives such an end registers a placeholder for the incarnation first: a draining announcement with the largest sequence number, an address inside 100::/64 and a service that no text can contain. It uses existing commands, so old builds reach the same state. For an end without a start, a placeholder of the earliest incarnation asks the log whether the name is registered; a lagging replica cannot tell. The leader ends placeholders that were left by a replica that failed in between.

Ruled out: a new command (old builds would differ), an empty service (Check refuses it), and relay.CatchUp before the decision (it covers the service text only).

--- a/control/daemon/registry.go
+++ b/control/daemon/registry.go
@@ -63,11 +63,10 @@
 	targets := p.machine.view.Load().Targets
 	effect := targets.Evaluate(a)
 	if effect == enrol.Changed || a.State == enrol.Gone {
-		result, err := p.relay.Propose(ctx, state.Command{Announce: &a})
-		if err != nil {
+		var err error
+		if effect, err = r.commit(ctx, a); err != nil {
 			return err
 		}
-		effect = result.Effect
 		p.log.WithFields(map[string]any{
 			"target": a.Name, "service": a.Service, "address": a.Address.String(), "datacentre": a.DataCentre,
 			"start": a.Start.UnixMilli(), "seq": a.Seq, "state": string(a.State), "verdict": string(effect),
@@ -85,6 +84,15 @@
 	return nil
 }
 
+// commit proposes an announcement and returns its effect.
+func (r *registry) commit(ctx context.Context, a enrol.Announcement) (enrol.Effect, error) {
+	if a.State == enrol.Gone {
+		return r.commitEnd(ctx, a)
+	}
+	result, err := r.daemon.parts.relay.Propose(ctx, state.Command{Announce: &a})
+	return result.Effect, err
+}
+
 // run calls tick periodically until ctx is done.
 func (r *registry) run(ctx context.Context) {
 	pace.Every(ctx, heardInterval, func() { r.tick(ctx) })
@@ -105,6 +113,13 @@
 	if c := p.links.Get(status.Leader); !isLeader && c != nil && len(batch.Targets) > 0 {
 		_ = c.Send(wire.KindHeard, batch) // a failed send closes the link; the targets announce themselves again
 	}
+	if !isLeader {
+		return
+	}
+	silent, left := splitPlaceholders(view.Targets, silent)
+	if len(left) > 0 {
+		r.endPlaceholders(ctx, left)
+	}
 	if len(silent) == 0 {
 		return
 	}
--- a/core/enrol/table_test.go
+++ b/core/enrol/table_test.go
@@ -74,6 +74,38 @@
 	}
 }
 
+// Guards against an end that leaves no row behind, against a placeholder that an entry
+// could use, that survives its end or that takes the address of another target, and
+// against a build in which placeholders have another effect than in the builds before
+// them, which know only announcements.
+func TestPlaceholder(t *testing.T) {
+	is := is.New(t)
+	table, mirror := enrol.New(), enrol.NewMirror()
+	start := epoch.Add(5 * time.Second)
+	placeholder := enrol.Placeholder("a", start, "salish", "salish-1")
+	is.NoErr(placeholder.Check())
+	is.True(placeholder.Address != enrol.Placeholder("b", start, "salish", "salish-1").Address)
+	is.Equal(table.Announce(1, epoch, announcement("a", 1, 0, 7, enrol.Ready)), enrol.Changed)
+	is.Equal(table.Announce(2, epoch, placeholder), enrol.Changed)
+	is.Equal(table.Announce(3, epoch, placeholder), enrol.Same)
+	is.Equal(table.Announce(4, epoch, announcement("a", 1, 5, 9, enrol.Ready)), enrol.Stale)
+	v := table.View()
+	is.True(v.Find("a").IsPlaceholder())
+	_, ok := mirror.Apply(epoch, v.Since(0))
+	is.True(ok)
+	is.Equal(len(mirror.Targets("tables")), 0) // the incarnation before is no longer used
+
+	end := enrol.Announcement{Name: "a", Start: start, State: enrol.Gone}
+	is.Equal(table.Announce(5, epoch, end), enrol.Changed)
+	is.Equal(table.Announce(6, epoch, placeholder), enrol.Stale)
+	is.Equal(table.Announce(7, epoch, announcement("a", 1, 5, 9, enrol.Ready)), enrol.Stale)
+	is.Equal(table.Announce(8, epoch, announcement("a", 1, 6, 1, enrol.Ready)), enrol.Changed)
+	is.Equal(table.Announce(9, epoch, announcement("a", 1, 6, 1, enrol.Gone)), enrol.Changed)
+	is.Equal(table.Announce(10, epoch.Add(time.Hour), announcement("b", 2, 0, 1, enrol.Ready)), enrol.Changed)
+	v = table.View()
+	is.Equal(len(v.Rows()), 1) // pruned
+}
+
 // Guards against two live targets at one address.
 func TestAddressHasOneTarget(t *testing.T) {
 	is := is.New(t)
