Entries, administration API and galenactl get digests of keys

A service text in plain form would put keys of workspaces on the disk of each entry, on its links and on the screen of whoever runs galenactl show. Fleet installs redacted texts only, so pushes, pulls and splices have digests; GET /v1/text answers with digests, and galenactl diff compares a file by its digests. The replicated state and the platform's read of the configuration keep the keys as sent. Redacting at each send was ruled out: a splice needs the same base on both sides. A text without keys is unchanged, byte for byte.

--- a/control/admin/text.go
+++ b/control/admin/text.go
@@ -95,7 +95,7 @@
 			break
 		}
 		doc := revision(h)
-		text := string(data)
+		text := string(spec.Redact(data))
 		doc.Text = &text
 		serve.WriteJSON(w, http.StatusOK, Text{Confirmed: confirmed, Revision: doc})
 		return nil
--- a/control/fleet/push.go
+++ b/control/fleet/push.go
@@ -7,11 +7,13 @@
 
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
+	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// installRevisions copies new revisions from the view to the store.
+// installRevisions copies new revisions from the view to the store. Entries need the
+// digests of keys only, and keep a copy of the text on their disk.
 func (f *Fleet) installRevisions() {
 	v := f.View()
 	newest, current := v.Newest().Number, f.revisions.Number()
@@ -20,7 +22,7 @@
 	}
 	for number := max(current+1, newest-min(newest, maxInstallBacklog)+1); number <= newest; number++ {
 		if text, ok := v.Text(number); ok {
-			f.revisions.Install(number, text)
+			f.revisions.Install(number, spec.Redact(text))
 		}
 	}
 	f.installedAt = f.Clock()
--- a/control/fleet/push_test.go
+++ b/control/fleet/push_test.go
@@ -16,6 +16,7 @@
 	"github.com/galenalock/galenalock/core/delta"
 	"github.com/galenalock/galenalock/core/enrol"
 	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/state"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -207,3 +208,16 @@
 		}
 	}
 }
+
+// Guards against keys of workspaces that reach entries, and their disks.
+func TestEntriesGetDigestsOfKeys(t *testing.T) {
+	is := is.New(t)
+	r := startReplica(t)
+	r.commit(`keys = ["plain:secret"]`)
+	e := dialReplica(t, r, "entry-1")
+	var got wire.Revision
+	is.NoErr(e.conn.Call(t.Context(), wire.KindPull, wire.Pull{}, &got))
+	text, err := delta.Apply(0, nil, got)
+	is.NoErr(err)
+	is.Equal(string(text), `keys = ["sha256:`+spec.DigestKey("secret").String()+`"]`)
+}
--- a/galenactl/command/diff.go
+++ b/galenactl/command/diff.go
@@ -7,6 +7,8 @@
 
 	"github.com/integrii/flaggy"
 	"github.com/pmezard/go-difflib/difflib"
+
+	"github.com/galenalock/galenalock/core/spec"
 )
 
 const contextLines = 3 // unchanged lines around each difference
@@ -34,14 +36,15 @@
 	if err != nil {
 		return err
 	}
+	redacted := string(spec.Redact(text)) // as the text of the revision is
 	unified, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
 		A: difflib.SplitLines(*doc.Revision.Text), FromFile: fmt.Sprint("revision ", doc.Revision.Number),
-		B: difflib.SplitLines(string(text)), ToFile: file, Context: contextLines,
+		B: difflib.SplitLines(redacted), ToFile: file, Context: contextLines,
 	})
 	if err != nil {
 		return err
 	}
-	equal := *doc.Revision.Text == string(text)
+	equal := *doc.Revision.Text == redacted
 	err = env.printResult(map[string]any{"base": doc.Revision.Number, "differs": !equal, "diff": unified}, func(w io.Writer) {
 		fmt.Fprint(w, unified)
 	})
