--- a/core/update/confirmer.go
+++ b/core/update/confirmer.go
@@ -14,6 +14,10 @@
 	// further replica. The first one may be cut off from the majority, which it tells
 	// after seconds only.
 	confirmHedgeDelay = 250 * time.Millisecond
+	// frequentInterval is the interval of calls of a ready instance that needs a recent
+	// confirmation, and frequentHedgeDelay the time after which it asks a further replica.
+	frequentInterval   = time.Second
+	frequentHedgeDelay = 300 * time.Millisecond
 )
 
 // Confirmer decides when an instance asks which control replica for the newest revision
@@ -24,6 +28,9 @@
 	next       int // position in the list of the replica to ask next
 	last       time.Time
 	pending    value.Set[string] // replicas that have not answered
+	frequent   bool              // recent confirmations are needed
+	round      time.Time         // first call since the last one that was answered
+	confirmed  bool              // a call since round was answered
 }
 
 // ConfirmerOption configures a Confirmer.
@@ -51,7 +58,7 @@
 // Ask returns the position of the replica to ask now, which then counts as asked. It
 // returns false if none is to be asked.
 func (c *Confirmer) Ask(now time.Time, ready bool, replicas []string) (int, bool) {
-	if now.Sub(c.last) < c.wait(ready) || ready && len(c.pending) > 0 {
+	if !c.due(now, ready) {
 		return 0, false
 	}
 	for i := range replicas {
@@ -59,6 +66,9 @@
 		if name := replicas[position]; !c.pending.Has(name) {
 			c.pending.Add(name)
 			c.last, c.next = now, position+1
+			if c.confirmed || c.round.IsZero() {
+				c.round, c.confirmed = now, false
+			}
 			return position, true
 		}
 	}
@@ -68,6 +78,26 @@
 // Answered records that a replica has answered, or that the call to it has failed.
 func (c *Confirmer) Answered(replica string) { c.pending.Remove(replica) }
 
+// Confirmed records that the call made at the given time was answered with the newest
+// revision.
+func (c *Confirmer) Confirmed(asked time.Time) {
+	c.confirmed = c.confirmed || !asked.Before(c.round)
+}
+
+// SetFrequent sets whether a ready instance asks every second, whatever its interval,
+// and does not wait for a replica that does not answer.
+func (c *Confirmer) SetFrequent(on bool) { c.frequent = on }
+
+func (c *Confirmer) due(now time.Time, ready bool) bool {
+	if ready && c.frequent {
+		if c.confirmed {
+			return now.Sub(c.round) >= frequentInterval
+		}
+		return now.Sub(c.last) >= frequentHedgeDelay
+	}
+	return now.Sub(c.last) >= c.wait(ready) && (!ready || len(c.pending) == 0)
+}
+
 func (c *Confirmer) wait(ready bool) time.Duration {
 	switch {
 	case ready:
