Requests need the key of a workspace if the configuration has keys

The key is looked up when the request is matched and again before each attempt, on its open connection, and before a stored response is sent, always in the newest view; the freshness is read before the view, so that an old view is never taken for a confirmed one. Targets get neither Authorization nor a workspace header of the caller, also not as trailers. The relay header carries the workspace and the digest, and the other entry checks them against its own view; a difference is declined. Idempotency keys are scoped by workspace.

New refusals: unauthorized (401) and unconfirmed (503). A key that is withdrawn after an attempt that may have run ends as broken (502, run unknown). A check only when the request is matched was ruled out: a request may wait for admission for seconds.

Without keys in the configuration nothing changes.

--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -36,6 +36,9 @@
 	Draining    Reason = "draining"    // the instance is shutting down
 	NotReady    Reason = "notready"    // the instance has no configuration yet
 	Stale       Reason = "stale"       // the instance has known for too long of a newer configuration than it has in force
+
+	Unauthorized Reason = "unauthorized" // the request has no key of a workspace
+	Unconfirmed  Reason = "unconfirmed"  // the instance cannot confirm that its configuration, which has the keys, is recent
 )
 
 type reasonInfo struct {
@@ -73,6 +76,9 @@
 	Draining:    {http.StatusServiceUnavailable, "The instance is shutting down"},
 	NotReady:    {http.StatusServiceUnavailable, "The instance has no configuration yet"},
 	Stale:       {http.StatusServiceUnavailable, "The instance does not have the newest configuration"},
+
+	Unauthorized: {http.StatusUnauthorized, "The request needs the key of a workspace"},
+	Unconfirmed:  {http.StatusServiceUnavailable, "The instance cannot confirm that its configuration is recent"},
 }
 
 // Reasons returns every reason.
@@ -89,7 +95,9 @@
 
 // OfConfiguration reports whether the request is refused because the configuration
 // has nothing that accepts it.
-func (r Reason) OfConfiguration() bool { return r == NoRoute || r == NoMethod || r == NoWorkspace }
+func (r Reason) OfConfiguration() bool {
+	return r == NoRoute || r == NoMethod || r == NoWorkspace || r == Unauthorized
+}
 
 // Title returns a short description for people.
 func (r Reason) Title() string { return reasonTable[r].title }
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -72,6 +72,8 @@
 	poisons          *poison.Table
 	path             path
 	lag              update.Lag
+	age              *update.Age
+	loggedOutdated   bool // the last line about the age of the view told that it is outdated
 
 	suspectReports chan suspectReport // sent by traffic goroutines
 }
@@ -98,6 +100,7 @@
 		poisons:        poison.New(poison.WithHold(s.Quarantine), poison.WithSpread(quarantineSpread*rand.Float64())),
 		suspectReports: make(chan suspectReport, suspectQueueLength),
 		startupGate:    proxy.NewStartupGate(s.Start.Add(s.StartupWait)),
+		age:            update.NewAge(s.Revoke),
 	}
 	a.crashes.probing = map[*target]bool{}
 	if a.hooks.Connect == nil {
@@ -228,6 +231,7 @@
 	}
 	a.confirm(now)
 	a.logLag(now)
+	a.logFreshness()
 	a.tickUpstreams(now)
 	a.tickPath(now)
 	a.report(now)
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/galenalock/galenalock/core/boot"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/logs"
 	"github.com/galenalock/galenalock/core/update"
@@ -123,21 +124,26 @@
 	for i, c := range links {
 		names[i] = c.Peer().Instance
 	}
+	a.confirmer.SetFrequent(a.hasKeys())
 	position, ok := a.confirmer.Ask(now, a.update.Ready(now), names)
 	if !ok {
 		return
 	}
 	c := links[position]
+	asked := boot.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 		defer cancel()
 		var response wire.Confirmed
 		err := c.Call(ctx, wire.KindConfirm, wire.Confirm{}, &response)
+		askedAt := now
 		a.post(func(now time.Time) {
 			a.confirmer.Answered(c.Peer().Instance)
 			if err != nil {
 				return
 			}
+			a.confirmer.Confirmed(askedAt)
+			a.age.Confirm(asked, response.Number)
 			a.lag.Hear(now, response.Number)
 			a.update.Confirm(now, response)
 			a.publish(now)
@@ -168,6 +174,7 @@
 		}
 		a.reportDue = true
 	}
+	a.age.Apply(next.Revision)
 }
 
 // report sends the state of the instance to control when it has changed, and
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -27,6 +27,7 @@
 	ControlSeeds []netip.AddrPort // peer addresses of a few control replicas; if set, targets come from control and there is no overlay
 	ControlLinks int              // number of links to control replicas, with ControlSeeds
 	Quarantine   time.Duration    // of a request that crashed targets, see package poison
+	Revoke       time.Duration    // time after which a withdrawn key must not let a request run; 0: no bound
 	Retry        RetryBudget
 	MinInflight  int            // concurrent requests of a service that are always admitted
 	Start        time.Time      // start of the process, identifies its incarnation
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -99,8 +99,9 @@
 		Peer: p.server.Addr(), Control: s.Control, OverlaySeeds: slices.Concat(s.Peers, s.Control),
 		DataDir: s.Data, SlowStart: s.Ramp, StartupWait: s.Wait, Start: d.start,
 		ControlSeeds: s.Seeds, ControlLinks: s.Links, MinInflight: s.Inflight, Quarantine: s.Quarantine,
-		Path:  path,
-		Retry: agent.RetryBudget{Window: s.RetryWindow, Share: s.RetryShare, Slack: s.RetrySlack},
+		Path:   path,
+		Revoke: s.Revoke,
+		Retry:  agent.RetryBudget{Window: s.RetryWindow, Share: s.RetryShare, Slack: s.RetrySlack},
 	}, agent.Hooks{
 		OpenMesh: func(opts ...mesh.Option) *mesh.Mesh {
 			opts = append(opts, mesh.WithByteCounter(c.addLinkBytes))
@@ -161,8 +162,9 @@
 	hooks, err := proxy.Hooks{
 		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
 		Quarantined: a.Quarantined, MayResend: a.MayResend, Unavailable: a.Unavailable, PathLost: a.PathLost,
-		Stale: func() bool { return a.IsStale(time.Now()) },
-		Claim: a.Claim, Close: a.Close, Retry: a.Retry, HedgeDelay: a.HedgeDelay, ProbeDelay: a.ProbeDelay,
+		Stale:     func() bool { return a.IsStale(time.Now()) },
+		Freshness: a.Freshness,
+		Claim:     a.Claim, Close: a.Close, Retry: a.Retry, HedgeDelay: a.HedgeDelay, ProbeDelay: a.ProbeDelay,
 		Enter: proxy.TrackInflight(d.inflightCore), StopsIn: d.inflightCore.Left,
 	}.WithMetrics(m)
 	if err != nil {
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -41,6 +41,7 @@
 	Ramp        time.Duration
 	Wait        time.Duration
 	Quarantine  time.Duration
+	Revoke      time.Duration
 	Connections int
 	Body        int
 	Cert        string
@@ -81,6 +82,8 @@
 	maxRetrySlack      = 1 << 20
 	maxInflight        = 1 << 16
 	maxQuarantine      = 24 * time.Hour
+	minRevoke          = 2 * time.Second // the configuration is confirmed every second
+	maxRevoke          = 24 * time.Hour
 )
 
 // Table returns the description of the settings.
@@ -106,6 +109,7 @@
 	t.Duration("ramp", &s.Ramp, defaultRamp, 0, maxGrace, "slow start of a target")
 	t.Duration("wait", &s.Wait, defaultWait, 0, maxWait, "time from the start of the entry for which requests wait for the first configuration instead of being refused")
 	t.Duration("quarantine", &s.Quarantine, poison.DefaultHold, 0, maxQuarantine, "time for which a request that crashed three targets is refused; it doubles if the request then crashes another one; 0: never")
+	t.Duration("revoke", &s.Revoke, 0, 0, maxRevoke, "time after which a withdrawn key of a workspace must not let a request run; without a confirmation of the configuration for 0.8 of it, requests with keys are refused; 0: no bound")
 	t.Int("inflight", &s.Inflight, 0, 0, maxInflight, "requests", "requests of a service that this entry always admits, however few slots its share is")
 	t.Duration("retry.window", &s.RetryWindow, 0, 0, maxRetryWindow, "span in which further attempts are bounded over the whole fleet; 0: each entry has a budget of its own")
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
@@ -141,6 +145,9 @@
 	if s.Kill > 0 && s.Kill < minKill {
 		return &conf.Error{Key: "kill", Reason: "must be 0s or at least " + minKill.String()}
 	}
+	if s.Revoke > 0 && s.Revoke < minRevoke {
+		return &conf.Error{Key: "revoke", Reason: "must be 0s or at least " + minRevoke.String()}
+	}
 	return cmp.Or(
 		conf.BothOrNeither("tls.cert", s.Cert, "tls.key", s.Key),
 		conf.BothOrNeither("tls.cert", s.Cert, "tls.authority", s.Authority),
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -239,6 +239,9 @@
 	if a.call.streaming {
 		a.call.upload.enableDuplex()
 	}
+	if err := a.call.checkAccess(); err != nil {
+		return err
+	}
 	if a.call.beforeSend != nil {
 		return a.call.beforeSend()
 	}
@@ -261,6 +264,7 @@
 func (a *attempt) failureClass(err error) Class {
 	var dial *pool.DialError
 	var bodyErr *pool.RequestBodyError
+	var access *accessError
 	given := a.abandoned.Load()
 	switch {
 	case given != nil:
@@ -271,7 +275,7 @@
 		return Cancelled
 	case errors.As(err, &dial):
 		return Dial
-	case errors.Is(err, errStaleClaim):
+	case errors.Is(err, errStaleClaim), errors.As(err, &access):
 		return Cancelled
 	}
 	return Failed
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -21,6 +21,7 @@
 	path       string // decoded path below the prefix that the route strips
 	uri        string // request URI for targets
 	key        string // idempotency key of a request that needs a claim, otherwise empty
+	access     access // what the key of the request proves
 	atMostOnce bool   // the request must not be repeated
 
 	upload       *upload
@@ -114,6 +115,7 @@
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
 	c.upload = newUpload(c.r, c.controller, c.proxy.rules.UploadError)
+	c.upload.onEnd = c.removeTrailers
 	g := &guard{controller: c.controller, now: c.proxy.hooks.Now}
 	defer g.end()
 	defer context.AfterFunc(detached, func() { g.fire(c.upload) })()
--- a/entry/proxy/claim.go
+++ b/entry/proxy/claim.go
@@ -23,7 +23,7 @@
 func (c *call) serveKeyed(ctx, detached context.Context) error {
 	recorder := c.proxy.recorder
 	requestHash := fingerprint(c.r, c.path, c.request.Workspace, c.bufferedBody)
-	number, action := recorder.open(c.request, c.key, requestHash)
+	number, action := recorder.open(c.request, c.claimKey(), requestHash)
 	contended := false
 	for action.Type == claim.SendClaim {
 		if err := sleepContext(ctx, action.Delay); err != nil {
@@ -49,6 +49,9 @@
 	}
 	switch action.Type {
 	case claim.Reply:
+		if err := c.checkAccess(); err != nil {
+			return c.dispatchRefusal(ctx, err)
+		}
 		return c.replay(action.Answer)
 	case claim.Dispatch:
 		return c.dispatchClaimed(ctx, detached, number)
--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -28,6 +28,12 @@
 	Proof     string // set by targets only, on every response that they make
 	RefusalID string // request identifier in refusals
 
+	// KeyScheme is the scheme of the header Authorization in which callers send keys of
+	// workspaces. Without it keys have no effect.
+	KeyScheme string
+	// WorkspaceOut names the workspace to targets if the configuration has keys.
+	WorkspaceOut string
+
 	// Load parses the load that a target reports.
 	Load func(h http.Header) (Load, bool)
 	// Limit parses the request rate that a target accepts from the whole fleet;
@@ -52,6 +58,7 @@
 func Native() Dialect {
 	return Dialect{
 		Workspace: headerWorkspace, Deadline: headerDeadline, RefusalID: headerRequest,
+		KeyScheme: "Bearer", WorkspaceOut: headerWorkspace,
 		Load: nativeLoad, Limit: LimitHeader(headerLimit), Leaving: LeavingHeader(headerLeaving),
 		NotRun: func(status int, h http.Header) (bool, bool) {
 			notRun := status == http.StatusServiceUnavailable && h.Get(headerRun) == string(refuse.NotRun)
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -129,6 +129,9 @@
 	if left, stopping := c.proxy.hooks.StopsIn(c.proxy.hooks.Now()); stopping && left < lastAttempt {
 		return &stoppingError{}
 	}
+	if err := c.checkAccess(); err != nil {
+		return err
+	}
 	return c.quarantine()
 }
 
@@ -147,9 +150,10 @@
 	var shed *shedError
 	var bodyErr *pool.RequestBodyError
 	var malformed *pool.RequestError
+	var access *accessError
 	resend := !c.streaming || !c.upload.started.Load()
 	switch {
-	case errors.As(err, &bodyErr), errors.As(err, &malformed), errors.Is(err, errStaleClaim):
+	case errors.As(err, &bodyErr), errors.As(err, &malformed), errors.Is(err, errStaleClaim), errors.As(err, &access):
 		return "", false
 	case c.proxy.rules.Unsent(err):
 		return RetryConnect, resend
@@ -176,7 +180,12 @@
 	var quarantined *quarantineError
 	var relay *relayError
 	var stopping *stoppingError
+	var access *accessError
 	switch {
+	case errors.As(err, &access) && run == refuse.NotRun:
+		return access.refusal()
+	case errors.As(err, &access):
+		out.Reason = refuse.Broken // the status of any other refusal would promise that the request has not run
 	case errors.As(err, &stopping):
 		out.Reason, out.RetryAfter = refuse.Draining, retryElsewhere
 	case errors.As(err, &quarantined):
--- a/entry/proxy/doc.go
+++ b/entry/proxy/doc.go
@@ -12,6 +12,10 @@
 //
 // # Headers
 //
+// If the configuration has keys, Authorization from callers holds the key of the
+// workspace. It is removed, and Galenalock-Workspace names the workspace to targets,
+// whatever the caller sent in it. Without keys they are forwarded unchanged.
+//
 // From callers: Galenalock-Workspace names the workspace; Galenalock-Deadline
 // gives the time left in milliseconds, which can shorten the timeout of the
 // kind but not extend it.
--- a/entry/proxy/header.go
+++ b/entry/proxy/header.go
@@ -59,6 +59,7 @@
 	if trailers {
 		h["Te"] = []string{"trailers"}
 	}
+	c.setAccessHeader(h)
 	if !c.proxy.dialect.Forwarded {
 		return h
 	}
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/update"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -61,6 +62,10 @@
 	// date for too long to serve requests by it.
 	Stale func() bool
 
+	// Freshness tells for which decisions about keys the current view is recent enough.
+	// By default every view counts as the newest.
+	Freshness func() update.Freshness
+
 	// Begin is called before each attempt is sent, End once with its outcome.
 	Begin func(Attempt)
 	End   func(Attempt, Outcome)
@@ -137,6 +142,9 @@
 	if h.Stale == nil {
 		h.Stale = func() bool { return false }
 	}
+	if h.Freshness == nil {
+		h.Freshness = func() update.Freshness { return update.Newest }
+	}
 	if h.Begin == nil {
 		h.Begin = func(Attempt) {}
 	}
--- a/entry/proxy/key.go
+++ b/entry/proxy/key.go
@@ -93,7 +93,9 @@
 		h := sha256.New()
 		writeParts(h, c.request.Service.Name, c.r.Method, c.r.Host, c.uri, c.request.Workspace)
 		for _, name := range []string{"Authorization", "Cookie"} {
-			writeParts(h, c.r.Header[name]...)
+			if name != headerAuthorization || !c.access.enforced { // targets do not get it
+				writeParts(h, c.r.Header[name]...)
+			}
 			writeLength(h, 0) // ends the list of values
 		}
 		if c.streaming {
--- a/entry/proxy/match.go
+++ b/entry/proxy/match.go
@@ -51,7 +51,7 @@
 		return notRunError(refuse.NoMethod, "")
 	}
 	c.request.Service, c.request.Kind = service, kind
-	return c.matchWorkspace(text)
+	return c.authorize(route)
 }
 
 // serviceOf returns the service of a request on a route, or nil if the entry that
--- a/entry/proxy/refusal.go
+++ b/entry/proxy/refusal.go
@@ -60,6 +60,9 @@
 	if d.RefusalID != "" {
 		h[d.RefusalID] = []string{c.request.ID}
 	}
+	if refusal.Reason == refuse.Unauthorized {
+		h["Www-Authenticate"] = []string{d.KeyScheme}
+	}
 	c.setClose(h)
 	c.markRefused(h, refusal)
 	style := d.Style
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/update"
 	"github.com/galenalock/galenalock/core/wire"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -93,6 +94,10 @@
 		{"lost", orderRequest, proxy.Hooks{Claim: claimResult(wire.ClaimUnknown, nil)}, nil},
 		{"expired", orderRequest, proxy.Hooks{Claim: claimResult(wire.ClaimExpired, nil)}, nil},
 		{"running", strings.Replace(orderRequest, "Connection", "Galenalock-Deadline: 20\r\nConnection", 1), proxy.Hooks{Claim: claimResult(wire.ClaimRunning, nil)}, nil},
+		{"unauthorized", fmt.Sprintf(get, ""), newGuarded(t, "key-0").hooks(), nil},
+		{"unconfirmed", fmt.Sprintf(get, "Authorization: Bearer key-0\r\n"), proxy.Hooks{
+			View: newGuarded(t, "key-0").view.Load, Freshness: func() update.Freshness { return update.Outdated },
+		}, nil},
 	}
 	seen := map[string]bool{}
 	var transcript strings.Builder
--- a/entry/proxy/relay.go
+++ b/entry/proxy/relay.go
@@ -43,6 +43,7 @@
 	c.earlierAttempts = max(0, atoi(fields["number"]))
 	c.atMostOnce = fields["repeat"] == "no"
 	c.chosenService = fields["service"]
+	c.access.relayedWorkspace, c.access.relayedDigest = fields[relayWorkspace], fields[relayKey]
 	r.Header.Del(headerRelay)
 	c.run()
 }
@@ -60,6 +61,7 @@
 	if c.atMostOnce {
 		value += " repeat=no"
 	}
+	value += c.relayFields()
 	m.Header = maps.Clone(m.Header)
 	m.Header[headerRelay] = []string{value}
 	return m
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -27,6 +27,7 @@
 	started atomic.Bool // the body was read; a target may have received part of it
 	stopped atomic.Bool
 	ended   atomic.Bool
+	onEnd   func()     // called when the body and its trailer were read; may be nil
 	mu      sync.Mutex // held during a read
 }
 
@@ -54,6 +55,9 @@
 		u.digest.hash.Write(p[:n])
 	}
 	ended := errors.Is(err, io.EOF)
+	if ended && u.onEnd != nil {
+		u.onEnd()
+	}
 	if ended && u.length >= 0 && total < u.length {
 		return 0, io.ErrUnexpectedEOF
 	}
