Redaction of keys in every notation of TOML

A key whose prefix has an escape, or that stands in a string of several lines, was not replaced in what control pushes to entries, and a literal string of several lines became invalid TOML, which entries would refuse. Such texts are parsed and encoded again without the plain keys. Doing that for every text was ruled out: it loses comments and costs a parse for each revision. A text without keys and without escapes is returned after one search.

--- a/core/spec/encode_test.go
+++ b/core/spec/encode_test.go
@@ -108,7 +108,11 @@
 	is.NoErr(err)
 	encoded, err := spec.Encode(text)
 	is.NoErr(err)
-	for _, source := range [][]byte{[]byte(keyed), encoded} {
+	sources := [][]byte{[]byte(keyed), encoded}
+	for _, notation := range []string{`"\u0070lain:s3cret"`, `'''plain:s3cret'''`, `"""plain:s3cret"""`, "\"\"\"\\\n  plain:s3cret\"\"\""} {
+		sources = append(sources, []byte(strings.Replace(keyed, `"plain:s3cret"`, notation, 1)))
+	}
+	for _, source := range sources {
 		redacted := spec.Redact(source)
 		is.True(!strings.Contains(string(redacted), "s3cret") && !strings.Contains(string(redacted), "ick"))
 		parsed, err := spec.Parse(redacted)
--- a/core/spec/key.go
+++ b/core/spec/key.go
@@ -1,6 +1,7 @@
 package spec
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -78,6 +79,18 @@
 // Redact replaces the keys of a text by their digests. Parse returns a Text with the same
 // meaning for the result. What looks like a key in a comment is replaced as well.
 func Redact(text []byte) []byte {
+	switch escaped := bytes.ContainsRune(text, '\\'); {
+	case !escaped && !bytes.Contains(text, []byte(plainPrefix)):
+		return text
+	case bytes.Contains(text, []byte(`"""`)) || bytes.Contains(text, []byte(`'''`)):
+		return redactParsed(text)
+	case escaped:
+		return redactParsed(redactStrings(text))
+	}
+	return redactStrings(text)
+}
+
+func redactStrings(text []byte) []byte {
 	return plainKeys.ReplaceAllFunc(text, func(match []byte) []byte {
 		content := string(match[1 : len(match)-1])
 		if match[0] == '"' {
@@ -89,3 +102,25 @@
 		return []byte(`"` + digestPrefix + DigestKey(strings.TrimPrefix(content, plainPrefix)).String() + `"`)
 	})
 }
+
+// redactParsed replaces the keys of a text whose notation plainKeys may not match: with an
+// escape in the prefix, or in a string of several lines. The result has no comments if the
+// text has such keys.
+func redactParsed(text []byte) []byte {
+	parsed, err := Parse(text)
+	if err != nil {
+		return redactStrings(text) // never accepted as a revision
+	}
+	found := false
+	for _, w := range parsed.Workspaces {
+		for i := range w.Keys {
+			found = found || w.Keys[i].Plain != ""
+			w.Keys[i].Plain = ""
+		}
+	}
+	if !found {
+		return text
+	}
+	encoded, _ := Encode(parsed) // does not fail for what Parse accepts
+	return encoded
+}
