--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -236,12 +236,12 @@
 // error stops the attempt.
 func (a *attempt) ready(reused bool) error {
 	a.reused.Store(reused)
-	if a.call.streaming {
-		a.call.upload.enableDuplex()
-	}
 	if err := a.call.checkAccess(); err != nil {
 		return err
 	}
+	if a.call.streaming {
+		a.call.upload.enableDuplex()
+	}
 	if a.call.beforeSend != nil {
 		return a.call.beforeSend()
 	}
