Interval of confirmations follows a short bound on withdrawn keys

With revoke below 2 s a fixed interval of 1 s would leave an entry in touch unconfirmed most of the time. It asks five times in revoke now, at least every second. Refusing a short revoke was ruled out, since the setting comes from the platform's bounds; below 1 s it is refused, as a round trip between regions and a tick take 150 ms.

TestFrequentCallsPassOverSilentReplicas: a replica that never answers or answers 0.9 s late keeps the age of the view below 2 s, with at most 90 calls a minute.

--- a/core/update/confirmer.go
+++ b/core/update/confirmer.go
@@ -14,12 +14,24 @@
 	// further replica. The first one may be cut off from the majority, which it tells
 	// after seconds only.
 	confirmHedgeDelay = 250 * time.Millisecond
-	// frequentInterval is the interval of calls of a ready instance that needs a recent
-	// confirmation, and frequentHedgeDelay the time after which it asks a further replica.
-	frequentInterval   = time.Second
-	frequentHedgeDelay = 300 * time.Millisecond
+	// maxFrequentInterval is the longest interval of calls of a ready instance that needs a
+	// recent confirmation. After frequentHedgeShare of the interval it asks a further replica.
+	maxFrequentInterval = time.Second
+	frequentHedgeShare  = 0.3
+	// intervalsPerBound is the number of calls in the time until a withdrawn key must be
+	// refused. A confirmation lasts for four of them.
+	intervalsPerBound = 5
 )
 
+// FrequentInterval returns the interval of calls of an instance that must refuse a
+// withdrawn key within revoke; 0 means that there is no bound.
+func FrequentInterval(revoke time.Duration) time.Duration {
+	if revoke == 0 {
+		return maxFrequentInterval
+	}
+	return min(maxFrequentInterval, revoke/intervalsPerBound)
+}
+
 // Confirmer decides when an instance asks which control replica for the newest revision
 // that a majority holds. It is not safe for concurrent use.
 type Confirmer struct {
@@ -28,7 +40,7 @@
 	next       int // position in the list of the replica to ask next
 	last       time.Time
 	pending    value.Set[string] // replicas that have not answered
-	frequent   bool              // recent confirmations are needed
+	frequent   time.Duration     // interval while recent confirmations are needed, otherwise 0
 	round      time.Time         // first call since the last one that was answered
 	confirmed  bool              // a call since round was answered
 }
@@ -84,16 +96,16 @@
 	c.confirmed = c.confirmed || !asked.Before(c.round)
 }
 
-// SetFrequent sets whether a ready instance asks every second, whatever its interval,
-// and does not wait for a replica that does not answer.
-func (c *Confirmer) SetFrequent(on bool) { c.frequent = on }
+// SetFrequent makes a ready instance ask at this interval instead of its usual one, and
+// not wait for a replica that does not answer; 0 ends that.
+func (c *Confirmer) SetFrequent(interval time.Duration) { c.frequent = interval }
 
 func (c *Confirmer) due(now time.Time, ready bool) bool {
-	if ready && c.frequent {
-		if c.confirmed {
-			return now.Sub(c.round) >= frequentInterval
-		}
-		return now.Sub(c.last) >= frequentHedgeDelay
+	switch {
+	case ready && c.frequent > 0 && c.confirmed:
+		return now.Sub(c.round) >= c.frequent
+	case ready && c.frequent > 0:
+		return now.Sub(c.last) >= time.Duration(frequentHedgeShare*float64(c.frequent))
 	}
 	return now.Sub(c.last) >= c.wait(ready) && (!ready || len(c.pending) == 0)
 }
--- a/core/update/confirmer_test.go
+++ b/core/update/confirmer_test.go
@@ -1,6 +1,7 @@
 package update_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -65,3 +66,46 @@
 	_, ok = c.Ask(start.Add(2*time.Hour), true, []string{"a", "b"})
 	is.True(!ok) // the first has not answered
 }
+
+// Guards against a view that ages because one replica of three does not answer or answers
+// late, and against more calls than needed.
+func TestFrequentCallsPassOverSilentReplicas(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"silent": 2 * time.Second, "late": 900 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			replicas := []string{"a", "b", "c"}
+			c := update.NewConfirmer(30 * time.Second)
+			c.SetFrequent(update.FrequentInterval(5 * time.Second))
+			type call struct {
+				replica      string
+				asked, until time.Time
+			}
+			var calls []call
+			asks, confirmed := 0, start
+			end := start.Add(time.Minute)
+			for now := start; now.Before(end); now = now.Add(50 * time.Millisecond) {
+				calls = slices.DeleteFunc(calls, func(k call) bool {
+					if now.Before(k.until) {
+						return false
+					}
+					c.Answered(k.replica)
+					if k.replica != "a" || name == "late" {
+						c.Confirmed(k.asked)
+						confirmed = k.asked
+					}
+					return true
+				})
+				if i, ok := c.Ask(now, true, replicas); ok {
+					asks++
+					until := now.Add(50 * time.Millisecond)
+					if replicas[i] == "a" {
+						until = now.Add(delay)
+					}
+					calls = append(calls, call{replicas[i], now, until})
+				}
+				is.True(now.Sub(confirmed) < 2*time.Second)
+			}
+			is.True(asks <= 90)
+		})
+	}
+}
--- a/entry/agent/config.go
+++ b/entry/agent/config.go
@@ -124,7 +124,7 @@
 	for i, c := range links {
 		names[i] = c.Peer().Instance
 	}
-	a.confirmer.SetFrequent(a.hasKeys())
+	a.confirmer.SetFrequent(a.askInterval())
 	position, ok := a.confirmer.Ask(now, a.update.Ready(now), names)
 	if !ok {
 		return
--- a/entry/agent/keys.go
+++ b/entry/agent/keys.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/galenalock/galenalock/core/boot"
 	"github.com/galenalock/galenalock/core/update"
 )
@@ -11,6 +13,14 @@
 	return text != nil && text.HasKeys()
 }
 
+// askInterval returns the interval of confirmations that keys need, 0 without keys.
+func (a *Agent) askInterval() time.Duration {
+	if !a.hasKeys() {
+		return 0
+	}
+	return update.FrequentInterval(a.settings.Revoke)
+}
+
 // Freshness tells for which decisions about keys the current view is recent enough.
 func (a *Agent) Freshness() update.Freshness { return a.age.Freshness(boot.Now()) }
 
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -82,7 +82,7 @@
 	maxRetrySlack      = 1 << 20
 	maxInflight        = 1 << 16
 	maxQuarantine      = 24 * time.Hour
-	minRevoke          = 2 * time.Second // the configuration is confirmed every second
+	minRevoke          = time.Second // the configuration is confirmed five times in it, across regions
 	maxRevoke          = 24 * time.Hour
 )
 
