Stepped test of withdrawn keys covers a configuration that the entry cannot parse

An answer that names a revision which is not in force must not confirm the view. Nothing tested that; the variant that counts any answer now fails.

--- a/core/update/age_test.go
+++ b/core/update/age_test.go
@@ -20,12 +20,18 @@
 )
 
 // ageVariant is a variant of the age of the view that a test shows to be unsafe.
-type ageVariant struct{ unbounded, stopsInSuspension, fromAnswer bool }
+type ageVariant struct {
+	unbounded         bool
+	stopsInSuspension bool // the clock
+	fromAnswer        bool // the age counts from the answer
+	anyRevision       bool // an answer that names a later revision confirms the view as well
+}
 
-// ageModel is an entry with links to two replicas. Control withdraws the only key of
+// ageModel is an entry with links to three replicas. Control withdraws the only key of
 // revision 1 with revision 2. Time zero is the start of the machine.
 type ageModel struct {
 	variant     ageVariant
+	unreadable  bool          // the entry cannot parse revision 2
 	now         time.Duration // of a clock that counts suspension
 	suspended   time.Duration // total; while now is below resume, the entry does nothing
 	resume      time.Duration
@@ -72,6 +78,9 @@
 }
 
 func (m *ageModel) install(number uint64) {
+	if m.unreadable && number == 2 {
+		return
+	}
 	key := spec.NewKey(fmt.Sprint("key-", number))
 	text := fmt.Appendf(nil, "%s\n[[workspace]]\nname = \"w\"\nkeys = [\"sha256:%s\"]\n", text(1), key.Digest)
 	if m.core.Restore(number, text) == nil && m.core.Number() >= number {
@@ -119,7 +128,11 @@
 				}
 				m.confirmer.Confirmed(askedAt)
 				m.core.Confirm(m.monotonic(), wire.Confirmed{Number: number})
-				m.age.Confirm(asked, number)
+				newest := number
+				if m.variant.anyRevision {
+					newest = m.core.Number()
+				}
+				m.age.Confirm(asked, newest)
 			})
 			m.send(true, func() { m.install(number) })
 		})
@@ -133,8 +146,8 @@
 
 // lastAccepted returns how long after its withdrawal a key is accepted, if the events
 // happen in this order at these intervals.
-func lastAccepted(variant ageVariant, order []int, gap time.Duration) time.Duration {
-	m := &ageModel{variant: variant, now: time.Hour, number: 1}
+func lastAccepted(variant ageVariant, order []int, gap time.Duration, unreadable bool) time.Duration {
+	m := &ageModel{variant: variant, unreadable: unreadable, now: time.Hour, number: 1}
 	m.restart()
 	events := []func(){
 		func() { m.cutTo = true },
@@ -164,14 +177,15 @@
 }
 
 // Guards against a withdrawn key that lets a request run, whatever the order of cuts in
-// both directions, a restart, the withdrawal, a suspension and the end of the cuts. Each
-// variant without a part of the rule accepts the key too late in some order.
+// both directions, a restart, the withdrawal, a suspension and the end of the cuts, and
+// also if the entry cannot parse the withdrawing configuration. Each variant without a part
+// of the rule accepts the key too late in some order.
 func TestWithdrawnKeyIsRefusedInEveryOrder(t *testing.T) {
 	worst := func(variant ageVariant) (worst time.Duration) {
 		for _, gap := range []time.Duration{0, 450 * time.Millisecond, 2 * time.Second, 4500 * time.Millisecond} {
 			permutations([]int{0, 1, 2, 3, 4, 5}, 0, func(order []int) {
 				if worst <= revoke { // one order shows that a variant fails
-					worst = max(worst, lastAccepted(variant, order, gap))
+					worst = max(worst, lastAccepted(variant, order, gap, false), lastAccepted(variant, order, gap, true))
 				}
 			})
 		}
@@ -182,6 +196,7 @@
 	is.True(worst(ageVariant{unbounded: true}) > revoke)
 	is.True(worst(ageVariant{stopsInSuspension: true}) > revoke)
 	is.True(worst(ageVariant{fromAnswer: true}) > revoke)
+	is.True(worst(ageVariant{anyRevision: true}) > revoke)
 }
 
 // Guards against an entry in touch that refuses known keys or cannot tell unknown ones,
