Test that headers of callers stay unchanged without keys

Guards the fleets that have none: direct and relayed requests keep Authorization and the header of the workspace, and need no confirmed view. Passes with the race detector, as does the package.

--- a/entry/proxy/access_test.go
+++ b/entry/proxy/access_test.go
@@ -247,3 +247,21 @@
 	is.Equal(order("key-0"), http.StatusUnauthorized)
 	is.Equal(runs.Load(), int64(2))
 }
+
+// Guards against a configuration without keys under which headers of callers change, or
+// under which an entry needs a confirmed view.
+func TestWithoutKeysNothingChanges(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan *http.Request, 1)
+	target := respond(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", func(r *http.Request, _ string) { seen <- r })
+	g := newGuarded(t)
+	g.fresh.Store(int64(update.Outdated))
+	for _, e := range []*entry{startEntry(t, false, g.hooks(), proxy.Rules{}, target), startRelay(t, g, g, target)} {
+		status, _, _, err := e.send(http.MethodGet, "/tables/x", nil, "Authorization", "Bearer key-0", "Galenalock-Workspace", "harbour-17")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		r := <-seen
+		is.Equal(r.Header.Get("Authorization"), "Bearer key-0")
+		is.Equal(r.Header.Get("Galenalock-Workspace"), "harbour-17")
+	}
+}
