--- a/core/spec/parse.go
+++ b/core/spec/parse.go
@@ -75,6 +75,7 @@
 	Rate     float64  `toml:"rate,omitempty"`
 	Burst    float64  `toml:"burst,omitempty"`
 	Priority *int     `toml:"priority,omitempty"`
+	Keyed    bool     `toml:"keyed,omitempty"`
 	Keys     []string `toml:"keys,omitempty"`
 }
 
