Admission by the load that targets report: estimate of room, ranks, waiting at the entry

A request that is not admitted waits at the entry if it would still meet its goal, and is refused at once otherwise, with the time after which room is expected. Rank is the priority of the workspace, else that of the kind. Without reports of load or while there is room, decisions are as before.

Ruled out: adapting the limit on requests in flight (an entry has 2 to 10 requests a second and targets have hundreds of slots, so its unit is too coarse), and a share that is raised and lowered step by step (slower, and shares of entries drift apart).

--- a/core/limit/doc.go
+++ b/core/limit/doc.go
@@ -22,8 +22,16 @@
 // nearly used up, or by a tenth of itself while the targets report a low
 // utilization.
 //
-// The queue is ordered by deadline. If a request in it could not end by its
-// deadline, the one with the lowest weight per slot-second among it and those
-// before it is refused immediately. This is the greedy rule for maximizing the
-// total weight of the answered requests.
+// The queue is ordered by rank, then by deadline. If a request in it could not end by
+// its deadline, the one with the lowest weight per slot-second among it and those of
+// its rank before it is refused immediately. Among requests of one rank, this is the
+// greedy rule for maximizing the total weight of the answered requests.
+//
+// Where many entries share the targets, the limit on requests in flight rarely binds
+// and requests queue at the targets, which know no ranks. The gate therefore also
+// limits the rate of admissions while the targets queue requests (package room). A
+// request that is not admitted waits, if it would then still meet its latency goal;
+// otherwise it is refused immediately with the time after which room is expected. For
+// this, the goroutine also calls ObserveTarget and ObserveShed. Without reports of the
+// targets, only the limit on requests in flight applies.
 package limit
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/room"
 )
 
 const (
@@ -39,13 +40,17 @@
 	maxDuration time.Duration
 	minLimit    float64
 	onRefusal   func(reason refuse.Reason)
+	onEvent     func(event Event)
+	pacing      bool
 
 	mu            sync.Mutex
 	limit         float64
 	lowerBound    float64
 	upperBound    float64
 	inflight      int
-	queue         []*Ticket // ordered by latestEnd
+	queue         []*Ticket // ordered by rank, then by latestEnd
+	room          room.Estimator
+	pacer         *room.Pacer
 	slotTimes     map[string]time.Duration
 	meanSlotTime  time.Duration
 	latencyFactor float64 // time in flight over slot-time
@@ -73,11 +78,19 @@
 // WithRefusalHook sets the function that is called for every refusal.
 func WithRefusalHook(f func(reason refuse.Reason)) Option { return func(g *Gate) { g.onRefusal = f } }
 
+// WithEventHook sets the function that is called for what the gate does because the
+// targets queue requests.
+func WithEventHook(f func(event Event)) Option { return func(g *Gate) { g.onEvent = f } }
+
+// WithoutPacing returns to a gate that limits only the requests in flight.
+func WithoutPacing() Option { return func(g *Gate) { g.pacing = false } }
+
 // New returns a gate that admits one request at a time until SetCapacity is
 // called.
 func New(now time.Time, opts ...Option) *Gate {
 	g := &Gate{
-		maxDuration: time.Second, onRefusal: func(refuse.Reason) {}, limit: 1, lowerBound: 1, upperBound: 1,
+		maxDuration: time.Second, onRefusal: func(refuse.Reason) {}, onEvent: func(Event) {}, pacing: true,
+		pacer: room.NewPacer(now), limit: 1, lowerBound: 1, upperBound: 1,
 		slotTimes: map[string]time.Duration{}, meanSlotTime: defaultSlotTime, latencyFactor: 1, lastAdjusted: now,
 	}
 	for _, opt := range opts {
@@ -120,18 +133,29 @@
 	if t.Deadline.Before(t.latestEnd) {
 		t.latestEnd = t.Deadline
 	}
+	e := g.room.At(now)
+	g.pacer.Arrive(now, &e, t.Rank)
+	if room.Limits(&e, g.held()) && g.pacing {
+		return g.acquirePaced(now, &e, t)
+	}
 	if len(g.queue) == 0 && float64(g.inflight) < g.limit {
 		if now.Add(t.slotTime / 2).After(t.Deadline) {
-			g.refuse(t, refuse.Deadline)
+			g.refuse(now, t, refuse.Deadline)
 		} else {
+			g.pacer.Take(now, &e, t.Rank, 0)
 			g.startRequest(now, t)
 		}
 		return t.Decision, nil
 	}
-	index, _ := slices.BinarySearchFunc(g.queue, t, func(a, b *Ticket) int { return a.latestEnd.Compare(b.latestEnd) })
-	g.queue = slices.Insert(g.queue, index, t)
+	g.enqueue(t)
 	decided := g.admitWaiting(now, g.shedWaiting(now, nil))
-	return t.Decision, slices.DeleteFunc(decided, func(o *Ticket) bool { return o == t })
+	return t.Decision, without(decided, t)
+}
+
+func (g *Gate) enqueue(t *Ticket) int {
+	index, _ := slices.BinarySearchFunc(g.queue, t, (*Ticket).compare)
+	g.queue = slices.Insert(g.queue, index, t)
+	return index
 }
 
 // Release ends an admitted request and returns the tickets that were decided.
@@ -141,10 +165,13 @@
 	defer g.mu.Unlock()
 	g.inflight--
 	if answered {
+		e := g.room.At(now)
+		g.pacer.Answer(now, &e)
 		// A target with more requests than slots queues them. That time depends on
 		// the load and not on the kind, and would make all kinds look alike.
 		latencyFactor := max(1, t.targetUse)
 		g.latencyFactor += (latencyFactor - g.latencyFactor) / (1 << sampleShift)
+		g.room.RecordAnswer(now, now.Sub(t.admittedAt), t.targetUse)
 		sample := time.Duration(float64(now.Sub(t.admittedAt)) / latencyFactor)
 		previous, ok := g.slotTimes[t.Kind]
 		if !ok {
@@ -192,7 +219,7 @@
 	if now.Sub(g.lastAdjusted) >= adjustInterval {
 		g.adjust(now)
 	}
-	return g.admitWaiting(now, g.shedWaiting(now, nil))
+	return g.admitWaiting(now, g.shedWaiting(now, g.refuseHeld(now)))
 }
 
 func (g *Gate) adjust(now time.Time) {
@@ -218,25 +245,42 @@
 }
 
 func (g *Gate) startRequest(now time.Time, t *Ticket) {
+	if t.held {
+		g.onEvent(Released)
+	}
 	t.Decision, t.admittedAt = Admitted, now
 	g.inflight++
 	g.peakInflight = max(g.peakInflight, g.inflight)
 }
 
-func (g *Gate) refuse(t *Ticket, reason refuse.Reason) {
+func (g *Gate) refuse(now time.Time, t *Ticket, reason refuse.Reason) {
 	t.Decision, t.Reason = Refused, reason
+	if e := g.room.At(now); e.Known() {
+		t.RetryAfter = g.pacer.RetryAfter(now, &e, t.Rank, g.ahead(t.Rank))
+	}
 	g.onRefusal(reason)
 }
 
 // admitWaiting starts waiting requests as long as the limit allows. It refuses
 // those that can no longer end in time.
 func (g *Gate) admitWaiting(now time.Time, decided []*Ticket) []*Ticket {
+	if len(g.queue) == 0 {
+		return decided
+	}
+	e := g.room.At(now)
 	for len(g.queue) > 0 && float64(g.inflight) < g.limit {
-		t := g.queue[0]
-		g.queue = slices.Delete(g.queue, 0, 1)
-		if now.Add(t.slotTime).After(t.latestEnd) {
-			g.refuse(t, refuse.Deadline)
-		} else {
+		index := g.nextWaiting()
+		t := g.queue[index]
+		if g.pacing && !g.pacer.Take(now, &e, t.Rank, g.held()) {
+			break
+		}
+		g.queue = slices.Delete(g.queue, index, index+1)
+		switch {
+		case t.held && now.Add(t.expectedTime(&e)).After(t.Deadline):
+			g.turnAway(now, t)
+		case now.Add(t.slotTime).After(t.latestEnd):
+			g.refuse(now, t, refuse.Deadline)
+		default:
 			g.startRequest(now, t)
 		}
 		decided = append(decided, t)
@@ -258,7 +302,7 @@
 		}
 		lowest := i
 		for j := range i {
-			if g.queue[j].density() < g.queue[lowest].density() {
+			if g.queue[j].Rank == t.Rank && g.queue[j].density() < g.queue[lowest].density() {
 				lowest = j
 			}
 		}
@@ -267,7 +311,7 @@
 		if lowest == i && wait == 0 {
 			reason = refuse.Deadline
 		}
-		g.refuse(victim, reason)
+		g.refuse(now, victim, reason)
 		decided = append(decided, victim)
 		g.queue = slices.Delete(g.queue, lowest, lowest+1)
 		if lowest < i {
--- /dev/null
+++ b/core/limit/pace.go
@@ -0,0 +1,149 @@
+package limit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/room"
+)
+
+// Event is something that a gate does because the targets queue requests.
+type Event string
+
+// Events of a gate. The values are attributes of a counter.
+const (
+	Held     Event = "held"     // a request waits at the entry
+	Released Event = "released" // a request that waited is admitted
+	Turned   Event = "refused"  // a request is refused, since it could not end in time
+)
+
+// maxHeld bounds the requests that wait at one entry because the targets queue
+// requests. An entry has 2 to 10 requests a second, and goals are 0.6 to 3 s.
+const maxHeld = 64
+
+// ObserveTarget records the requests that a target had and its slots, as it reported
+// them in any response.
+func (g *Gate) ObserveTarget(now time.Time, requests, slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.room.RecordLoad(now, requests, slots)
+}
+
+// ObserveShed records that a target shed a request at a time.
+func (g *Gate) ObserveShed(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.room.RecordShed(now)
+}
+
+// Room returns what the gate knows of the capacity of the service.
+func (g *Gate) Room(now time.Time) room.Estimate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.room.At(now)
+}
+
+// RetryAfter returns the time after which a request of the rank that no target took may
+// find room, and false if the targets do not report their load.
+func (g *Gate) RetryAfter(now time.Time, rank int) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.room.At(now)
+	return g.pacer.RetryAfter(now, &e, rank, g.ahead(rank)), e.Known()
+}
+
+// UrgentShare returns the share of the recent requests that are more urgent than a
+// rank.
+func (g *Gate) UrgentShare(rank int) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pacer.UrgentShare(rank)
+}
+
+// acquirePaced is Acquire while the targets queue requests. A request that would not
+// meet its goal by waiting is refused at once; one that waits is kept until it can no
+// longer end by its deadline, since a refusal after a wait costs its caller most.
+func (g *Gate) acquirePaced(now time.Time, e *room.Estimate, t *Ticket) (Decision, []*Ticket) {
+	t.latestEnd = t.Deadline
+	work := t.expectedTime(e)
+	if now.Add(work).After(t.Deadline) {
+		g.turnAway(now, t)
+		return t.Decision, nil
+	}
+	index := g.enqueue(t)
+	decided := g.admitWaiting(now, g.shedWaiting(now, nil))
+	if t.Decision != Waiting {
+		return t.Decision, without(decided, t)
+	}
+	goal := t.Goal
+	if goal.IsZero() || goal.After(t.Deadline) {
+		goal = t.Deadline
+	}
+	wait := g.pacer.Wait(now, e, t.Rank, index)
+	if wait > goal.Sub(now)-work || len(g.queue) > maxHeld {
+		g.queue = without(g.queue, t)
+		g.turnAway(now, t)
+		return t.Decision, decided
+	}
+	t.held = true
+	g.onEvent(Held)
+	return Waiting, decided
+}
+
+// refuseHeld refuses the held requests that can no longer end in time.
+func (g *Gate) refuseHeld(now time.Time) (decided []*Ticket) {
+	e := g.room.At(now)
+	for _, t := range slices.Clone(g.queue) {
+		if t.held && now.Add(t.expectedTime(&e)).After(t.Deadline) {
+			g.queue = without(g.queue, t)
+			g.turnAway(now, t)
+			decided = append(decided, t)
+		}
+	}
+	return decided
+}
+
+func (g *Gate) turnAway(now time.Time, t *Ticket) {
+	g.refuse(now, t, refuse.Overload)
+	g.onEvent(Turned)
+}
+
+// nextWaiting returns the index of the waiting request to admit next: the first one, or
+// that of a lower rank which would otherwise get less than its minimum share.
+func (g *Gate) nextWaiting() int {
+	if rank, ok := g.pacer.Favoured(); ok && g.pacing {
+		for i, t := range g.queue {
+			if t.Rank == rank {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
+// held returns the number of requests that wait because the targets queue requests.
+func (g *Gate) held() int {
+	n := 0
+	for _, t := range g.queue {
+		if t.held {
+			n++
+		}
+	}
+	return n
+}
+
+// ahead returns the number of waiting requests of the rank or more urgent ones.
+func (g *Gate) ahead(rank int) int {
+	n := 0
+	for _, t := range g.queue {
+		if t.Rank <= rank {
+			n++
+		}
+	}
+	return n
+}
+
+func without(tickets []*Ticket, t *Ticket) []*Ticket {
+	return slices.DeleteFunc(tickets, func(o *Ticket) bool { return o == t })
+}
--- a/core/limit/ticket.go
+++ b/core/limit/ticket.go
@@ -1,9 +1,11 @@
 package limit
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/room"
 )
 
 // Decision is the state of a request at the gate.
@@ -19,18 +21,36 @@
 // Ticket is one request at the gate.
 type Ticket struct {
 	Kind     string
+	Rank     int // 0 is the most urgent
 	Weight   float64
+	Goal     time.Time // until which the answer has its full value, zero: the deadline
 	Deadline time.Time
 	Wake     chan Decision // for use by the caller; the gate does not access it
 
-	Decision Decision
-	Reason   refuse.Reason // of a refusal: overload or deadline
+	Decision   Decision
+	Reason     refuse.Reason // of a refusal: overload or deadline
+	RetryAfter time.Duration // of a refusal: when room is expected, 0 if unknown
 
 	slotTime   time.Duration // expected for its kind
 	latestEnd  time.Time     // the deadline or the maximum duration, whichever is earlier
 	admittedAt time.Time
+	held       bool    // waited because the targets queue requests
 	targetUse  float64 // utilization of the target, as reported in the response
 }
 
 // density returns the weight per expected slot-second.
 func (t *Ticket) density() float64 { return t.Weight / max(t.slotTime.Seconds(), 1e-6) }
+
+// compare orders waiting tickets by rank, then by the time by which they must end.
+func (t *Ticket) compare(o *Ticket) int {
+	return cmp.Or(cmp.Compare(t.Rank, o.Rank), t.latestEnd.Compare(o.latestEnd))
+}
+
+// workMargin covers requests that take longer than the mean of their kind.
+const workMargin = 1.25
+
+// expectedTime returns the time that the request takes from its admission, including
+// the queue of its target.
+func (t *Ticket) expectedTime(e *room.Estimate) time.Duration {
+	return time.Duration(workMargin*float64(t.slotTime)) + e.QueueDelay
+}
--- /dev/null
+++ b/entry/agent/admission.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/room"
+	"github.com/galenalock/galenalock/entry/proxy"
+)
+
+// overloadLogGap is how long a service must have room before the end of an overload is
+// logged, so that a service at the threshold does not fill the log.
+const overloadLogGap = 3 * time.Second
+
+// overloadLog logs the begin and the end of overloads of a service. Only the control
+// goroutine accesses it.
+type overloadLog struct {
+	since    time.Time // begin of the present overload, zero without one
+	lastSeen time.Time
+}
+
+// newTicket returns the ticket of a request for the gate.
+func newTicket(r proxy.Request) *limit.Ticket {
+	t := &limit.Ticket{
+		Kind: r.Kind.Name, Rank: rankOf(r), Weight: r.Kind.Weight, Deadline: r.Deadline, Wake: make(chan limit.Decision, 1),
+	}
+	if r.Kind.LatencyGoal > 0 {
+		t.Goal = r.Start.Add(r.Kind.LatencyGoal)
+	}
+	return t
+}
+
+// rankOf returns the rank of a request under overload: the priority of its workspace if
+// that has one, else that of its kind.
+func rankOf(r proxy.Request) int {
+	if r.Workspace != "" && r.View != nil && r.View.Text != nil {
+		if w := r.View.Text.Workspace(r.Workspace); w != nil && w.Priority != nil {
+			return *w.Priority
+		}
+	}
+	return r.Kind.Priority
+}
+
+// overloadRefusal returns the refusal of a request that the gate refused.
+func overloadRefusal(t *limit.Ticket) *refuse.Error {
+	after := t.RetryAfter
+	if after == 0 {
+		after = overloadRetryAfter
+	}
+	return &refuse.Error{Reason: t.Reason, Run: refuse.NotRun, RetryAfter: after}
+}
+
+// observeRoom records what an attempt tells of the capacity of the service.
+func (u *upstream) observeRoom(o proxy.Outcome) {
+	if o.HasLoad {
+		u.gate.ObserveTarget(o.End, o.Load.Running+o.Load.Waiting, o.Load.Slots)
+	}
+	if o.Class == proxy.Refused {
+		u.gate.ObserveShed(o.End)
+	}
+}
+
+// ShedRetryAfter returns the time after which a request that targets shed may find
+// room, and false if targets do not report their load.
+func (a *Agent) ShedRetryAfter(r proxy.Request, now time.Time) (time.Duration, bool) {
+	u := a.upstream(r.Service.Name)
+	if u == nil {
+		return 0, false
+	}
+	return u.gate.RetryAfter(now, rankOf(r))
+}
+
+// tickOverloadLog logs the begin and the end of an overload of the service.
+func (a *Agent) tickOverloadLog(now time.Time, u *upstream) {
+	e, l := u.gate.Room(now), &u.overload
+	_, _, waiting := u.gate.Limit()
+	switch overloaded := room.Limits(&e, waiting) || e.Sheds(); {
+	case overloaded && l.since.IsZero():
+		l.since, l.lastSeen = now, now
+		a.overloadFields(u, e).WithField("waiting", waiting).Info("service overloaded")
+	case overloaded:
+		l.lastSeen = now
+	case !l.since.IsZero() && now.Sub(l.lastSeen) >= overloadLogGap:
+		a.overloadFields(u, e).WithField("duration", l.lastSeen.Sub(l.since).Round(time.Millisecond).String()).Info("service has room")
+		l.since = time.Time{}
+	}
+}
+
+func (a *Agent) overloadFields(u *upstream, e room.Estimate) *logrus.Entry {
+	return a.log.WithFields(logrus.Fields{
+		"service": u.service.Name, "use": round(e.Utilization), "delay": e.QueueDelay.Round(time.Millisecond).String(),
+		"shed": round(e.ShedShare), "confidence": round(e.Confidence), "age": e.Age.Round(time.Millisecond).String(),
+	})
+}
+
+// round keeps two decimals for the log.
+func round(x float64) float64 { return float64(int(x*100+0.5)) / 100 }
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenalock/galenalock/core/eject"
 	"github.com/galenalock/galenalock/core/gossip"
+	"github.com/galenalock/galenalock/core/limit"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/poison"
@@ -100,6 +101,9 @@
 		startupGate:    proxy.NewStartupGate(s.Start.Add(s.StartupWait)),
 	}
 	a.crashes.probing = map[*target]bool{}
+	if a.hooks.CountAdmission == nil {
+		a.hooks.CountAdmission = func(limit.Event) {}
+	}
 	if a.hooks.Connect == nil {
 		a.hooks.Connect = connect
 	}
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/galenalock/galenalock/core/limit"
 	"github.com/galenalock/galenalock/core/link"
 	"github.com/galenalock/galenalock/core/mesh"
 	"github.com/galenalock/galenalock/core/quota"
@@ -57,6 +58,7 @@
 	CountLimit       func(event quota.Event)              // counts a change of the limit of a target
 	CountCrash       func()                               // counts a request during which its target crashed
 	CountPause       func(event string)                   // counts targets that pause or leave
+	CountAdmission   func(event limit.Event)              // counts a request that is held or refused because the targets queue requests; may be nil
 	CountRelay       func(result string)                  // counts a request that was passed to another entry
 	CloseIdle        func()                               // closes the idle connections to targets
 	CountPath        func(state reach.State)              // counts a check of the path to the targets
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -51,6 +51,7 @@
 			deliverDecisions(u.gate.Tick(now))
 			_, _, waiting := u.gate.Limit()
 			u.budget.SetBusy(waiting > 0)
+			a.tickOverloadLog(now, u)
 		}
 	}
 }
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -18,7 +18,7 @@
 )
 
 // overloadRetryAfter is the time after which a caller may retry a request that was
-// refused by a rate limit or because of load.
+// refused by a rate limit, or because of load if the targets do not report theirs.
 const overloadRetryAfter = time.Second
 
 // attemptHandle connects an attempt to the state of its target.
@@ -151,6 +151,7 @@
 	if o.Class == proxy.Refused {
 		d.upstream.gate.RecordShed()
 	}
+	d.upstream.observeRoom(o)
 	if inflight, slots := o.Load.Running+o.Load.Waiting, o.Load.Slots; o.HasLoad {
 		d.endpoint.RecordLoad(o.End, inflight, slots)
 		d.target.health.RecordLoad(o.End, inflight, slots)
@@ -231,9 +232,7 @@
 	if u == nil {
 		return proxy.Admission{}, nil // the request is refused because Pick finds no target
 	}
-	ticket := &limit.Ticket{
-		Kind: r.Kind.Name, Weight: r.Kind.Weight, Deadline: r.Deadline, Wake: make(chan limit.Decision, 1),
-	}
+	ticket := newTicket(r)
 	decision, decided := u.gate.Acquire(time.Now(), ticket)
 	deliverDecisions(decided)
 	if decision == limit.Waiting {
@@ -244,7 +243,7 @@
 		release := func(answered bool) { deliverDecisions(u.gate.Release(time.Now(), ticket, answered)) }
 		return proxy.Admission{Handle: ticket, Release: release}, nil
 	case limit.Refused:
-		return proxy.Admission{}, &refuse.Error{Reason: ticket.Reason, Run: refuse.NotRun, RetryAfter: overloadRetryAfter}
+		return proxy.Admission{}, overloadRefusal(ticket)
 	}
 	return proxy.Admission{}, &refuse.Error{Reason: refuse.Deadline, Run: refuse.NotRun, Err: ctx.Err()}
 }
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -58,6 +58,7 @@
 	lastUpdate      time.Time
 	lastGateTick    time.Time
 	lastMonitorTick time.Time
+	overload        overloadLog
 }
 
 func (a *Agent) newUpstream(now time.Time, s *spec.Service) *upstream {
@@ -69,7 +70,7 @@
 		})),
 		monitor:      health.New(now, s.Name, a.settings.Region),
 		budget:       a.newBudget(now),
-		gate:         limit.New(now, limit.WithMinLimit(a.settings.MinInflight)),
+		gate:         limit.New(now, limit.WithMinLimit(a.settings.MinInflight), limit.WithEventHook(a.hooks.CountAdmission)),
 		dirty:        true,
 		targets:      map[netip.AddrPort]*target{},
 		ejected:      map[netip.AddrPort]bool{},
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"github.com/galenalock/galenalock/core/limit"
 	"github.com/galenalock/galenalock/core/meter"
 	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/reach"
@@ -17,6 +18,7 @@
 	pathStates       *meter.Counter
 	relays           *meter.Counter
 	pauses           *meter.Counter
+	admissions       *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -29,7 +31,7 @@
 		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut},
 		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
 		{meter.PathStates, &c.pathStates}, {meter.RelayedRequests, &c.relays},
-		{meter.TargetPauses, &c.pauses},
+		{meter.TargetPauses, &c.pauses}, {meter.Admissions, &c.admissions},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -57,6 +59,8 @@
 
 func (c *counters) addPause(event string) { c.pauses.Add(1, event) }
 
+func (c *counters) addAdmission(event limit.Event) { c.admissions.Add(1, string(event)) }
+
 func (c *counters) addRelay(result string) { c.relays.Add(1, result) }
 
 func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
--- a/entry/proxy/refusal.go
+++ b/entry/proxy/refusal.go
@@ -17,7 +17,8 @@
 	// retryStarting is about the time in which a starting entry gets its
 	// configuration.
 	retryStarting = 500 * time.Millisecond
-	// retryShed is about the duration of a request, after which a slot is free.
+	// retryShed is about the duration of a request, after which a slot is free. It
+	// applies if targets do not report their load.
 	retryShed = 500 * time.Millisecond
 )
 
