Sheds of a service with room: urgent requests draw on the retry budget first, Retry-After from the estimate

While all targets shed a share of the arrivals whatever their load, each entry spent the window of its retry budget in the first 3 s, on all ranks alike, and told every caller to return after 500 ms. With a share of 0.2 the window allows 0.172 extra attempts per request (7 per entry in 10 s at 4 requests a second, without the slack), while 55% shed needs 1.2.

Lower ranks now leave in the window what the more urgent ones need (AllowReserved); the window itself is unchanged. The Retry-After of sheds and of requests without a target is the expected time until there is room: 0.1 s times the odds of being shed if targets have room, else the wait at the entry and the queue of the targets. Constants remain for targets that report no load. While targets queue requests, no hedges are sent.

Ruled out: holding a shed request at the entry with a backoff between attempts. It gives no further attempts, since the window is the limit and not the time, and delays those that succeed.

--- a/core/limit/load_test.go
+++ b/core/limit/load_test.go
@@ -206,7 +206,11 @@
 }
 
 func (r *loadRun) retry(c *caller) {
-	if c.attempts < 3 && r.budgets[c.entry].Allow(r.now, retry.Shed, 1, c.deadline.Sub(r.now)) {
+	reserve := 0.0
+	if r.retryAfterShed == 0 {
+		reserve = r.gates[c.entry].Reserve(r.now, c.class.rank)
+	}
+	if c.attempts < 3 && r.budgets[c.entry].AllowReserved(r.now, retry.Shed, 1, c.deadline.Sub(r.now), reserve) {
 		r.after(loadStep, func() { r.dispatch(c) })
 		return
 	}
@@ -299,7 +303,7 @@
 	{name: "burst of an urgent kind", classes: burst(7, 1, 1), targets: 24, overload: 6 * time.Second, wantWorth: true},
 	{name: "burst of one data centre", classes: burst(2, 2, 2), targets: 24, busy: 4, overload: 7 * time.Second, wantUrgent: true, wantWorth: true},
 	{name: "half of the targets lost", classes: burst(1, 1, 1), targets: 30, lost: 15, overload: 8 * time.Second, wantUrgent: true, wantWorth: true},
-	{name: "shedding", classes: burst(1, 1, 1), targets: 43, overload: 8500 * time.Millisecond, shed: 0.55},
+	{name: "shedding", classes: burst(1, 1, 1), targets: 43, overload: 8500 * time.Millisecond, shed: 0.55, wantUrgent: true, wantWorth: true},
 	{name: "impatient callers", classes: burst(1, 1, 3), targets: 24, overload: 7 * time.Second, tries: 12, impatient: true, wantUrgent: true, wantWorth: true},
 }
 
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -50,15 +50,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.room.At(now)
-	return g.pacer.RetryAfter(now, &e, rank, g.ahead(rank)), e.Known()
+	return g.pacer.RetryAfter(now, &e, rank, g.ahead(rank)), e.Known() || e.Sheds()
 }
 
-// UrgentShare returns the share of the recent requests that are more urgent than a
-// rank.
-func (g *Gate) UrgentShare(rank int) float64 {
+// Reserve returns the number of extra attempts, per request of any rank, that more
+// urgent requests than those of the rank need because targets shed them.
+func (g *Gate) Reserve(now time.Time, rank int) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pacer.UrgentShare(rank)
+	e := g.room.At(now)
+	return g.pacer.Reserve(&e, rank)
 }
 
 // acquirePaced is Acquire while the targets queue requests. A request that would not
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -110,12 +110,19 @@
 // token. attempts is the number of attempts already made, left the time until
 // the deadline.
 func (b *Budget) Allow(now time.Time, reason Reason, attempts int, left time.Duration) bool {
-	d := b.decide(now, reason, attempts, left)
+	return b.AllowReserved(now, reason, attempts, left, 0)
+}
+
+// AllowReserved is like Allow, but leaves a part of a window to others: the reserve is
+// the number of extra attempts per request that more urgent requests need. It has no
+// effect without a window.
+func (b *Budget) AllowReserved(now time.Time, reason Reason, attempts int, left time.Duration, reserve float64) bool {
+	d := b.decide(now, reason, attempts, left, reserve)
 	b.onDecision(reason, d)
 	return d == Allowed
 }
 
-func (b *Budget) decide(now time.Time, reason Reason, attempts int, left time.Duration) Decision {
+func (b *Budget) decide(now time.Time, reason Reason, attempts int, left time.Duration, reserve float64) Decision {
 	switch {
 	case reason == ServiceFull, reason == Hedging && b.requestsWaiting.Load():
 		return AddsLoad
@@ -125,7 +132,7 @@
 		return PastDeadline
 	}
 	if b.window != nil {
-		if !b.window.allow(now.Sub(b.epoch)) {
+		if !b.window.allow(now.Sub(b.epoch), reserve) {
 			return Exhausted
 		}
 		return Allowed
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -57,8 +57,9 @@
 	w.bucketAt(sinceEpoch).requests++
 }
 
-// allow counts an extra attempt and reports true if the window has room for it.
-func (w *window) allow(sinceEpoch time.Duration) bool {
+// allow counts an extra attempt and reports true if the window has room for it and for
+// a reserve in proportion to the requests.
+func (w *window) allow(sinceEpoch time.Duration, reserve float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.bucketAt(sinceEpoch)
@@ -75,7 +76,7 @@
 	limit := usableShare * (w.share*float64(requests) + w.slack/float64(w.entries))
 	// Among few entries, the rounding of one is not made up for by that of others.
 	rounding := w.rounding * max(0, 1-fewEntries/float64(w.entries))
-	if float64(extra+1) > limit+rounding {
+	if float64(extra+1)+reserve*float64(requests) > limit+rounding {
 		return false
 	}
 	current.extra++
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -103,3 +103,25 @@
 		is.True(maxExcess > slack/4) // the slack is used
 	}
 }
+
+// Guards against extra attempts that leave nothing to more urgent requests, and against
+// a reserve that lets those make more than the window allows.
+func TestReserveIsLeftToOthers(t *testing.T) {
+	is := is.New(t)
+	b := retry.New(start, retry.WithWindow(10*time.Second, 0.2, 0))
+	for range 100 {
+		b.AddRequestAt(start)
+	}
+	count := func(reserve float64) (allowed int) {
+		for range 100 {
+			if b.AllowReserved(start, retry.Shed, 1, time.Second, reserve) {
+				allowed++
+			}
+		}
+		return allowed
+	}
+	others, urgent := count(0.1), count(0)
+	is.True(others > 0 && others <= 10)
+	is.True(urgent >= 7 && others+urgent <= 20)
+	is.Equal(count(0), 0)
+}
--- a/core/room/estimator.go
+++ b/core/room/estimator.go
@@ -47,6 +47,9 @@
 	return e.Confidence > 0 && e.ShedShare >= minShedShare && e.Utilization < limitUtilization
 }
 
+// shedOdds returns the expected number of attempts that are shed before one is not.
+func (e *Estimate) shedOdds() float64 { return e.ShedShare / max(1-e.ShedShare, 1e-3) }
+
 // minShedShare is the share of shed arrivals from which all targets are taken to shed.
 // One target of ten that sheds everything stays below it.
 const minShedShare = 0.25
--- a/core/room/pacer.go
+++ b/core/room/pacer.go
@@ -145,6 +145,12 @@
 // RetryAfter returns the time after which a refused request of the rank may find
 // room.
 func (p *Pacer) RetryAfter(now time.Time, e *Estimate, rank, ahead int) time.Duration {
+	if e.Sheds() {
+		// The targets take a share of the arrivals, whenever these come. A caller that
+		// returns soon meets its goal; the more are shed, the more would return.
+		wait := float64(minRetryAfter) * e.shedOdds()
+		return min(max(time.Duration(wait), minRetryAfter), maxRetryAfter)
+	}
 	wait := p.Wait(now, e, rank, ahead)
 	if wait < maxRetryAfter {
 		wait += e.QueueDelay
@@ -152,15 +158,19 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// UrgentShare returns the share of the recent arrivals whose rank is more urgent.
-func (p *Pacer) UrgentShare(rank int) float64 {
+// Reserve returns the number of extra attempts, per request of any rank, that requests
+// of more urgent ranks need because targets shed them.
+func (p *Pacer) Reserve(e *Estimate, rank int) float64 {
+	if !e.Sheds() {
+		return 0
+	}
 	urgent := 0.0
 	for _, other := range p.order {
 		if other < rank {
 			urgent += p.ranks[other].arrived
 		}
 	}
-	return urgent / max(p.arrivals, 1)
+	return urgent / max(p.arrivals, 1) * e.shedOdds()
 }
 
 // share returns the share of the arrivals of a rank that is admitted. Each rank gets
--- a/entry/agent/admission.go
+++ b/entry/agent/admission.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// ShedRetryAfter returns the time after which a request that targets shed may find
-// room, and false if targets do not report their load.
-func (a *Agent) ShedRetryAfter(r proxy.Request, now time.Time) (time.Duration, bool) {
+// RoomAfter returns the time after which a request that no target took may find room,
+// and false if targets have not reported their load recently.
+func (a *Agent) RoomAfter(r proxy.Request, now time.Time) (time.Duration, bool) {
 	u := a.upstream(r.Service.Name)
 	if u == nil {
 		return 0, false
@@ -74,9 +74,8 @@
 }
 
 // tickOverloadLog logs the begin and the end of an overload of the service.
-func (a *Agent) tickOverloadLog(now time.Time, u *upstream) {
-	e, l := u.gate.Room(now), &u.overload
-	_, _, waiting := u.gate.Limit()
+func (a *Agent) tickOverloadLog(now time.Time, u *upstream, e room.Estimate, waiting int) {
+	l := &u.overload
 	switch overloaded := room.Limits(&e, waiting) || e.Sheds(); {
 	case overloaded && l.since.IsZero():
 		l.since, l.lastSeen = now, now
--- a/entry/agent/helper.go
+++ b/entry/agent/helper.go
@@ -20,7 +20,7 @@
 	// gets no further one if there are others.
 	helperPause = 500 * time.Millisecond
 	// noTargetRetryAfter is the time after which a caller may retry a request for which
-	// no target was available.
+	// no target was available, if none has reported its load recently.
 	noTargetRetryAfter = time.Second
 	// yieldDelay is the time from the loss of the path until control has told which
 	// other entries have lost it too.
@@ -142,5 +142,12 @@
 	if a.PathLost() {
 		return refuse.NoPath, pathRetryAfter
 	}
-	return a.limitWait(r, now)
+	reason, wait := a.limitWait(r, now)
+	if reason == refuse.NoTarget {
+		// Targets that reported their load recently are in use, and become free.
+		if soon, ok := a.RoomAfter(r, now); ok {
+			wait = soon
+		}
+	}
+	return reason, wait
 }
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/limit"
+	"github.com/galenalock/galenalock/core/room"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -50,8 +51,9 @@
 			u.lastGateTick = now
 			deliverDecisions(u.gate.Tick(now))
 			_, _, waiting := u.gate.Limit()
-			u.budget.SetBusy(waiting > 0)
-			a.tickOverloadLog(now, u)
+			e := u.gate.Room(now)
+			u.budget.SetBusy(waiting > 0 || room.Limits(&e, waiting))
+			a.tickOverloadLog(now, u, e, waiting)
 		}
 	}
 }
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -276,7 +276,7 @@
 		return true // no target has received anything
 	}
 	// The data path limits the attempts of a single request.
-	return u.budget.Allow(now, retryReasons[reason], 1, r.Deadline.Sub(now))
+	return u.budget.AllowReserved(now, retryReasons[reason], 1, r.Deadline.Sub(now), u.gate.Reserve(now, rankOf(r)))
 }
 
 var retryReasons = map[proxy.Reason]retry.Reason{
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -162,9 +162,9 @@
 	hooks, err := proxy.Hooks{
 		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
 		Quarantined: a.Quarantined, MayResend: a.MayResend, Unavailable: a.Unavailable, PathLost: a.PathLost,
-		ShedRetryAfter: a.ShedRetryAfter,
-		Stale:          func() bool { return a.IsStale(time.Now()) },
-		Claim:          a.Claim, Close: a.Close, Retry: a.Retry, HedgeDelay: a.HedgeDelay, ProbeDelay: a.ProbeDelay,
+		RoomAfter: a.RoomAfter,
+		Stale:     func() bool { return a.IsStale(time.Now()) },
+		Claim:     a.Claim, Close: a.Close, Retry: a.Retry, HedgeDelay: a.HedgeDelay, ProbeDelay: a.ProbeDelay,
 		Enter: proxy.TrackInflight(d.inflightCore), StopsIn: d.inflightCore.Left,
 	}.WithMetrics(m)
 	if err != nil {
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -194,7 +194,7 @@
 		}
 	case errors.As(err, &shed):
 		out.Reason, out.RetryAfter = refuse.Shed, retryShed
-		if wait, ok := c.proxy.hooks.ShedRetryAfter(c.request, c.proxy.hooks.Now()); ok {
+		if wait, ok := c.proxy.hooks.RoomAfter(c.request, c.proxy.hooks.Now()); ok {
 			out.RetryAfter = wait
 		}
 		if !c.noTargetLeft {
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -49,9 +49,9 @@
 	// Unavailable is called if there is no target. It returns the reason, and the
 	// time after which there may be one.
 	Unavailable func(r Request, now time.Time) (refuse.Reason, time.Duration)
-	// ShedRetryAfter returns the time after which a request that targets shed may find
+	// RoomAfter returns the time after which a request that targets shed may find
 	// room, and false if this is unknown.
-	ShedRetryAfter func(r Request, now time.Time) (time.Duration, bool)
+	RoomAfter func(r Request, now time.Time) (time.Duration, bool)
 	// PathLost reports whether this entry reaches no target, so that requests are
 	// passed on to other entries or refused.
 	PathLost func() bool
@@ -134,8 +134,8 @@
 	if h.Unavailable == nil {
 		h.Unavailable = func(Request, time.Time) (refuse.Reason, time.Duration) { return refuse.NoTarget, retryAfter }
 	}
-	if h.ShedRetryAfter == nil {
-		h.ShedRetryAfter = func(Request, time.Time) (time.Duration, bool) { return 0, false }
+	if h.RoomAfter == nil {
+		h.RoomAfter = func(Request, time.Time) (time.Duration, bool) { return 0, false }
 	}
 	if h.PathLost == nil {
 		h.PathLost = func() bool { return false }
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -175,3 +175,21 @@
 		}
 	}
 }
+
+// Guards against callers that return to a service that sheds at a fixed time, whatever
+// the entry knows of its room, and against a time of 0 if it knows nothing.
+func TestRetryAfterShed(t *testing.T) {
+	shed := "HTTP/1.1 503 Service Unavailable\r\nGalenalock-Run: no\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		known bool
+		want  string
+	}{{true, "3"}, {false, "1"}} {
+		is := is.New(t)
+		hooks := proxy.Hooks{RoomAfter: func(proxy.Request, time.Time) (time.Duration, bool) { return 2500 * time.Millisecond, c.known }}
+		e := startEntry(t, false, hooks, proxy.Rules{}, respond(t, shed, nil))
+		status, header, _, err := e.send(http.MethodGet, "/tables/x", nil)
+		is.NoErr(err)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(header.Get("Retry-After"), c.want)
+	}
+}
