Admission at entries with one or two requests a second; shares of ranks by credits

With 1.7 requests a second (150 entries), the most urgent class was in time for 50% in a burst of one kind and served less than lower ones: the estimate lapsed between two reports, and the entry admitted everything until the next ones came. An entry that limits gets even fewer reports.

An estimate is now used once two reports came within 2 s, and relaxes over 8 s without reports. Each rank has the credit of its share and of its minimum share, so that a lower one does not take the token that is left for an urgent one; the order of the queue alone did not prevent that. Requests to tiers of which nothing is known are at most one in ten. The queue of a gate whose targets report nothing is ordered by deadline only, as before, and equal requests in the order of their arrival. A request that the queue of the near targets would make late goes to a tier that has room.

Ruled out: counting attempts without a response as reports of full targets (no effect), own credits for each rank without common tokens (urgent requests 73% in time in a burst of their own, since shares follow the arrivals of 5 s), lower ranks limited by the ratio of admissions to arrivals (blocked for 3 s at the begin of an overload).

--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -48,10 +49,11 @@
 	lowerBound    float64
 	upperBound    float64
 	inflight      int
-	queue         []*Ticket // ordered by rank, then by latestEnd
+	queue         []*Ticket // in the order of Ticket.compare
 	room          room.Estimator
 	pacer         *room.Pacer
 	lastProbe     time.Time // of a tier of which nothing was known
+	probeCredit   float64   // such requests that may be sent, at most one
 	slotTimes     map[string]time.Duration
 	meanSlotTime  time.Duration
 	latencyFactor float64 // time in flight over slot-time
@@ -91,7 +93,7 @@
 func New(now time.Time, opts ...Option) *Gate {
 	g := &Gate{
 		maxDuration: time.Second, onRefusal: func(refuse.Reason) {}, onEvent: func(Event) {}, pacing: true,
-		pacer: room.NewPacer(now), limit: 1, lowerBound: 1, upperBound: 1,
+		pacer: room.NewPacer(now), probeCredit: 1, limit: 1, lowerBound: 1, upperBound: 1,
 		slotTimes: map[string]time.Duration{}, meanSlotTime: defaultSlotTime, latencyFactor: 1, lastAdjusted: now,
 	}
 	for _, opt := range opts {
@@ -154,7 +156,8 @@
 }
 
 func (g *Gate) enqueue(t *Ticket) int {
-	index, _ := slices.BinarySearchFunc(g.queue, t, (*Ticket).compare)
+	// A request is placed behind those that it equals.
+	index, _ := slices.BinarySearchFunc(g.queue, t, func(a, b *Ticket) int { return cmp.Or(a.compare(b), -1) })
 	g.queue = slices.Insert(g.queue, index, t)
 	return index
 }
@@ -269,13 +272,13 @@
 		return decided
 	}
 	e := g.room.At(now)
-	for len(g.queue) > 0 && float64(g.inflight) < g.limit {
-		index := g.nextWaiting()
-		t := g.queue[index]
+	for i := 0; i < len(g.queue) && float64(g.inflight) < g.limit; {
+		t := g.queue[i]
 		if g.pacing && !g.pacer.Take(now, &e, t.Rank, g.held()) {
-			break
+			i = g.nextRank(i)
+			continue
 		}
-		g.queue = slices.Delete(g.queue, index, index+1)
+		g.queue = slices.Delete(g.queue, i, i+1)
 		switch {
 		case t.held && now.Add(t.expectedTime(&e)).After(t.Deadline):
 			g.turnAway(now, t)
@@ -303,7 +306,7 @@
 		}
 		lowest := i
 		for j := range i {
-			if g.queue[j].Rank == t.Rank && g.queue[j].density() < g.queue[lowest].density() {
+			if g.queue[j].queueRank == t.queueRank && g.queue[j].density() < g.queue[lowest].density() {
 				lowest = j
 			}
 		}
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -27,6 +27,10 @@
 // about the time until their responses.
 const probeInterval = 500 * time.Millisecond
 
+// probeShare bounds these requests to a share of the arrivals, since they are not held
+// back. Otherwise entries with one request a second would hold back none.
+const probeShare = 0.1
+
 // SetTiers sets which tiers have targets in service.
 func (g *Gate) SetTiers(present map[room.Tier]bool) {
 	g.mu.Lock()
@@ -78,13 +82,16 @@
 // meet its goal by waiting is refused at once; one that waits is kept until it can no
 // longer end by its deadline, since a refusal after a wait costs its caller most.
 func (g *Gate) acquirePaced(now time.Time, e *room.Estimate, t *Ticket) (Decision, []*Ticket) {
-	t.latestEnd = t.Deadline
+	t.latestEnd, t.queueRank = t.Deadline, t.Rank
+	g.probeCredit = min(1, g.probeCredit+probeShare)
 	work := t.expectedTime(e)
 	if now.Add(work).After(t.Deadline) {
-		g.turnAway(now, t)
+		if !g.divert(now, e, t, true) {
+			g.turnAway(now, t)
+		}
 		return t.Decision, nil
 	}
-	index := g.enqueue(t)
+	g.enqueue(t)
 	decided := g.admitWaiting(now, g.shedWaiting(now, nil))
 	if t.Decision != Waiting {
 		return t.Decision, without(decided, t)
@@ -93,7 +100,7 @@
 	if goal.IsZero() || goal.After(t.Deadline) {
 		goal = t.Deadline
 	}
-	wait := g.pacer.Wait(now, e, t.Rank, index)
+	wait := g.pacer.Wait(now, e, t.Rank, g.aheadOf(t))
 	tooLong := wait > goal.Sub(now)-work || len(g.queue) > maxHeld
 	switch {
 	case g.divert(now, e, t, tooLong):
@@ -114,15 +121,16 @@
 // would wait too long, or, from time to time, to one of which nothing is known.
 func (g *Gate) divert(now time.Time, e *room.Estimate, t *Ticket, tooLong bool) bool {
 	switch {
+	case float64(g.inflight) >= g.limit:
+		return false
 	case e.Free == room.SameRegion, e.Free != room.SameDataCentre && tooLong:
 		t.Tier = e.Free
-	case e.Unknown != room.SameDataCentre && now.Sub(g.lastProbe) >= probeInterval:
-		t.Tier, g.lastProbe = e.Unknown, now
+	case e.Unknown != room.SameDataCentre && g.probeCredit >= 1 && now.Sub(g.lastProbe) >= probeInterval:
+		t.Tier, g.lastProbe, g.probeCredit = e.Unknown, now, 0
 	default:
 		return false
 	}
 	g.queue = without(g.queue, t)
-	g.pacer.TakeElsewhere(now, e, t.Rank)
 	g.startRequest(now, t)
 	g.onEvent(Diverted)
 	return true
@@ -149,17 +157,13 @@
 	g.onEvent(Turned)
 }
 
-// nextWaiting returns the index of the waiting request to admit next: the first one, or
-// that of a lower rank which would otherwise get less than its minimum share.
-func (g *Gate) nextWaiting() int {
-	if rank, ok := g.pacer.Favoured(); ok && g.pacing {
-		for i, t := range g.queue {
-			if t.Rank == rank {
-				return i
-			}
-		}
+// nextRank returns the index of the first waiting request of the next rank.
+func (g *Gate) nextRank(index int) int {
+	rank := g.queue[index].queueRank
+	for index < len(g.queue) && g.queue[index].queueRank == rank {
+		index++
 	}
-	return 0
+	return index
 }
 
 // held returns the number of requests that wait because the targets queue requests.
@@ -173,11 +177,25 @@
 	return n
 }
 
-// ahead returns the number of waiting requests of the rank or more urgent ones.
+// ahead returns the number of held requests of a rank.
 func (g *Gate) ahead(rank int) int {
 	n := 0
 	for _, t := range g.queue {
-		if t.Rank <= rank {
+		if t.held && t.Rank == rank {
+			n++
+		}
+	}
+	return n
+}
+
+// aheadOf returns the number of waiting requests of the same rank before a request.
+func (g *Gate) aheadOf(t *Ticket) int {
+	n := 0
+	for _, o := range g.queue {
+		if o == t {
+			break
+		}
+		if o.queueRank == t.queueRank {
 			n++
 		}
 	}
--- a/core/limit/ticket.go
+++ b/core/limit/ticket.go
@@ -35,6 +35,7 @@
 	slotTime   time.Duration // expected for its kind
 	latestEnd  time.Time     // the deadline or the maximum duration, whichever is earlier
 	admittedAt time.Time
+	queueRank  int     // Rank if the targets queue requests, else 0
 	held       bool    // waited because the targets queue requests
 	targetUse  float64 // utilization of the target, as reported in the response
 }
@@ -42,9 +43,10 @@
 // density returns the weight per expected slot-second.
 func (t *Ticket) density() float64 { return t.Weight / max(t.slotTime.Seconds(), 1e-6) }
 
-// compare orders waiting tickets by rank, then by the time by which they must end.
+// compare orders waiting tickets by rank, if the targets queue requests, then by the
+// time by which they must end.
 func (t *Ticket) compare(o *Ticket) int {
-	return cmp.Or(cmp.Compare(t.Rank, o.Rank), t.latestEnd.Compare(o.latestEnd))
+	return cmp.Or(cmp.Compare(t.queueRank, o.queueRank), t.latestEnd.Compare(o.latestEnd))
 }
 
 // workMargin and queueMargin cover requests that take longer, and targets that have
--- a/core/room/estimator.go
+++ b/core/room/estimator.go
@@ -8,7 +8,7 @@
 const (
 	// memory is the time constant of the estimates. Bursts last about 6 s, and an
 	// entry gets 2 to 10 responses a second of a service.
-	memory = time.Second
+	memory = 3 * time.Second / 2
 	// halfConfidence is the number of recent reports with a confidence of one half.
 	halfConfidence = 1.5
 	// slotTimeShift sets the weight of one sample of the slot-time, 1/2^4.
@@ -43,18 +43,27 @@
 	SlotTime time.Duration
 	// ShedShare is the share of the recent arrivals that the targets shed.
 	ShedShare float64
-	// Age is the time since the last response.
+	// Age is the time since the last report.
 	Age time.Duration
 	// Confidence is 0 if no target has reported its load recently, and approaches 1
 	// with the number of recent reports.
 	Confidence float64
+
+	known bool
 }
 
 // Known reports whether targets have reported their load recently.
-func (e *Estimate) Known() bool { return e.Confidence >= minConfidence }
+func (e *Estimate) Known() bool { return e.known }
 
-// minConfidence is the confidence of two fresh reports, or of more that are older.
-const minConfidence = 0.5
+const (
+	// minConfidence is that of two reports within 2 s, or of more that are older.
+	minConfidence = 0.44
+	// recall is how long an estimate stays in use without further reports. An entry
+	// that admits few requests gets few reports, and would otherwise admit all.
+	recall = 8 * time.Second
+	// relax is the time constant with which the excess of such an estimate falls.
+	relax = 3 * time.Second
+)
 
 // Sheds reports whether the targets shed requests although they have room, so that
 // fewer requests would not help.
@@ -72,6 +81,8 @@
 // Estimator estimates the capacity of a service from the responses of its targets.
 type Estimator struct {
 	updatedAt time.Time
+	reportAt  time.Time // of the last report
+	wasKnown  bool      // at that time
 	tiers     [tierCount]tierLoad
 	sheds     float64 // shed requests; it and the following sum decay with time
 	accepted  float64 // requests that were not shed
@@ -105,6 +116,7 @@
 	t.reports++
 	t.requests += float64(max(0, requests))
 	t.slots += float64(slots)
+	e.reportAt, e.wasKnown = now, e.At(now).Confidence >= minConfidence
 }
 
 // RecordShed records that a target shed a request.
@@ -131,7 +143,7 @@
 // At returns the estimate at a time.
 func (e *Estimator) At(now time.Time) Estimate {
 	remaining := e.remaining(now)
-	out := Estimate{Age: max(0, now.Sub(e.updatedAt)), SlotTime: e.slotTime}
+	out := Estimate{Age: max(0, now.Sub(e.reportAt)), SlotTime: e.slotTime}
 	if e.slotTime == 0 {
 		out.SlotTime = defaultSlotTime
 	}
@@ -170,6 +182,10 @@
 	if slots > 0 {
 		out.Utilization = requests / slots
 	}
+	out.known = out.Confidence >= minConfidence || e.wasKnown && out.Age < recall
+	if excess := out.Utilization - limitUtilization; out.Confidence < minConfidence && excess > 0 {
+		out.Utilization = limitUtilization + excess*decay(out.Age, relax)
+	}
 }
 
 const (
--- a/core/room/pacer.go
+++ b/core/room/pacer.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -24,12 +23,9 @@
 	// mixMemory is the time constant of the arrivals of each rank. It is longer than
 	// memory, since a lower rank may have one request in several seconds.
 	mixMemory = 5 * time.Second
-	// minArrivals is the number of recent arrivals of a rank from which its share is
-	// compared to that of others.
-	minArrivals = 2
-	// maxTokens bounds the admissions that are saved up, maxDebt those that ranks
-	// without limit take in advance.
-	maxTokens = 1
+	// maxCredit bounds the admissions that are saved up, maxDebt those that a rank
+	// without limit takes in advance.
+	maxCredit = 1
 	maxDebt   = 3
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is
 	// told to return. Callers wait for at most a third of the time that they have,
@@ -46,26 +42,29 @@
 	minDemand = 0.25
 )
 
-// rankCounts are the recent requests of one rank.
-type rankCounts struct{ arrived, admitted float64 }
+// rankState is what the pacer knows of one rank.
+type rankState struct {
+	arrived float64 // recent requests
+	share   float64 // of the arrivals that is admitted
+	credit  float64 // admissions by the share
+	floor   float64 // admissions by the minimum share
+}
 
 // Pacer limits the rate of admissions of a service at one entry and shares it among
 // the ranks. Rank 0 is the most urgent.
 type Pacer struct {
 	startedAt time.Time
 	updatedAt time.Time
+	ranks     map[int]*rankState
+	order     []int   // ranks in ascending order
 	tokens    float64 // admissions that are allowed now, negative after advances
-	ranks     map[int]*rankCounts
-	order     []int // ranks in ascending order
-	arrivals  float64
-	admitted  float64
+	arrivals  float64 // recent requests of all ranks
 	answered  float64
-	allowance []float64 // scratch space of shares
 }
 
 // NewPacer returns a pacer without history.
 func NewPacer(now time.Time) *Pacer {
-	return &Pacer{startedAt: now, updatedAt: now, tokens: maxTokens, ranks: map[int]*rankCounts{}}
+	return &Pacer{startedAt: now, updatedAt: now, tokens: maxCredit, ranks: map[int]*rankState{}}
 }
 
 // Limits reports whether admissions are limited: the targets queue requests, or
@@ -77,7 +76,7 @@
 // Arrive records the arrival of a request.
 func (p *Pacer) Arrive(now time.Time, e *Estimate, rank int) {
 	p.advance(now, e)
-	p.counts(rank).arrived++
+	p.state(rank).arrived++
 	p.arrivals++
 }
 
@@ -87,67 +86,52 @@
 	p.answered++
 }
 
-// Take reports whether a request may be admitted now, and if so records that it is.
-// waiting is the number of requests that wait for admission, including this one if
-// it does.
+// Take reports whether a request may be admitted now, and if so takes it out of the
+// credit of its rank. waiting is the number of requests that wait for admission.
 func (p *Pacer) Take(now time.Time, e *Estimate, rank, waiting int) bool {
 	p.advance(now, e)
-	switch {
-	case !Limits(e, waiting):
-		p.tokens = maxTokens
-		p.record(rank)
-		return true
-	case p.tokens >= 1, p.tokens > -maxDebt && p.share(e, rank) >= 1:
-		p.tokens--
-		p.record(rank)
+	if !Limits(e, waiting) {
+		p.tokens = maxCredit
+		for _, r := range p.ranks {
+			r.credit, r.floor = 0, 0
+		}
 		return true
 	}
-	return false
-}
-
-// TakeElsewhere records the admission of a request to targets that are not limited.
-func (p *Pacer) TakeElsewhere(now time.Time, e *Estimate, rank int) {
-	p.advance(now, e)
-	p.record(rank)
-}
-
-// Favoured returns the lowest rank that has been admitted less than its minimum
-// share, and false if there is none.
-func (p *Pacer) Favoured() (int, bool) {
-	if p.arrivals <= 0 {
-		return 0, false
-	}
-	least := fairShare * p.admitted / p.arrivals
-	for _, rank := range slices.Backward(p.order) {
-		if c := p.ranks[rank]; c.arrived >= minArrivals && c.admitted < least*c.arrived {
-			return rank, true
-		}
+	p.computeShares(e)
+	r := p.state(rank)
+	switch {
+	case r.share >= 1 && p.tokens > -maxDebt: // in advance
+	case p.tokens >= 1 && (r.credit >= 1 || rank == p.order[0]): // not what is left for more urgent ranks
+	case r.floor >= 1:
+		r.floor--
+	default:
+		return false
 	}
-	return 0, false
+	p.tokens--
+	r.credit = max(0, r.credit-1)
+	return true
 }
 
 // Wait returns the expected time until a request of the rank is admitted, with a
-// number of requests ahead of it.
+// number of requests of the same rank ahead of it.
 func (p *Pacer) Wait(now time.Time, e *Estimate, rank, ahead int) time.Duration {
 	p.advance(now, e)
-	rate := p.rate(now, e)
-	for i, other := range p.order {
-		if other >= rank {
-			break
-		}
-		// What more urgent ranks take is not left for this one.
-		rate -= min(1, p.allowance[i]) * p.ranks[other].arrived / mixSeconds(now, p.startedAt)
-	}
-	missing := float64(ahead+1) - max(0, p.tokens)
+	p.computeShares(e)
+	r := p.state(rank)
+	missing := float64(ahead+1) - max(0, min(r.credit, p.tokens))
 	if missing <= 0 {
 		return 0
 	}
-	if rate <= 0 {
-		return math.MaxInt64
+	rate := r.share * r.arrived / p.seconds(now)
+	if rank == p.order[0] {
+		rate = max(rate, p.rate(now, e))
 	}
-	return time.Duration(min(missing/rate, 60) * float64(time.Second))
+	return time.Duration(min(missing/max(rate, 1e-9), maxWait.Seconds()) * float64(time.Second))
 }
 
+// maxWait bounds expected waits.
+const maxWait = time.Minute
+
 // RetryAfter returns the time after which a refused request of the rank may find
 // room.
 func (p *Pacer) RetryAfter(now time.Time, e *Estimate, rank, ahead int) time.Duration {
@@ -179,32 +163,27 @@
 	return urgent / max(p.arrivals, 1) * e.shedOdds()
 }
 
-// share returns the share of the arrivals of a rank that is admitted. Each rank gets
+// computeShares sets the shares of the arrivals that are admitted. Each rank gets
 // fairShare of the total share; the rest goes to the most urgent ranks.
-func (p *Pacer) share(e *Estimate, rank int) float64 {
-	p.computeShares(e)
-	for i, other := range p.order {
-		if other == rank {
-			return p.allowance[i]
+func (p *Pacer) computeShares(e *Estimate) {
+	total := admittedShare(e.Utilization) * p.demand() / max(p.arrivals, 1e-9)
+	if total >= 1 {
+		for _, r := range p.ranks {
+			r.share = total
 		}
+		return
 	}
-	return 0
-}
-
-func (p *Pacer) computeShares(e *Estimate) {
-	total := admittedShare(e.Utilization)
-	least := min(1, fairShare*total)
+	least := fairShare * total
 	left := total - least
-	p.allowance = p.allowance[:0]
 	for _, rank := range p.order {
-		part := p.ranks[rank].arrived / max(p.arrivals, 1e-9)
+		r := p.ranks[rank]
+		part := r.arrived / max(p.arrivals, 1e-9)
 		extra := min(1-least, left/max(part, 1e-9))
 		left -= extra * part
-		share := least + extra
-		if share > 1-1e-9 {
-			share = 1
+		r.share = least + extra
+		if r.share > 1-1e-9 {
+			r.share = 1
 		}
-		p.allowance = append(p.allowance, share)
 	}
 }
 
@@ -220,34 +199,40 @@
 
 // rate returns the admissions a second.
 func (p *Pacer) rate(now time.Time, e *Estimate) float64 {
-	p.computeShares(e)
-	arrivals := min(p.arrivals, max(minDemand*p.arrivals, maxDemand*p.answered)) / mixSeconds(now, p.startedAt)
-	return admittedShare(e.Utilization) * arrivals
+	return admittedShare(e.Utilization) * p.demand() / p.seconds(now)
+}
+
+// demand returns the recent arrivals that count.
+func (p *Pacer) demand() float64 {
+	return min(p.arrivals, max(minDemand*p.arrivals, maxDemand*p.answered))
 }
 
-// mixSeconds returns the time for which the decaying sum of arrivals stands.
-func mixSeconds(now, startedAt time.Time) float64 {
-	return max(0.1, mixMemory.Seconds()*(1-decay(now.Sub(startedAt), mixMemory)))
+// seconds returns the time for which the decaying sums of requests stand.
+func (p *Pacer) seconds(now time.Time) float64 {
+	return max(0.1, mixMemory.Seconds()*(1-decay(now.Sub(p.startedAt), mixMemory)))
 }
 
-// advance adds the tokens gained and lets the counts decay.
+// advance adds the credit gained and lets the sums decay.
 func (p *Pacer) advance(now time.Time, e *Estimate) {
 	elapsed := now.Sub(p.updatedAt)
 	if elapsed <= 0 {
 		return
 	}
-	p.tokens = min(maxTokens, p.tokens+elapsed.Seconds()*p.rate(now, e))
-	remaining := decay(elapsed, mixMemory)
-	for rank, c := range p.ranks {
-		c.arrived *= remaining
-		c.admitted *= remaining
-		if c.arrived < forgetArrivals {
+	p.computeShares(e)
+	remaining, seconds := decay(elapsed, mixMemory), p.seconds(now)
+	p.tokens = min(maxCredit, p.tokens+elapsed.Seconds()*p.rate(now, e))
+	least := fairShare * min(1, admittedShare(e.Utilization)*p.demand()/max(p.arrivals, 1e-9))
+	for rank, r := range p.ranks {
+		arrivals := elapsed.Seconds() * r.arrived / seconds
+		r.credit = min(maxCredit, r.credit+arrivals*r.share)
+		r.floor = min(maxCredit, r.floor+arrivals*least)
+		r.arrived *= remaining
+		if r.arrived < forgetArrivals {
 			delete(p.ranks, rank)
 			p.order = nil
 		}
 	}
 	p.arrivals *= remaining
-	p.admitted *= remaining
 	p.answered *= remaining
 	if p.order == nil {
 		p.order = slices.Sorted(maps.Keys(p.ranks))
@@ -258,17 +243,12 @@
 // forgetArrivals is the number of recent arrivals below which a rank is forgotten.
 const forgetArrivals = 0.01
 
-func (p *Pacer) counts(rank int) *rankCounts {
-	c := p.ranks[rank]
-	if c == nil {
-		c = &rankCounts{}
-		p.ranks[rank] = c
+func (p *Pacer) state(rank int) *rankState {
+	r := p.ranks[rank]
+	if r == nil {
+		r = &rankState{}
+		p.ranks[rank] = r
 		p.order = slices.Sorted(maps.Keys(p.ranks))
 	}
-	return c
-}
-
-func (p *Pacer) record(rank int) {
-	p.counts(rank).admitted++
-	p.admitted++
+	return r
 }
