--- a/core/room/estimator.go
+++ b/core/room/estimator.go
@@ -157,24 +157,23 @@
 
 // estimateTiers sets the fields of an estimate that depend on the load of the tiers.
 func (e *Estimator) estimateTiers(now time.Time, out *Estimate) {
-	reports, requests, slots := 0.0, 0.0, 0.0
+	reports, requests, slots, nearest := 0.0, 0.0, 0.0, true
 	for i := range e.tiers {
 		t := &e.tiers[i]
 		recent := e.tierRemaining(now, Tier(i)) * t.reports
+		// The last reports of the nearest tier stay in use.
+		known := recent >= minTierReports || nearest && t.present && t.slots > 0
+		nearest = nearest && !t.present
 		hasRoom := t.requests < limitUtilization*t.slots
-		if recent < minTierReports {
-			if t.present && out.Unknown == SameDataCentre {
-				out.Unknown = Tier(i)
-			}
-			if i != 0 {
-				continue
-			}
-		} else if slots > 0 && hasRoom {
+		switch {
+		case !known && t.present && out.Unknown == SameDataCentre:
+			out.Unknown = Tier(i)
+		case known && hasRoom && slots > 0:
 			out.Free = Tier(i)
-			break
+		case known:
+			reports, requests, slots = reports+recent, requests+t.requests, slots+t.slots
 		}
-		reports, requests, slots = reports+recent, requests+t.requests, slots+t.slots
-		if slots > 0 && hasRoom {
+		if known && hasRoom {
 			break
 		}
 	}
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -14,6 +14,7 @@
 // full returns an estimator of targets with a utilization, from ten reports.
 func full(now time.Time, utilization float64) *room.Estimator {
 	e := &room.Estimator{}
+	e.SetTiers(map[room.Tier]bool{room.SameDataCentre: true})
 	for range 10 {
 		e.RecordLoad(now, room.SameDataCentre, int(10*utilization), 10)
 		e.RecordAnswer(now, time.Duration(100*utilization)*time.Millisecond, utilization)
@@ -116,4 +117,10 @@
 	is.Equal(far.Utilization, 700.0/300)
 	later := e.At(start.Add(12 * time.Second))
 	is.Equal(later.Free, room.SameDataCentre)
+	e = &room.Estimator{}
+	load(e, room.SameDataCentre, 0.5)
+	e.SetTiers(map[room.Tier]bool{room.SameRegion: true}) // the nearest ones are lost
+	load(e, room.SameRegion, 3)
+	lost := e.At(start.Add(5 * time.Second))
+	is.True(room.Limits(&lost, 0))
 }
