--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -18,7 +17,7 @@
 )
 
 // overloadRetryAfter is the time after which a caller may retry a request that was
-// refused by a rate limit or because of load.
+// refused by a rate limit, or because of load if the targets do not report theirs.
 const overloadRetryAfter = time.Second
 
 // attemptHandle connects an attempt to the state of its target.
@@ -49,11 +48,10 @@
 	if len(exclude) == 0 {
 		u.meter.Record(now)
 	}
-	var e *route.Endpoint
-	if a.registry != nil {
-		e = u.router.PickByCost(now, rand.Uint64(), route.Request{NonRepeatable: !r.Kind.Repeatable, LargeBody: r.Kind.Upload, Exclude: exclude})
-	} else {
-		e = u.pick(now, r.Kind.Repeatable && !r.Kind.Upload, exclude)
+	preferred := a.excludeFull(u, r, exclude)
+	e := a.pickEndpoint(u, r, preferred, now)
+	if e == nil && len(preferred) > len(exclude) {
+		e = a.pickEndpoint(u, r, exclude, now)
 	}
 	if e == nil {
 		return proxy.Target{}, false
@@ -151,6 +149,7 @@
 	if o.Class == proxy.Refused {
 		d.upstream.gate.RecordShed()
 	}
+	a.observeRoom(d.upstream, d.target, o)
 	if inflight, slots := o.Load.Running+o.Load.Waiting, o.Load.Slots; o.HasLoad {
 		d.endpoint.RecordLoad(o.End, inflight, slots)
 		d.target.health.RecordLoad(o.End, inflight, slots)
@@ -231,9 +230,7 @@
 	if u == nil {
 		return proxy.Admission{}, nil // the request is refused because Pick finds no target
 	}
-	ticket := &limit.Ticket{
-		Kind: r.Kind.Name, Weight: r.Kind.Weight, Deadline: r.Deadline, Wake: make(chan limit.Decision, 1),
-	}
+	ticket := newTicket(r)
 	decision, decided := u.gate.Acquire(time.Now(), ticket)
 	deliverDecisions(decided)
 	if decision == limit.Waiting {
@@ -244,7 +241,7 @@
 		release := func(answered bool) { deliverDecisions(u.gate.Release(time.Now(), ticket, answered)) }
 		return proxy.Admission{Handle: ticket, Release: release}, nil
 	case limit.Refused:
-		return proxy.Admission{}, &refuse.Error{Reason: ticket.Reason, Run: refuse.NotRun, RetryAfter: overloadRetryAfter}
+		return proxy.Admission{}, overloadRefusal(ticket)
 	}
 	return proxy.Admission{}, &refuse.Error{Reason: refuse.Deadline, Run: refuse.NotRun, Err: ctx.Err()}
 }
@@ -277,7 +274,7 @@
 		return true // no target has received anything
 	}
 	// The data path limits the attempts of a single request.
-	return u.budget.Allow(now, retryReasons[reason], 1, r.Deadline.Sub(now))
+	return u.budget.AllowReserved(now, retryReasons[reason], 1, r.Deadline.Sub(now), u.gate.Reserve(now, rankOf(r)))
 }
 
 var retryReasons = map[proxy.Reason]retry.Reason{
