Control grants tokens of workspaces

Change: package control/tokens. The replica and not the entry states who asks. Limits come from the newest service text, which is parsed when it has changed.

Ruled out: a read for each question (a round of heartbeats for each batch); a wait of 4 s after an election instead of a lease (entries would get no tokens for that time).

Measured: 100 concurrent questions at a follower lead to at most 2 calls of the leader (TestQuestionsAreForwardedInBatches). Tests of control/tokens (also with -race) and control/daemon pass.

--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -11,6 +11,7 @@
 	"github.com/galenalock/galenalock/control/admin"
 	"github.com/galenalock/galenalock/control/fleet"
 	"github.com/galenalock/galenalock/control/relay"
+	"github.com/galenalock/galenalock/control/tokens"
 	"github.com/galenalock/galenalock/core/auth"
 	"github.com/galenalock/galenalock/core/certs"
 	"github.com/galenalock/galenalock/core/group"
@@ -30,6 +31,7 @@
 	machine   *machine
 	links     *relay.Links
 	relay     *relay.Relay
+	tokens    *tokens.Server
 	fleet     *fleet.Fleet
 	group     *group.Group // opened by Run
 	server    *link.Server
@@ -132,6 +134,7 @@
 	}
 	d.parts = p
 	p.relay = relay.New(d.localReplica(), p.links, s.Clock)
+	p.tokens = d.newTokens()
 	p.fleet = fleet.New(fleet.Dependencies{
 		View:             p.machine.view.Load,
 		IsLeader:         func() bool { status := p.group.Status(); return status.Leader == status.ID },
--- a/control/daemon/group.go
+++ b/control/daemon/group.go
@@ -16,7 +16,7 @@
 	g, err := group.New(
 		group.WithID(s.replicaNumber()), group.WithDir(s.Data), group.WithFound(s.mayFound()),
 		group.WithPeers(s.founderAddresses()), group.WithMachine(p.machine.callbacks()), group.WithSend(p.links.SendRaft),
-		group.WithLeaderHook(p.relay.LeaderChanged),
+		group.WithLeaderHook(p.leaderChanged),
 		group.WithLogger(p.log), group.WithClock(s.Clock),
 		group.WithSnapshotInterval(uint64(s.Snapshot), maxLogBytes),
 	)
--- a/control/daemon/handle.go
+++ b/control/daemon/handle.go
@@ -63,6 +63,8 @@
 		return d.proposeClaim(state.Command{Close: &in})
 	case wire.KindJoin, wire.KindHeard, wire.KindFollow, wire.KindTargets, wire.KindSuspects, wire.KindLimits, wire.KindDemands, wire.KindCrashes:
 		return d.handleRegistry(c, m, fromReplica)
+	case wire.KindTokens, wire.KindTokenBatch:
+		return d.handleTokens(c, m, fromReplica)
 	case wire.KindReport, wire.KindEvidence:
 		return nil, d.handleReport(c, m, fromReplica)
 	case wire.KindGossip:
--- /dev/null
+++ b/control/tokens/server.go
@@ -0,0 +1,191 @@
+package tokens
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenalock/galenalock/core/bucket"
+	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+const (
+	// readTimeout limits the read that confirms the lease of the leader. Entries wait
+	// for less.
+	readTimeout = 500 * time.Millisecond
+	// renewBefore is the time before the end of the lease at which it is renewed, which
+	// takes a round trip between replicas.
+	renewBefore = 300 * time.Millisecond
+)
+
+// Office is the position of a replica in its group.
+type Office struct {
+	Self, Leader uint64 // Leader is 0 if there is none
+	Term         uint64
+}
+
+// Dependencies are what a Server uses of the replica.
+type Dependencies struct {
+	Office func() Office
+	// Read returns when a majority has confirmed that this replica leads.
+	Read func(ctx context.Context) error
+	// Newest returns the number of the newest revision, and Text the text of one.
+	Newest func() uint64
+	Text   func(number uint64) ([]byte, bool)
+	// Call calls another replica.
+	Call func(ctx context.Context, replica uint64, kind wire.Kind, body, answer any) error
+	// Clock includes the time during which the machine is suspended.
+	Clock func() time.Duration
+}
+
+// Server answers questions for tokens. It is safe for concurrent use.
+type Server struct {
+	deps      Dependencies
+	forwarder forwarder
+
+	mu        sync.Mutex
+	allocator *bucket.Allocator // nil unless this replica leads
+	term      uint64            // of the allocator
+	lease     time.Duration     // until which the allocator may grant tokens
+	reading   chan struct{}     // closed when the read in progress ends, nil without one
+
+	limits limits
+}
+
+// New returns a server.
+func New(deps Dependencies) *Server {
+	s := &Server{deps: deps}
+	s.forwarder.send = s.forward
+	return s
+}
+
+// LeaderChanged notifies the server that the replica has learned of another leader or
+// term. A leader grants tokens a certain time after that.
+func (s *Server) LeaderChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeOffice()
+}
+
+// takeOffice returns the allocator of the current term, or nil if this replica does not
+// lead.
+func (s *Server) takeOffice() *bucket.Allocator {
+	o := s.deps.Office()
+	switch {
+	case o.Leader != o.Self || o.Leader == 0:
+		s.allocator, s.term = nil, 0
+	case s.allocator == nil || s.term != o.Term:
+		s.allocator, s.term, s.lease = bucket.NewAllocator(s.deps.Clock(), o.Term), o.Term, 0
+	}
+	return s.allocator
+}
+
+// Serve answers the question of an entry. Its errors are *wire.FaultError and those of
+// a call.
+func (s *Server) Serve(ctx context.Context, q wire.TokenRequest) (wire.TokenAnswer, error) {
+	if o := s.deps.Office(); o.Leader != o.Self {
+		return s.forwarder.ask(ctx, q)
+	}
+	answers, err := s.ServeBatch(ctx, wire.List[wire.TokenRequest]{List: []wire.TokenRequest{q}})
+	if err != nil {
+		return wire.TokenAnswer{}, err
+	}
+	return answers.List[0], nil
+}
+
+// ServeBatch answers questions that another replica forwarded. Its error is a
+// *wire.FaultError.
+func (s *Server) ServeBatch(ctx context.Context, batch wire.List[wire.TokenRequest]) (wire.List[wire.TokenAnswer], error) {
+	var out wire.List[wire.TokenAnswer]
+	directory, err := s.limits.load(s.deps.Newest(), s.deps.Text)
+	if err != nil {
+		return out, err
+	}
+	for {
+		s.mu.Lock()
+		allocator, now := s.takeOffice(), s.deps.Clock()
+		if allocator == nil {
+			s.mu.Unlock()
+			return out, &wire.FaultError{Code: "notleader"}
+		}
+		if now < s.lease {
+			for _, q := range batch.List {
+				out.List = append(out.List, allocator.Serve(now, q, directory))
+			}
+			if s.lease-now < renewBefore {
+				s.renewLease()
+			}
+			s.mu.Unlock()
+			return out, nil
+		}
+		done := s.renewLease()
+		s.mu.Unlock()
+		select {
+		case <-done:
+			if s.leaseEnded() {
+				return out, &wire.FaultError{Code: "noquorum", Detail: "no majority confirms that this replica leads"}
+			}
+		case <-ctx.Done():
+			return out, &wire.FaultError{Code: "noquorum", Detail: ctx.Err().Error()}
+		}
+	}
+}
+
+func (s *Server) leaseEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deps.Clock() >= s.lease
+}
+
+// renewLease starts a read unless one is in progress, and returns a channel that is
+// closed when it ends.
+func (s *Server) renewLease() <-chan struct{} {
+	if s.reading != nil {
+		return s.reading
+	}
+	done, term, start := make(chan struct{}), s.term, s.deps.Clock()
+	s.reading = done
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		defer cancel()
+		err := s.deps.Read(ctx)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.reading = nil
+		if o := s.deps.Office(); err == nil && o.Leader == o.Self && o.Term == term && s.term == term {
+			s.lease = start + bucket.LeaseTime
+		}
+		close(done)
+	}()
+	return done
+}
+
+// limits holds the limits of the newest service text.
+type limits struct {
+	mu        sync.Mutex
+	parser    *spec.Parser
+	revision  uint64
+	directory *bucket.Directory
+}
+
+func (l *limits) load(newest uint64, text func(number uint64) ([]byte, bool)) (*bucket.Directory, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.directory != nil && l.revision == newest {
+		return l.directory, nil
+	}
+	if l.parser == nil {
+		l.parser = spec.NewParser()
+	}
+	source, ok := text(newest)
+	if !ok {
+		return nil, &wire.FaultError{Code: "notready", Detail: "no service text"}
+	}
+	parsed, err := l.parser.Parse(source)
+	if err != nil {
+		return nil, &wire.FaultError{Code: "notready", Detail: err.Error()}
+	}
+	l.revision, l.directory = newest, bucket.DirectoryOf(parsed)
+	return l.directory, nil
+}
--- /dev/null
+++ b/control/tokens/server_test.go
@@ -0,0 +1,113 @@
+package tokens_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenalock/galenalock/control/tokens"
+	"github.com/galenalock/galenalock/core/bucket"
+	"github.com/galenalock/galenalock/core/wire"
+)
+
+const text = "[[service]]\nname = \"s\"\nfloor = \"80%\"\n[[workspace]]\nname = \"a\"\nservices = [\"s\"]\nrate = 10.0\nburst = 5.0\n"
+
+// replica is a replica whose group is replaced by fields.
+type replica struct {
+	office tokens.Office
+	read   error // of reads from now on
+	peer   *replica
+	calls  atomic.Int64 // of the leader
+	server *tokens.Server
+}
+
+func newReplica(self uint64) *replica {
+	start := time.Now()
+	r := &replica{office: tokens.Office{Self: self, Leader: 1, Term: 1}}
+	r.server = tokens.New(tokens.Dependencies{
+		Office: func() tokens.Office { return r.office },
+		Read: func(ctx context.Context) error {
+			if r.read != nil {
+				<-ctx.Done()
+			}
+			return r.read
+		},
+		Newest: func() uint64 { return 1 },
+		Text:   func(uint64) ([]byte, bool) { return []byte(text), true },
+		Call: func(ctx context.Context, _ uint64, _ wire.Kind, body, answer any) error {
+			r.calls.Add(1)
+			out, err := r.peer.server.ServeBatch(ctx, body.(wire.List[wire.TokenRequest]))
+			*answer.(*wire.List[wire.TokenAnswer]) = out
+			return err
+		},
+		Clock: func() time.Duration { return time.Since(start) },
+	})
+	r.server.LeaderChanged()
+	return r
+}
+
+// question asks for tokens of workspace "a".
+func question(entry uint64, want int) wire.TokenRequest {
+	directory := bucket.NewDirectory([]bucket.Workspace{{Name: "a"}})
+	return wire.TokenRequest{Entry: entry, List: []wire.TokenDemand{{Workspace: directory.Number("a"), Want: want}}}
+}
+
+// Guards against a leader that grants tokens although it may have been replaced, and
+// against one that grants them right after it was elected.
+func TestLeaderGrantsWithinItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newReplica(1)
+		answer, err := r.server.Serve(t.Context(), question(7, 3))
+		is.NoErr(err)
+		is.True(answer.Pending)
+		<-time.After(10 * time.Second)
+		answer, err = r.server.Serve(t.Context(), question(7, 3))
+		is.NoErr(err)
+		is.Equal(answer.List[0].Tokens, 3)
+
+		r.read = errors.New("no majority")
+		<-time.After(bucket.LeaseTime)
+		_, err = r.server.Serve(t.Context(), question(7, 1))
+		var fault *wire.FaultError
+		is.True(errors.As(err, &fault))
+
+		r.read = nil
+		r.office.Term++ // it was replaced and elected again
+		r.server.LeaderChanged()
+		answer, err = r.server.Serve(t.Context(), question(7, 1))
+		is.NoErr(err)
+		is.True(answer.Pending)
+		r.office.Leader = 2
+		_, err = r.server.ServeBatch(t.Context(), wire.List[wire.TokenRequest]{List: []wire.TokenRequest{question(7, 1)}})
+		is.True(errors.As(err, &fault))
+		is.Equal(fault.Code, "notleader")
+	})
+}
+
+// Guards against a message to the leader for each question, and against answers that
+// reach another entry.
+func TestQuestionsAreForwardedInBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leader, follower := newReplica(1), newReplica(2)
+		follower.peer = leader
+		<-time.After(10 * time.Second)
+		granted := make(chan bool, 100)
+		for i := range 100 {
+			go func() {
+				answer, err := follower.server.Serve(t.Context(), question(uint64(i), i%2))
+				granted <- err == nil && len(answer.List) == 1 && (i%2 == 1 || answer.List[0].Tokens == 0)
+			}()
+		}
+		for range 100 {
+			is.True(<-granted)
+		}
+		is.True(follower.calls.Load() <= 2)
+	})
+}
--- a/core/bucket/directory.go
+++ b/core/bucket/directory.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenalock/galenalock/core/spec"
 )
 
 // Workspace is a workspace with its limit. A rate of 0 means that it has none.
@@ -44,4 +46,16 @@
 	return d
 }
 
+// DirectoryOf returns the directory of a service text.
+func DirectoryOf(t *spec.Text) *Directory {
+	list := make([]Workspace, len(t.Workspaces))
+	for i, w := range t.Workspaces {
+		list[i] = Workspace{Name: w.Name, Limit: Limit{Rate: w.RateLimit, Burst: w.Burst}}
+	}
+	return NewDirectory(list)
+}
+
 func short(name string) uint32 { return uint32(xxhash.Sum64String(name) & math.MaxUint32) }
+
+// Number returns the number of a workspace, 0 if it is not listed.
+func (d *Directory) Number(name string) uint64 { return d.byName[name].number }
