Entries take tokens for workspaces with a limit

Change: an entry that gets its targets from control takes a token after the gate. A workspace that is known to be empty is refused before the gate. proxy.Admission has two new fields: Send is called before the first byte of each attempt and can refuse it, for example if the token expired while the request waited for its claim; Token is passed back like Handle. A token returns if no attempt was sent or all targets declared that they did not run the request. New refusal reason unmetered (503), new metric tokens. If control does not know the message, the equal shares apply.

Ruled out: taking the token in Send (the request would wait while it holds a connection); counting attempts in Begin and End (Begin precedes the dial, so a failed dial would look like a send).

--- a/core/bucket/holding.go
+++ b/core/bucket/holding.go
@@ -39,6 +39,12 @@
 	return t.workspace == "" || t.lent || now < t.sent+t.limit.Lifetime()
 }
 
+// Promised reports whether the token was taken without an answer of the leader.
+func (t Token) Promised() bool { return t.lent }
+
+// IsZero reports whether the workspace has no limit.
+func (t Token) IsZero() bool { return t.workspace == "" }
+
 // Waiter is a request that waits for a token.
 type Waiter struct {
 	Deadline time.Duration
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -141,6 +141,38 @@
 // decided before.
 func (s *Stock) Cancel(w *Waiter) bool { return w.holding.remove(w) }
 
+// Renew returns a token for a request whose token has expired before it was sent. It
+// does not wait.
+func (s *Stock) Renew(now time.Duration, t Token) Result {
+	r, w := s.Take(now, now, t.workspace)
+	if w == nil {
+		return r
+	}
+	w.holding.remove(w)
+	return Result{Outcome: Unknown, Retry: unknownRetry}
+}
+
+// Urgent reports whether a question is due as soon as possible.
+func (s *Stock) Urgent() bool { return s.urgent }
+
+// Silence returns the time since control has not answered, 0 if it answers or was not
+// asked.
+func (s *Stock) Silence(now time.Duration) time.Duration {
+	if s.asking == 0 || now-s.sent > 2*contactInterval {
+		return 0
+	}
+	return now - s.asking
+}
+
+// Refuse decides all waiters with one result.
+func (s *Stock) Refuse(r Result) []*Waiter {
+	var decided []*Waiter
+	for _, h := range s.holdings {
+		decided = append(decided, h.refuse(func(*Waiter) bool { return true }, r)...)
+	}
+	return decided
+}
+
 // scheduleAsk makes a question due for the waiters of a workspace.
 func (s *Stock) scheduleAsk(now time.Duration, h *holding) {
 	switch {
--- a/core/refuse/reason.go
+++ b/core/refuse/reason.go
@@ -19,6 +19,7 @@
 	BigHeader   Reason = "bigheader"   // the header exceeds the limit
 	Mismatch    Reason = "mismatch"    // the Idempotency-Key was used for another request
 	Rate        Reason = "rate"        // the workspace exceeds its rate limit
+	Unmetered   Reason = "unmetered"   // the rate limit of the workspace could not be checked
 	Overload    Reason = "overload"    // the request was shed before dispatch
 	Deadline    Reason = "deadline"    // the request cannot finish, or did not finish, by the deadline
 	NoTarget    Reason = "notarget"    // no target of the service is available
@@ -56,6 +57,7 @@
 	TooLarge:    {http.StatusRequestEntityTooLarge, "The body is too large"},
 	Mismatch:    {http.StatusUnprocessableEntity, "The Idempotency-Key was used for another request"},
 	Rate:        {http.StatusTooManyRequests, "The workspace exceeds its rate"},
+	Unmetered:   {http.StatusServiceUnavailable, "The rate limit of the workspace could not be checked"},
 	Overload:    {http.StatusServiceUnavailable, "The service is overloaded"},
 	Deadline:    {http.StatusGatewayTimeout, "The deadline has passed"},
 	NoTarget:    {http.StatusServiceUnavailable, "No target of the service is available"},
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -69,6 +69,7 @@
 	controlLinks     atomic.Pointer[conns]
 	fleet            atomic.Pointer[Fleet]
 	rates            *rates
+	tokens           *tokens
 	poisons          *poison.Table
 	path             path
 	lag              update.Lag
@@ -99,6 +100,7 @@
 		suspectReports: make(chan suspectReport, suspectQueueLength),
 		startupGate:    proxy.NewStartupGate(s.Start.Add(s.StartupWait)),
 	}
+	a.tokens = newTokens(func() conns { return *a.controlLinks.Load() }, log)
 	a.crashes.probing = map[*target]bool{}
 	if a.hooks.Connect == nil {
 		a.hooks.Connect = connect
@@ -155,6 +157,7 @@
 	if a.registry != nil {
 		interval = registryTickInterval
 	}
+	defer a.startTokens(ctx)()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -109,6 +109,7 @@
 	}
 	hooks.CloseIdle = func() {}
 	hooks.CountPause = func(string) {}
+	hooks.CountToken = func(string) {}
 	hooks.CountRelay = func(string) {}
 	hooks.CountPath = func(reach.State) {}
 	hooks.Inflight = func() int { return 0 }
--- a/entry/agent/registry_test.go
+++ b/entry/agent/registry_test.go
@@ -43,8 +43,12 @@
 	revision         uint64
 	loseAnswers      int // answers to pulls that are lost from now on
 	revisionPulls    int
+	workspaces       string                                         // appended to each text
+	grant            func(m wire.Message) (wire.TokenAnswer, error) // answers questions for tokens
 }
 
+func (r *fakeRegistry) text(number int) []byte { return append(serviceText(number), r.workspaces...) }
+
 func startFakeRegistry(t *testing.T, name, region string) *fakeRegistry {
 	r := &fakeRegistry{name: name, region: region, table: enrol.New(), follows: map[*link.Conn]wire.Follow{}, suspects: make(chan wire.Suspects, 16),
 		limits: make(chan wire.List[wire.Limit], 16), demands: make(chan wire.List[wire.Demand], 16), crashes: make(chan wire.List[wire.Crash], 16)}
@@ -71,7 +75,7 @@
 	switch m.Kind {
 	case wire.KindConfirm:
 		r.confirmSeen = true
-		return wire.Confirmed{Number: 1, Checksum: delta.Sum(serviceText(1))}, nil
+		return wire.Confirmed{Number: 1, Checksum: delta.Sum(r.text(1))}, nil
 	case wire.KindPull:
 		if r.pullAfterConfirm && !r.confirmSeen {
 			return nil, &wire.Error{Reason: "noquorum"}
@@ -82,7 +86,7 @@
 			return nil, &wire.FaultError{Code: "busy"}
 		}
 		number := max(1, r.revision)
-		return delta.Whole(number, serviceText(int(number)))
+		return delta.Whole(number, r.text(int(number)))
 	case wire.KindFollow:
 		var in wire.Follow
 		if err := wire.Decode(m.Body, &in); err != nil {
@@ -103,6 +107,8 @@
 		return view.Since(in.Have), nil
 	case wire.KindHelpers:
 		return r.helpers, nil
+	case wire.KindTokens:
+		return r.grant(m)
 	case wire.KindSuspects:
 		var in wire.Suspects
 		if err := wire.Decode(m.Body, &in); err != nil {
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -57,6 +57,7 @@
 	CountLimit       func(event quota.Event)              // counts a change of the limit of a target
 	CountCrash       func()                               // counts a request during which its target crashed
 	CountPause       func(event string)                   // counts targets that pause or leave
+	CountToken       func(result string)                  // counts a request of a workspace with a limit
 	CountRelay       func(result string)                  // counts a request that was passed to another entry
 	CloseIdle        func()                               // closes the idle connections to targets
 	CountPath        func(state reach.State)              // counts a check of the path to the targets
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -111,6 +111,7 @@
 func (a *Agent) End(at proxy.Attempt, o proxy.Outcome) {
 	if h, ok := at.Target.Handle.(*helperHandle); ok {
 		a.endRelay(h, o)
+		endSend(at, o)
 		return
 	}
 	d, ok := at.Target.Handle.(*attemptHandle)
@@ -128,6 +129,7 @@
 		d.upstream.budget.ObserveLatency(o.HeaderLatency)
 	}
 	a.observePath(d.target, at, o)
+	endSend(at, o)
 	d.upstream.pending.Add(-1)
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
@@ -223,9 +225,8 @@
 // Admit checks the rate limit of the workspace and waits for the admission of a
 // request.
 func (a *Agent) Admit(ctx context.Context, r proxy.Request) (proxy.Admission, error) {
-	// The entry that passed a request on has taken it out of its own rate.
-	if r.RelayedFrom == "" && !a.rates.allow(r.Workspace) {
-		return proxy.Admission{}, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, RetryAfter: overloadRetryAfter}
+	if err := a.checkRate(r); err != nil {
+		return proxy.Admission{}, err
 	}
 	u := a.upstream(r.Service.Name)
 	if u == nil {
@@ -242,7 +243,7 @@
 	switch decision {
 	case limit.Admitted:
 		release := func(answered bool) { deliverDecisions(u.gate.Release(time.Now(), ticket, answered)) }
-		return proxy.Admission{Handle: ticket, Release: release}, nil
+		return a.withToken(ctx, r, proxy.Admission{Handle: ticket, Release: release})
 	case limit.Refused:
 		return proxy.Admission{}, &refuse.Error{Reason: ticket.Reason, Run: refuse.NotRun, RetryAfter: overloadRetryAfter}
 	}
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -118,6 +118,7 @@
 	a.upstreamSnapshot.Store(&next)
 	a.updateLeaseTable(now)
 	a.rates.setLimits(text, a.entryCount())
+	a.tokens.setText(text)
 }
 
 // updateLeaseTable updates all targets of the lease table.
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -120,6 +120,7 @@
 		CountPath:        c.addPath,
 		CountRelay:       c.addRelay,
 		CountPause:       c.addPause,
+		CountToken:       c.addToken,
 		Inflight:         d.inflight,
 		CloseIdle:        func() { d.proxy.CloseIdle() },
 		Connect:          connectWith(s.Dial),
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 
 	"github.com/galenalock/galenalock/core/pool"
+	"github.com/galenalock/galenalock/core/refuse"
 )
 
 // attempt is one dispatch of a request to a target.
@@ -240,7 +241,12 @@
 		a.call.upload.enableDuplex()
 	}
 	if a.call.beforeSend != nil {
-		return a.call.beforeSend()
+		if err := a.call.beforeSend(); err != nil {
+			return err
+		}
+	}
+	if send := a.call.request.Admission.Send; send != nil {
+		return send()
 	}
 	return nil
 }
@@ -261,6 +267,7 @@
 func (a *attempt) failureClass(err error) Class {
 	var dial *pool.DialError
 	var bodyErr *pool.RequestBodyError
+	var refused *refuse.Error
 	given := a.abandoned.Load()
 	switch {
 	case given != nil:
@@ -271,7 +278,7 @@
 		return Cancelled
 	case errors.As(err, &dial):
 		return Dial
-	case errors.Is(err, errStaleClaim):
+	case errors.Is(err, errStaleClaim), errors.As(err, &refused):
 		return Cancelled
 	}
 	return Failed
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -147,9 +147,10 @@
 	var shed *shedError
 	var bodyErr *pool.RequestBodyError
 	var malformed *pool.RequestError
+	var refused *refuse.Error
 	resend := !c.streaming || !c.upload.started.Load()
 	switch {
-	case errors.As(err, &bodyErr), errors.As(err, &malformed), errors.Is(err, errStaleClaim):
+	case errors.As(err, &bodyErr), errors.As(err, &malformed), errors.Is(err, errStaleClaim), errors.As(err, &refused):
 		return "", false
 	case c.proxy.rules.Unsent(err):
 		return RetryConnect, resend
@@ -176,7 +177,10 @@
 	var quarantined *quarantineError
 	var relay *relayError
 	var stopping *stoppingError
+	var refused *refuse.Error
 	switch {
+	case errors.As(err, &refused): // by Admission.Send
+		out.Reason, out.RetryAfter = refused.Reason, refused.RetryAfter
 	case errors.As(err, &stopping):
 		out.Reason, out.RetryAfter = refuse.Draining, retryElsewhere
 	case errors.As(err, &quarantined):
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -85,6 +85,12 @@
 		{"rate", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (proxy.Admission, error) {
 			return proxy.Admission{}, &refuse.Error{Reason: refuse.Rate, Run: refuse.NotRun, RetryAfter: time.Second}
 		}}, nil},
+		// A request that loses its token while it waits must not reach the target.
+		{"unmetered", fmt.Sprintf(get, ""), proxy.Hooks{Admit: func(context.Context, proxy.Request) (proxy.Admission, error) {
+			return proxy.Admission{Send: func() error {
+				return &refuse.Error{Reason: refuse.Unmetered, Run: refuse.NotRun, RetryAfter: 300 * time.Millisecond}
+			}}, nil
+		}}, []netip.AddrPort{silentTarget}},
 		{"draining", fmt.Sprintf(get, ""), proxy.Hooks{Enter: func(proxy.Request) (func(), bool) { return nil, false }}, nil},
 		{"notready", fmt.Sprintf(get, ""), proxy.Hooks{View: func() *proxy.View { return nil }}, nil},
 		{"stale", fmt.Sprintf(get, ""), proxy.Hooks{Stale: func() bool { return true }}, nil},
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -64,7 +64,12 @@
 
 // Admission is the permission to run a request.
 type Admission struct {
-	Handle  any                 // opaque to the proxy, passed back in the Request of each attempt
+	Handle any // opaque to the proxy, passed back in the Request of each attempt
+	Token  any // like Handle
+	// Send is called before the first byte of each attempt; may be nil. An error stops
+	// the attempt, must be a *refuse.Error and is allowed only while no attempt may have
+	// run the request.
+	Send    func() error
 	Release func(answered bool) // ends the admission; may be nil
 }
 
