Tokens: return to the preferred replica, a group that was founded again

Cause: a review of the entry's part. After one lost answer an entry would ask a distant replica for good; a group that was founded again has lower terms, whose answers an entry would ignore for ever; a token of the promised rate did not expire.

A replica that does not know the message is not asked next.

Measured: tests of core/bucket and the token tests of entry/agent (with -race) pass.

--- a/core/bucket/holding.go
+++ b/core/bucket/holding.go
@@ -30,13 +30,13 @@
 type Token struct {
 	workspace string
 	limit     Limit
-	sent      time.Duration // when the question was sent
+	sent      time.Duration // when the question was sent, or the token was lent
 	lent      bool          // taken out of the promised rate
 }
 
 // Valid reports whether the request may still be sent.
 func (t Token) Valid(now time.Duration) bool {
-	return t.workspace == "" || t.lent || now < t.sent+t.limit.Lifetime()
+	return t.workspace == "" || now < t.sent+t.limit.Lifetime()
 }
 
 // Promised reports whether the token was taken without an answer of the leader.
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -263,14 +263,16 @@
 // Receive handles the answer to a question. It returns the requests that need not wait
 // any longer.
 func (s *Stock) Receive(now time.Duration, q *Question, answer wire.TokenAnswer) []*Waiter {
-	if answer.Pending || answer.Office < s.office || len(answer.List) != len(q.Body.List) {
+	// After a long silence, the group may have been founded again.
+	former := answer.Office < s.office && now-s.contact < 2*ContinueLimit
+	if answer.Pending || former || len(answer.List) != len(q.Body.List) {
 		for _, h := range q.holdings {
 			h.askAgain, h.moreAt = now+probeInterval, now
 		}
 		s.Fail(now, q)
 		return nil
 	}
-	if answer.Office > s.office {
+	if answer.Office != s.office {
 		s.office = answer.Office
 		for _, h := range s.holdings {
 			h.promised = 0 // the new leader does not know what its predecessors promised
@@ -307,5 +309,5 @@
 		return Token{}, false
 	}
 	h.lent++
-	return Token{workspace: h.workspace, lent: true, limit: h.limit}, true
+	return Token{workspace: h.workspace, lent: true, limit: h.limit, sent: now}, true
 }
--- a/entry/agent/tokens.go
+++ b/entry/agent/tokens.go
@@ -22,6 +22,9 @@
 	// unsupportedTime is the time for which equal shares apply after a replica of an
 	// earlier version has answered.
 	unsupportedTime = 10 * time.Second
+	// rotatedTime is the time for which questions go to a replica that is not the
+	// preferred one, after that one did not answer.
+	rotatedTime = 5 * time.Second
 	// minTokenPause limits how often the goroutine of the tokens runs.
 	minTokenPause = time.Millisecond
 )
@@ -32,13 +35,15 @@
 	links func() conns
 	log   *logrus.Entry
 	wake  chan struct{}
-	next  atomic.Uint32 // position of the replica to ask
 
 	unsupportedUntil atomic.Int64 // by boot.Now
 
 	mu     sync.Mutex
 	stock  *bucket.Stock
 	silent bool // logged that control does not answer
+	next   int  // position of the replica to ask
+	// rotated is when the last question was not answered.
+	rotated time.Duration
 }
 
 func newTokens(links func() conns, log *logrus.Entry) *tokens {
@@ -99,11 +104,11 @@
 // ask sends a question to one replica.
 func (t *tokens) ask(ctx context.Context, q *bucket.Question) {
 	var answer wire.TokenAnswer
-	links, position := t.links(), t.next.Load()
+	links, position := t.links(), t.position()
 	var err error = &ControlError{}
 	if len(links) > 0 {
 		callCtx, cancel := context.WithTimeout(ctx, questionTimeout)
-		err = links[int(position)%len(links)].Call(callCtx, wire.KindTokens, q.Body, &answer)
+		err = links[position%len(links)].Call(callCtx, wire.KindTokens, q.Body, &answer)
 		cancel()
 	}
 	t.mu.Lock()
@@ -118,10 +123,11 @@
 		if t.unsupportedUntil.Swap(int64(now+unsupportedTime)) == 0 {
 			t.log.Warn("control grants no tokens, equal shares of rates apply")
 		}
+		t.rotate(now, position)
 		t.stock.Fail(now, q)
 		decided = t.stock.Refuse(bucket.Result{Outcome: bucket.Unknown})
 	default:
-		t.next.CompareAndSwap(position, position+1)
+		t.rotate(now, position)
 		t.stock.Fail(now, q)
 	}
 	t.mu.Unlock()
@@ -129,6 +135,24 @@
 	t.signal()
 }
 
+// position returns the position of the replica to ask. It goes back to the preferred one
+// some time after a question was not answered.
+func (t *tokens) position() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if boot.Now()-t.rotated > rotatedTime {
+		t.next = 0
+	}
+	return t.next
+}
+
+// rotate lets the next question go to another replica than the given one.
+func (t *tokens) rotate(now time.Duration, position int) {
+	if t.next == position {
+		t.next, t.rotated = position+1, now
+	}
+}
+
 func (t *tokens) signal() {
 	select {
 	case t.wake <- struct{}{}:
