Tokens: a new leader grants nearly the whole rate at once

Cause: after a change of the leader half of each rate was kept back for 4.6 s for promises of its predecessor, so workspaces at their usual demand (0.62 of the limit) were refused.

Change: entries release the promises of former leaders when a new one answers, and that leader keeps back only the rest. A leader makes promises only out of what is not kept back, so the sum of all promises stays within half of the rate over several changes. The lease is 0.4 s instead of 0.6 s, the first grants come 0.5 s instead of 0.8 s after an election.

--- a/core/bucket/account.go
+++ b/core/bucket/account.go
@@ -25,6 +25,8 @@
 	at       time.Duration // time of level, shortage and promised
 	shortage float64       // tokens refused recently
 	promised float64       // sum of the promises to all entries
+	released float64       // sum of the promises of former leaders that have ended
+	office   time.Duration // start of the office
 	shares   map[uint64]*share
 
 	young    [youngSlots + 1]float64 // tokens granted recently and not returned, by slot
@@ -37,21 +39,32 @@
 	rate     float64 // average of the grants, requests a second
 	promised float64 // rate at which the entry continues without an answer
 	at       time.Duration
+	released bool // the entry has released the promise of former leaders
 }
 
-func newAccount(now time.Duration, l Limit) *account {
-	return &account{limit: l, at: now, shares: map[uint64]*share{}}
+// newAccount returns the account of a leader that took office at the given time.
+func newAccount(office time.Duration, l Limit) *account {
+	return &account{limit: l, office: office, at: office + OfficeDelay, shares: map[uint64]*share{}}
 }
 
-// advance refills the bucket. Until reserved, a part of the rate is kept for promises
-// of former leaders. The promises of lapsed entries are charged.
-func (ac *account) advance(now, reserved time.Duration, lapsed []*contact) {
+// reserve returns the largest sum of the promises of former leaders that entries may
+// still hold, at the time of the account. They shrink since the last one was made.
+func (ac *account) reserve() float64 {
+	if ac.at >= ac.office+reserveTime {
+		return 0
+	}
+	return max(0, continueShare*ac.limit.Rate*decay(ac.at-ac.office-LeaseTime, shareTime)-ac.released)
+}
+
+// advance refills the bucket, except for what promises of former leaders and those to
+// lapsed entries may use.
+func (ac *account) advance(now time.Duration, lapsed []*contact) {
 	if now <= ac.at {
 		return
 	}
 	refill := ac.limit.Rate * (now - ac.at).Seconds()
-	if overlap := min(now, reserved) - ac.at; overlap > 0 {
-		refill -= continueShare * ac.limit.Rate * overlap.Seconds()
+	if overlap := min(now, ac.office+reserveTime) - ac.at; overlap > 0 {
+		refill -= ac.reserve() * overlap.Seconds()
 	}
 	for _, c := range lapsed {
 		if s := ac.shares[c.entry]; s != nil {
@@ -60,6 +73,7 @@
 	}
 	f := decay(now-ac.at, shareTime)
 	ac.promised *= f
+	ac.released *= f
 	ac.shortage *= decay(now-ac.at, shortageTime)
 	ac.at = now
 	ac.shiftYoung(now)
@@ -109,6 +123,7 @@
 	if l.Rate < ac.limit.Rate {
 		factor := l.Rate / ac.limit.Rate
 		ac.promised *= factor
+		ac.released *= factor
 		for _, s := range ac.shares {
 			s.promised *= factor
 			s.rate *= factor
@@ -139,7 +154,11 @@
 	s.at = now
 	s.rate = max(0, s.rate*f+(granted-returned)/shareTime.Seconds())
 	before := s.promised * f
-	room := continueShare*ac.limit.Rate - (ac.promised - before)
+	if d.Release > 0 && !s.released {
+		s.released = true
+		ac.released += float64(d.Release) / 1000
+	}
+	room := continueShare*ac.limit.Rate - ac.reserve() - (ac.promised - before)
 	// A promise is never reduced, since the entry may miss the answer.
 	s.promised = max(before, min(s.rate, room))
 	ac.promised += s.promised - before
@@ -162,7 +181,8 @@
 	ac.promised = 0
 	for entry, s := range ac.shares {
 		f := decay(now-s.at, shareTime)
-		if s.rate*f < minShare && s.promised*f < minShare {
+		// A share that was released is kept while a copy of the message may arrive.
+		if s.rate*f < minShare && s.promised*f < minShare && (!s.released || now >= ac.office+reserveTime) {
 			delete(ac.shares, entry)
 			continue
 		}
--- a/core/bucket/allocator.go
+++ b/core/bucket/allocator.go
@@ -9,10 +9,10 @@
 const (
 	// LeaseTime is the time for which a leader may grant tokens after the start of a
 	// read that a majority confirmed.
-	LeaseTime = 600 * time.Millisecond
+	LeaseTime = 400 * time.Millisecond
 	// OfficeDelay is the time after which a new leader grants its first tokens. It
 	// exceeds LeaseTime, so that a former leader no longer grants any.
-	OfficeDelay = 800 * time.Millisecond
+	OfficeDelay = 500 * time.Millisecond
 	// SilenceLimit is the time without an answer after which an entry continues at the
 	// rate that was promised to it.
 	SilenceLimit = 500 * time.Millisecond
@@ -24,8 +24,7 @@
 	// ones, which it does not know. The last answer of a former leader is at most
 	// LeaseTime old when its successor is elected.
 	reserveTime = LeaseTime + ContinueLimit + continueMargin
-	// continueShare is the part of a rate that may be promised. During the reserve
-	// time a new leader grants the other part.
+	// continueShare is the part of a rate that the entries may be promised together.
 	continueShare = 0.5
 
 	sweepInterval  = time.Second
@@ -86,10 +85,10 @@
 	}
 	ac := a.accounts[w.Name]
 	if ac == nil {
-		ac = newAccount(a.start+OfficeDelay, w.Limit)
+		ac = newAccount(a.start, w.Limit)
 		a.accounts[w.Name] = ac
 	}
-	ac.advance(now, a.start+reserveTime, a.lapsed)
+	ac.advance(now, a.lapsed)
 	ac.setLimit(w.Limit)
 	return ac.serve(now, entry, d)
 }
@@ -137,7 +136,7 @@
 	}
 	a.sweptAt = now
 	for name, ac := range a.accounts {
-		ac.advance(now, a.start+reserveTime, a.lapsed)
+		ac.advance(now, a.lapsed)
 		if ac.prune(now) && now-a.start > reserveTime {
 			delete(a.accounts, name)
 		}
--- a/core/bucket/doc.go
+++ b/core/bucket/doc.go
@@ -44,9 +44,11 @@
 //
 //   - Change of the leader. A leader grants tokens only within LeaseTime of the start of
 //     a read that a majority confirmed; a later leader is elected after that read. It
-//     waits for OfficeDelay, which is longer, and begins with an empty bucket. Until
-//     promises of its predecessors have ended it grants half of the rate. Entries drop
-//     these promises when it answers.
+//     waits for OfficeDelay, which is longer, and begins with an empty bucket. It does
+//     not know the promises of its predecessors, which are at most half of the rate
+//     together. It keeps that part back, as far as entries have not released it, until
+//     the promises have ended, and makes new ones only out of the rest. Entries drop and
+//     release them when it answers.
 //   - Cut entries: see above. After 4 s they have no token.
 //   - Restarts, added entries: a Stock begins without tokens and promises. The promises
 //     to the former incarnation are charged until they end.
--- a/core/bucket/holding.go
+++ b/core/bucket/holding.go
@@ -75,6 +75,8 @@
 
 	promised   float64 // rate at which to continue without an answer
 	promisedAt time.Duration
+	released   float64 // promise of former leaders that ended at releasedAt, to be reported
+	releasedAt time.Duration
 	lentSince  time.Duration // contact from which lent and phase count
 	lent       int
 	phase      float64
@@ -100,6 +102,17 @@
 	return h.demand * decay(now-h.demandAt, demandTime) / demandTime.Seconds()
 }
 
+// release ends the promise of a former leader.
+func (h *holding) release(now time.Duration) {
+	h.released = h.released*decay(now-h.releasedAt, shareTime) + h.promised*decay(now-h.promisedAt, shareTime)
+	h.releasedAt, h.promised = now, 0
+}
+
+// reportRelease returns the released rate in thousandths.
+func (h *holding) reportRelease(now time.Duration) int {
+	return int(1000 * h.released * decay(now-h.releasedAt, shareTime))
+}
+
 // isIdle reports whether nothing would be lost if the holding were removed.
 func (h *holding) isIdle(now time.Duration) bool {
 	return len(h.waiters) == 0 && h.asked == 0 && h.rate(now) < minDemand && h.count(now) == 0 &&
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -18,7 +18,7 @@
 	// carry 2 KB/s.
 	maxBytesPerSecond = 1900
 	questionBytes     = 40 // of a question without demands, with its frame
-	demandBytes       = 9
+	demandBytes       = 10
 
 	// aheadRate is the demand from which tokens are asked for ahead, in requests a
 	// second at this entry. aheadUses is the number of requests that must be expected
@@ -233,8 +233,8 @@
 			s.scheduleAsk(now, h)
 		}
 		entry, known := s.directory.byName[h.workspace]
-		d := wire.TokenDemand{Workspace: entry.number, Want: h.want(now), Return: h.surplus(now)}
-		if !known || d.Want == 0 && d.Return == 0 {
+		d := wire.TokenDemand{Workspace: entry.number, Want: h.want(now), Return: h.surplus(now), Release: h.reportRelease(now)}
+		if !known || d.Want == 0 && d.Return == 0 && d.Release == 0 {
 			continue
 		}
 		h.asked += d.Want
@@ -273,15 +273,18 @@
 		return nil
 	}
 	if answer.Office != s.office {
-		s.office = answer.Office
+		s.office, s.urgent = answer.Office, true
 		for _, h := range s.holdings {
-			h.promised = 0 // the new leader does not know what its predecessors promised
+			h.release(now) // the new leader does not know what its predecessors promised
 		}
 	}
 	s.contact, s.asking = max(s.contact, q.Sent), 0
 	var decided []*Waiter
 	for i, h := range q.holdings {
 		h.asked -= q.Body.List[i].Want
+		if q.Body.List[i].Release > 0 {
+			h.released = 0
+		}
 		decided = append(decided, h.receive(now, q.Sent, answer.List[i])...)
 		if len(h.waiters) > 0 {
 			s.scheduleAsk(now, h)
--- a/core/wire/tokens.go
+++ b/core/wire/tokens.go
@@ -23,6 +23,9 @@
 	Workspace uint64   // number, see bucket.Directory
 	Want      int
 	Return    int // tokens granted recently that the entry does not need
+	// Release is the rate, in thousandths of a request a second, that former leaders had
+	// promised and that the entry no longer uses.
+	Release int
 }
 
 // Check returns a *FaultError if a number is out of range.
@@ -31,7 +34,7 @@
 		return &FaultError{Code: "malformed", Detail: "request for tokens"}
 	}
 	for _, d := range r.List {
-		if d.Want < 0 || d.Return < 0 {
+		if d.Want < 0 || d.Return < 0 || d.Release < 0 {
 			return &FaultError{Code: "malformed", Detail: "number of tokens"}
 		}
 	}
