Tokens: replicas continue while the leader does not answer

Cause: while there is no leader, entries continue at their own promised rates.

Change: the leader promises replicas a rate as well (0.6 of the limit together, entries 0.2). A replica without an answer for 0.3 s answers the questions of its entries out of that (bucket.Standby), until 4 s. All questions pass through the replica's collector, also on the leader. Its batch states since when it has no answer and which promises of former leaders it released, as entries do.

Ruled out: a larger promise to entries (the bound allows no more than the rate in all); granting a replica's promise to what entries ask for ahead (it would be missing at others).

--- a/control/daemon/tokens.go
+++ b/control/daemon/tokens.go
@@ -12,12 +12,17 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-// tokenTimeout limits a question for tokens. Entries ask again before that.
-const tokenTimeout = 500 * time.Millisecond
+// tokenTimeout limits a question of an entry for tokens, which asks again after that.
+// batchTimeout limits the questions of a replica.
+const (
+	tokenTimeout = 250 * time.Millisecond
+	batchTimeout = 500 * time.Millisecond
+)
 
 func (d *Daemon) newTokens() *tokens.Server {
 	p := d.parts
 	return tokens.New(tokens.Dependencies{
+		ID: incarnation(d.settings.Instance, d.start),
 		Office: func() tokens.Office {
 			s := p.group.Status()
 			return tokens.Office{Self: s.ID, Leader: s.Leader, Term: s.Term}
@@ -44,20 +49,24 @@
 	}
 }
 
-// handleTokens answers a question of an entry, or questions that a replica forwarded.
+// incarnation returns a number that identifies an instance and its start.
+func incarnation(instance string, start time.Time) uint64 {
+	return xxhash.Sum64String(instance + "@" + start.UTC().Format(time.RFC3339Nano))
+}
+
+// handleTokens answers a question of an entry, or questions that a replica collected.
 func (d *Daemon) handleTokens(c *link.Conn, m wire.Message, fromReplica bool) (any, error) {
-	ctx, cancel := context.WithTimeout(c.Context(), tokenTimeout)
-	defer cancel()
 	if m.Kind == wire.KindTokenBatch {
-		var batch wire.List[wire.TokenRequest]
+		var batch wire.TokenBatch
 		if err := decodeFromReplica(fromReplica, m, &batch); err != nil {
 			return nil, err
 		}
-		for _, q := range batch.List {
-			if err := q.Check(); err != nil {
-				return nil, err
-			}
+		if err := batch.Check(); err != nil {
+			return nil, err
 		}
+		ctx, cancel := context.WithTimeout(c.Context(), batchTimeout)
+		defer cancel()
+		batch.Replica.Entry = incarnation(c.Peer().Instance, c.Peer().Start)
 		return d.parts.tokens.ServeBatch(ctx, batch)
 	}
 	var q wire.TokenRequest
@@ -67,7 +76,8 @@
 	if err := q.Check(); err != nil {
 		return nil, err
 	}
-	peer := c.Peer()
-	q.Entry = xxhash.Sum64String(peer.Instance + "@" + peer.Start.UTC().Format(time.RFC3339Nano))
+	ctx, cancel := context.WithTimeout(c.Context(), tokenTimeout)
+	defer cancel()
+	q.Entry = incarnation(c.Peer().Instance, c.Peer().Start)
 	return d.parts.tokens.Serve(ctx, q)
 }
--- a/control/tokens/server.go
+++ b/control/tokens/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 
 // Dependencies are what a Server uses of the replica.
 type Dependencies struct {
+	ID     uint64 // identifies the incarnation of this replica
 	Office func() Office
 	// Read returns when a majority has confirmed that this replica leads.
 	Read func(ctx context.Context) error
@@ -42,7 +44,7 @@
 // Server answers questions for tokens. It is safe for concurrent use.
 type Server struct {
 	deps      Dependencies
-	forwarder forwarder
+	collector collector
 
 	mu        sync.Mutex
 	allocator *bucket.Allocator // nil unless this replica leads
@@ -56,7 +58,9 @@
 // New returns a server.
 func New(deps Dependencies) *Server {
 	s := &Server{deps: deps}
-	s.forwarder.send = s.forward
+	s.collector.send, s.collector.clock = s.send, deps.Clock
+	s.collector.leads = func() bool { o := deps.Office(); return o.Leader == o.Self }
+	s.collector.standby = bucket.NewStandby(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return s
 }
 
@@ -84,50 +88,56 @@
 // Serve answers the question of an entry. Its errors are *wire.FaultError and those of
 // a call.
 func (s *Server) Serve(ctx context.Context, q wire.TokenRequest) (wire.TokenAnswer, error) {
-	if o := s.deps.Office(); o.Leader != o.Self {
-		return s.forwarder.ask(ctx, q)
+	return s.collector.ask(ctx, q)
+}
+
+// send sends a batch to the leader, which may be this replica.
+func (s *Server) send(ctx context.Context, batch wire.TokenBatch) (wire.TokenBatchAnswer, error) {
+	var out wire.TokenBatchAnswer
+	o := s.deps.Office()
+	if o.Leader == 0 {
+		return out, &wire.FaultError{Code: "noquorum", Detail: "no leader"}
 	}
-	answers, err := s.ServeBatch(ctx, wire.List[wire.TokenRequest]{List: []wire.TokenRequest{q}})
-	if err != nil {
-		return wire.TokenAnswer{}, err
+	if o.Leader == o.Self {
+		batch.Replica.Entry = s.deps.ID
+		return s.ServeBatch(ctx, batch)
 	}
-	return answers.List[0], nil
+	err := s.deps.Call(ctx, o.Leader, wire.KindTokenBatch, batch, &out)
+	return out, err
 }
 
-// ServeBatch answers questions that another replica forwarded. Its error is a
-// *wire.FaultError.
-func (s *Server) ServeBatch(ctx context.Context, batch wire.List[wire.TokenRequest]) (wire.List[wire.TokenAnswer], error) {
-	var out wire.List[wire.TokenAnswer]
+// ServeBatch answers questions that a replica has collected, on the leader. Its error is
+// a *wire.FaultError.
+func (s *Server) ServeBatch(ctx context.Context, batch wire.TokenBatch) (wire.TokenBatchAnswer, error) {
+	var none wire.TokenBatchAnswer
 	directory, err := s.limits.load(s.deps.Newest(), s.deps.Text)
 	if err != nil {
-		return out, err
+		return none, err
 	}
 	for {
 		s.mu.Lock()
 		allocator, now := s.takeOffice(), s.deps.Clock()
 		if allocator == nil {
 			s.mu.Unlock()
-			return out, &wire.FaultError{Code: "notleader"}
+			return none, &wire.FaultError{Code: "notleader"}
 		}
 		if now < s.lease {
-			for _, q := range batch.List {
-				out.List = append(out.List, allocator.Serve(now, q, directory))
-			}
+			answer := allocator.Serve(now, batch, directory)
 			if s.lease-now < renewBefore {
 				s.renewLease()
 			}
 			s.mu.Unlock()
-			return out, nil
+			return answer, nil
 		}
 		done := s.renewLease()
 		s.mu.Unlock()
 		select {
 		case <-done:
 			if s.leaseEnded() {
-				return out, &wire.FaultError{Code: "noquorum", Detail: "no majority confirms that this replica leads"}
+				return none, &wire.FaultError{Code: "noquorum", Detail: "no majority confirms that this replica leads"}
 			}
 		case <-ctx.Done():
-			return out, &wire.FaultError{Code: "noquorum", Detail: ctx.Err().Error()}
+			return none, &wire.FaultError{Code: "noquorum", Detail: ctx.Err().Error()}
 		}
 	}
 }
--- a/control/tokens/server_test.go
+++ b/control/tokens/server_test.go
@@ -20,7 +20,8 @@
 // replica is a replica whose group is replaced by fields.
 type replica struct {
 	office tokens.Office
-	read   error // of reads from now on
+	read   error       // of reads from now on
+	cut    atomic.Bool // the leader does not answer
 	peer   *replica
 	calls  atomic.Int64 // of the leader
 	server *tokens.Server
@@ -30,6 +31,7 @@
 	start := time.Now()
 	r := &replica{office: tokens.Office{Self: self, Leader: 1, Term: 1}}
 	r.server = tokens.New(tokens.Dependencies{
+		ID:     self,
 		Office: func() tokens.Office { return r.office },
 		Read: func(ctx context.Context) error {
 			if r.read != nil {
@@ -41,8 +43,14 @@
 		Text:   func(uint64) ([]byte, bool) { return []byte(text), true },
 		Call: func(ctx context.Context, _ uint64, _ wire.Kind, body, answer any) error {
 			r.calls.Add(1)
-			out, err := r.peer.server.ServeBatch(ctx, body.(wire.List[wire.TokenRequest]))
-			*answer.(*wire.List[wire.TokenAnswer]) = out
+			if r.cut.Load() {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			batch := body.(wire.TokenBatch)
+			batch.Replica.Entry = 2
+			out, err := r.peer.server.ServeBatch(ctx, batch)
+			*answer.(*wire.TokenBatchAnswer) = out
 			return err
 		},
 		Clock: func() time.Duration { return time.Since(start) },
@@ -63,28 +71,31 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newReplica(1)
-		answer, err := r.server.Serve(t.Context(), question(7, 3))
+		ask := func() (wire.TokenBatchAnswer, error) {
+			return r.server.ServeBatch(t.Context(), wire.TokenBatch{List: []wire.TokenRequest{question(7, 3)}})
+		}
+		answer, err := ask()
 		is.NoErr(err)
 		is.True(answer.Pending)
 		<-time.After(10 * time.Second)
-		answer, err = r.server.Serve(t.Context(), question(7, 3))
+		answer, err = ask()
 		is.NoErr(err)
-		is.Equal(answer.List[0].Tokens, 3)
+		is.Equal(answer.List[0].List[0].Tokens, 3)
 
 		r.read = errors.New("no majority")
 		<-time.After(bucket.LeaseTime)
-		_, err = r.server.Serve(t.Context(), question(7, 1))
+		_, err = ask()
 		var fault *wire.FaultError
 		is.True(errors.As(err, &fault))
 
 		r.read = nil
 		r.office.Term++ // it was replaced and elected again
 		r.server.LeaderChanged()
-		answer, err = r.server.Serve(t.Context(), question(7, 1))
+		answer, err = ask()
 		is.NoErr(err)
 		is.True(answer.Pending)
 		r.office.Leader = 2
-		_, err = r.server.ServeBatch(t.Context(), wire.List[wire.TokenRequest]{List: []wire.TokenRequest{question(7, 1)}})
+		_, err = ask()
 		is.True(errors.As(err, &fault))
 		is.Equal(fault.Code, "notleader")
 	})
@@ -111,3 +122,38 @@
 		is.True(follower.calls.Load() <= 2)
 	})
 }
+
+// Guards against entries without tokens while there is no leader although the replica was
+// promised a rate, and against a replica that goes on for longer than the leader allows.
+func TestReplicaContinuesWithoutTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leader, follower := newReplica(1), newReplica(2)
+		follower.peer = leader
+		<-time.After(10 * time.Second)
+		// granted asks for one token ten times a second, as often as the limit permits.
+		granted := func(d time.Duration) (tokens int, standby bool) {
+			for range d / (100 * time.Millisecond) {
+				<-time.After(100 * time.Millisecond)
+				ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+				if a, err := follower.server.Serve(ctx, question(7, 1)); err == nil && len(a.List) == 1 {
+					tokens, standby = tokens+a.List[0].Tokens, a.Standby
+				}
+				cancel()
+			}
+			return tokens, standby
+		}
+		granted(10 * time.Second)
+		follower.cut.Store(true)
+		tokens, standby := granted(3 * time.Second)
+		is.True(standby)
+		is.True(tokens >= 8 && tokens <= 18) // 0.6 of the rate at first
+		granted(1500 * time.Millisecond)
+		tokens, _ = granted(5 * time.Second)
+		is.Equal(tokens, 0)
+		follower.cut.Store(false)
+		<-time.After(time.Second)
+		tokens, standby = granted(2 * time.Second)
+		is.True(tokens >= 18 && !standby)
+	})
+}
--- a/core/bucket/account.go
+++ b/core/bucket/account.go
@@ -8,75 +8,60 @@
 )
 
 const (
-	// shareTime is the time constant with which the grants to an entry are averaged,
-	// and with which a promise shrinks at the leader and at the entry.
-	shareTime = 5 * time.Second
 	// shortageTime is the time constant with which refused tokens count as a queue.
 	shortageTime = 500 * time.Millisecond
 	// youngSlots is the number of slots in which young tokens are counted.
 	youngSlots = 8
-	// minShare is the rate below which a share and a promise end, at the leader and at
-	// the entry. One grant counts for 6 s. With a lower value the leader would keep more
-	// than the 32 shares for each workspace that it has at the large size.
-	minShare = 0.06 // requests a second
 )
 
 // account is the bucket of one workspace.
 type account struct {
 	limit    Limit
 	level    float64
-	at       time.Duration // time of level, shortage and promised
+	at       time.Duration // time of level, shortage and the sums of the pools
 	shortage float64       // tokens refused recently
-	promised float64       // sum of the promises to all entries
-	released float64       // sum of the promises of former leaders that have ended
 	office   time.Duration // start of the office
-	shares   map[uint64]share
+	entries  pool
+	replicas pool
 
 	young    [youngSlots + 1]float64 // tokens granted recently and not returned, by slot
 	youngSum float64
 	slot     int64 // current slot
 }
 
-// share is what one entry was granted.
-type share struct {
-	rate     float64 // average of the grants, requests a second
-	promised float64 // rate at which the entry continues without an answer
-	at       time.Duration
-	released bool // the entry has released the promise of former leaders
-}
-
 // newAccount returns the account of a leader that took office at the given time.
 func newAccount(office time.Duration, l Limit) *account {
-	return &account{limit: l, office: office, at: office + OfficeDelay, shares: map[uint64]share{}}
+	return &account{
+		limit: l, office: office, at: office + OfficeDelay,
+		entries: newPool(entryPart, entryMargin), replicas: newPool(replicaPart, replicaMargin),
+	}
 }
 
-// reserve returns the largest sum of the promises of former leaders that entries may
-// still hold, at the time of the account. They shrink since the last one was made.
-func (ac *account) reserve() float64 {
+// reserve returns the part of the rate that is kept back for promises of former leaders
+// to the holders of a pool.
+func (ac *account) reserve(p *pool) float64 {
 	if ac.at >= ac.office+reserveTime {
 		return 0
 	}
-	return max(0, continueShare*ac.limit.Rate*decay(ac.at-ac.office-LeaseTime, shareTime)-ac.released)
+	return p.reserve(ac.limit.Rate, ac.at-ac.office-LeaseTime)
 }
 
 // advance refills the bucket, except for what promises of former leaders and those to
-// lapsed entries may use.
+// lapsed holders may use.
 func (ac *account) advance(now time.Duration, lapsed []*contact) {
 	if now <= ac.at {
 		return
 	}
 	refill := ac.limit.Rate * (now - ac.at).Seconds()
-	if overlap := min(now, ac.office+reserveTime) - ac.at; overlap > 0 {
-		refill -= ac.reserve() * overlap.Seconds()
-	}
-	for _, c := range lapsed {
-		if s, ok := ac.shares[c.entry]; ok {
-			refill -= s.promised * decay(ac.at-s.at, shareTime) * c.silence(ac.at, now).Seconds()
+	reserved := max(0, min(now, ac.office+reserveTime)-ac.at).Seconds()
+	for _, p := range []*pool{&ac.entries, &ac.replicas} {
+		refill -= ac.reserve(p) * reserved
+		for _, c := range lapsed {
+			refill -= p.charge(c.holder, ac.at, c.silence(ac.at, now))
 		}
 	}
-	f := decay(now-ac.at, shareTime)
-	ac.promised *= f
-	ac.released *= f
+	ac.entries.shrink(now - ac.at)
+	ac.replicas.shrink(now - ac.at)
 	ac.shortage *= decay(now-ac.at, shortageTime)
 	ac.at = now
 	ac.shiftYoung(now)
@@ -124,14 +109,8 @@
 		return
 	}
 	if l.Rate < ac.limit.Rate {
-		factor := l.Rate / ac.limit.Rate
-		ac.promised *= factor
-		ac.released *= factor
-		for entry, s := range ac.shares {
-			s.promised *= factor
-			s.rate *= factor
-			ac.shares[entry] = s
-		}
+		ac.entries.scale(l.Rate / ac.limit.Rate)
+		ac.replicas.scale(l.Rate / ac.limit.Rate)
 	}
 	if l.returnTime() != ac.limit.returnTime() {
 		ac.young, ac.youngSum = [youngSlots + 1]float64{}, 0 // entries return no tokens of another limit
@@ -142,55 +121,42 @@
 	ac.level = min(ac.level, l.depth())
 }
 
-func (ac *account) serve(now time.Duration, entry uint64, d wire.TokenDemand) wire.TokenGrant {
+// serve answers a demand of an entry that came through a replica, which is 0 if the entry
+// asked directly. It returns the promise to the replica as well.
+func (ac *account) serve(now time.Duration, entry, replica uint64, d wire.TokenDemand) (wire.TokenGrant, float64) {
 	returned := ac.takeBack(float64(d.Return))
 	granted := max(0, min(float64(d.Want), math.Floor(ac.level)))
 	ac.level -= granted
 	ac.young[ac.slot%int64(len(ac.young))] += granted
 	ac.youngSum += granted
 
-	s := ac.shares[entry]
-	if s.at == 0 {
-		s.at = now
-	}
-	f := decay(now-s.at, shareTime)
-	s.at = now
-	s.rate = max(0, s.rate*f+(granted-returned)/shareTime.Seconds())
-	before := s.promised * f
-	if d.Release > 0 && !s.released {
-		s.released = true
-		ac.released += float64(d.Release) / 1000
+	promised := ac.record(now, &ac.entries, entry, granted-returned, d.Release)
+	promisedReplica := 0.0
+	if replica != 0 {
+		promisedReplica = ac.record(now, &ac.replicas, replica, granted-returned, 0)
 	}
-	room := continueShare*ac.limit.Rate - ac.reserve() - (ac.promised - before)
-	// A promise is never reduced, since the entry may miss the answer.
-	s.promised = max(before, min(s.rate, room))
-	ac.promised += s.promised - before
-	ac.shares[entry] = s
-
-	grant := wire.TokenGrant{Tokens: int(granted), Rate: int(s.promised * 1000)}
+	grant := wire.TokenGrant{Tokens: int(granted), Rate: int(promised * 1000)}
 	if missing := float64(d.Want) - granted; missing > 0 {
 		ac.shortage += missing
 		wait := (max(1, ac.shortage) - ac.level) / ac.limit.Rate
 		grant.Wait = int(min(math.Ceil(wait*1000), maxWait.Seconds()*1000))
 	}
-	return grant
+	return grant, promisedReplica
+}
+
+// record counts tokens of a holder and the promise that it released, in thousandths.
+func (ac *account) record(now time.Duration, p *pool, holder uint64, tokens float64, released int) float64 {
+	return p.record(now, holder, tokens, float64(released)/1000, p.part*ac.limit.Rate-ac.reserve(p))
 }
 
 // maxWait limits the time after which a caller is told to come back.
 const maxWait = 5 * time.Second
 
-// prune removes entries without grants, and reports whether the account is as if it
-// were new.
+// prune removes holders without grants, and reports whether the account is as if it were
+// new.
 func (ac *account) prune(now time.Duration) bool {
-	ac.promised = 0
-	for entry, s := range ac.shares {
-		f := decay(now-s.at, shareTime)
-		// A share that was released is kept while a copy of the message may arrive.
-		if s.rate*f < minShare && s.promised*f < minShare && (!s.released || now >= ac.office+reserveTime) {
-			delete(ac.shares, entry)
-			continue
-		}
-		ac.promised += s.promised * f
-	}
-	return len(ac.shares) == 0 && ac.level >= ac.limit.depth()
+	keep := now < ac.office+reserveTime
+	ac.entries.prune(now, keep)
+	ac.replicas.prune(now, keep)
+	return len(ac.entries.shares) == 0 && len(ac.replicas.shares) == 0 && ac.level >= ac.limit.depth()
 }
--- a/core/bucket/allocator.go
+++ b/core/bucket/allocator.go
@@ -24,8 +24,6 @@
 	// ones, which it does not know. The last answer of a former leader is at most
 	// LeaseTime old when its successor is elected.
 	reserveTime = LeaseTime + ContinueLimit + continueMargin
-	// continueShare is the part of a rate that the entries may be promised together.
-	continueShare = 0.5
 
 	// sweepInterval is the time in which all accounts are brought up to date, a few with
 	// each question. All at once would take 0.15 s with 450,000 shares.
@@ -50,10 +48,11 @@
 	sweptAt  time.Duration
 }
 
-// contact is what the leader knows about the path to an entry.
+// contact is what the leader knows about the path to an entry or a replica.
 type contact struct {
-	entry uint64
-	last  time.Duration // when the entry sent a question that was answered, at the latest
+	holder uint64
+	limit  time.Duration // silence after which the holder uses its promises
+	last   time.Duration // when it sent a question that was answered, at the latest
 	// from and to are the bounds of the last silence that has ended.
 	from, to time.Duration
 }
@@ -67,28 +66,58 @@
 	}
 }
 
-// Serve answers a question by the limits of a directory.
-func (a *Allocator) Serve(now time.Duration, q wire.TokenRequest, d *Directory) wire.TokenAnswer {
-	a.recordContact(now, q)
+// Serve answers the questions that a replica has collected, by the limits of a directory.
+func (a *Allocator) Serve(now time.Duration, b wire.TokenBatch, d *Directory) wire.TokenBatchAnswer {
+	a.recordContact(now, b.Replica, ReplicaSilence)
+	for _, q := range b.List {
+		a.recordContact(now, q, SilenceLimit)
+	}
+	out := wire.TokenBatchAnswer{Office: a.office}
 	if now-a.start < OfficeDelay {
-		return wire.TokenAnswer{Office: a.office, Pending: true}
+		out.Pending = true
+		return out
 	}
 	a.maintain(now)
+	for _, demand := range b.Replica.List {
+		if ac := a.account(now, d.byNumber[demand.Workspace]); ac != nil {
+			ac.record(now, &ac.replicas, b.Replica.Entry, 0, demand.Release)
+		}
+	}
+	promises := map[uint64]int{}
+	for _, q := range b.List {
+		out.List = append(out.List, a.serve(now, q, b.Replica.Entry, d, promises))
+	}
+	for number, rate := range promises {
+		out.Promises = append(out.Promises, wire.TokenPromise{Workspace: number, Rate: rate})
+	}
+	return out
+}
+
+// serve answers one question and adds the promises to the replica.
+func (a *Allocator) serve(now time.Duration, q wire.TokenRequest, replica uint64, d *Directory, promises map[uint64]int) wire.TokenAnswer {
 	answer := wire.TokenAnswer{Office: a.office, List: make([]wire.TokenGrant, 0, len(q.List))}
 	for _, demand := range q.List {
 		w, known := d.byNumber[demand.Workspace]
-		if !known {
-			answer.List = append(answer.List, wire.TokenGrant{Wait: int(unknownWait.Milliseconds())})
-			continue
+		g := wire.TokenGrant{Wait: int(unknownWait.Milliseconds())}
+		switch ac := a.account(now, w); {
+		case ac != nil:
+			var promised float64
+			g, promised = ac.serve(now, q.Entry, replica, demand)
+			if replica != 0 {
+				promises[demand.Workspace] = int(promised * 1000)
+			}
+		case known:
+			g = wire.TokenGrant{Tokens: demand.Want}
 		}
-		answer.List = append(answer.List, a.serve(now, q.Entry, demand, w))
+		answer.List = append(answer.List, g)
 	}
 	return answer
 }
 
-func (a *Allocator) serve(now time.Duration, entry uint64, d wire.TokenDemand, w Workspace) wire.TokenGrant {
+// account returns the account of a workspace as of now, or nil if it has no limit.
+func (a *Allocator) account(now time.Duration, w Workspace) *account {
 	if w.Limit.Rate <= 0 {
-		return wire.TokenGrant{Tokens: d.Want}
+		return nil
 	}
 	ac := a.accounts[w.Name]
 	if ac == nil {
@@ -98,33 +127,33 @@
 	}
 	ac.advance(now, a.lapsed)
 	ac.setLimit(w.Limit)
-	return ac.serve(now, entry, d)
+	return ac
 }
 
 // unknownWait is the time after which an entry may ask again for a workspace that the
 // leader does not know.
 const unknownWait = 100 * time.Millisecond
 
-func (a *Allocator) recordContact(now time.Duration, q wire.TokenRequest) {
+func (a *Allocator) recordContact(now time.Duration, q wire.TokenRequest, limit time.Duration) {
 	at := now - time.Duration(q.Silence)*time.Millisecond
 	c := a.contacts[q.Entry]
 	if c == nil {
-		a.contacts[q.Entry] = &contact{entry: q.Entry, last: at}
+		a.contacts[q.Entry] = &contact{holder: q.Entry, limit: limit, last: at}
 		return
 	}
 	if at <= c.last {
 		return // its answers do not arrive
 	}
-	if now-c.last > SilenceLimit {
-		c.from, c.to = c.last+SilenceLimit, min(now, c.last+ContinueLimit+continueMargin)
+	if now-c.last > c.limit {
+		c.from, c.to = c.last+c.limit, min(now, c.last+ContinueLimit+continueMargin)
 	}
 	c.last = at
 }
 
-// silence returns for how long the entry may have used its promised rate between two
+// silence returns for how long the holder may have used its promised rate between two
 // times.
 func (c *contact) silence(from, to time.Duration) time.Duration {
-	current := min(to, c.last+ContinueLimit+continueMargin) - max(from, c.last+SilenceLimit)
+	current := min(to, c.last+ContinueLimit+continueMargin) - max(from, c.last+c.limit)
 	earlier := min(to, c.to) - max(from, c.from)
 	return max(0, current) + max(0, earlier)
 }
@@ -138,7 +167,7 @@
 				a.lapsed = append(a.lapsed, c)
 			}
 			if now-c.last > forgetTime {
-				delete(a.contacts, c.entry)
+				delete(a.contacts, c.holder)
 			}
 		}
 	}
--- a/core/bucket/bucket_test.go
+++ b/core/bucket/bucket_test.go
@@ -65,9 +65,9 @@
 		m.leader = former
 		m.after(now, bucket.LeaseTime, func(time.Duration) { m.leader = next })
 	}
-	m.answers = func(now time.Duration, e *modelEntry) bool {
+	m.hears = func(now time.Duration, r *modelReplica) bool {
 		since := now - modelStart
-		return since < begin || since >= begin+bucket.LeaseTime || e.number%2 == 0
+		return since < begin || since >= begin+bucket.LeaseTime || r.number%2 == 0
 	}
 }
 
@@ -77,11 +77,19 @@
 		{"uneven demand", func(*model) {}, 0},
 		{"leader change", changeLeader, 0},
 		{"leader silent for 7 s", func(m *model) {
-			m.answers = func(now time.Duration, _ *modelEntry) bool {
+			m.hears = func(now time.Duration, _ *modelReplica) bool {
 				since := now - modelStart
 				return since < 9*second || since > 16*second
 			}
 		}, 0},
+		{"leader changes twice, one replica hears no answers", func(m *model) {
+			changeLeader(m)
+			m.events[12*second] = m.elect
+			m.heard = func(now time.Duration, r *modelReplica) bool {
+				since := now - modelStart
+				return since < 9*second || since > 18*second || r.number > 0
+			}
+		}, 0},
 		{"30% cut, questions lost", cut(0.3, false), 0},
 		{"90% cut, answers lost", cut(0.9, true), 0},
 		{"restarts", func(m *model) {
--- a/core/bucket/doc.go
+++ b/core/bucket/doc.go
@@ -27,14 +27,17 @@
 //
 // # Without answers
 //
-// Each answer carries the rate at which the entry continues for the workspace if answers
-// stop: its average of the last seconds, as far as the sum over all entries stays within
-// half of r. A promise shrinks with a time constant of 5 s at both sides, and the leader
-// does not reduce it otherwise, since the entry may miss the answer. The entry begins to
-// use it 0.5 s after it sent the last question that was answered, and stops 4 s after.
-// The leader knows that time from the questions, also if only its answers are lost. It
-// takes the promised rate out of the bucket for that time. Promises are at most r/2, so
-// the bucket still fills.
+// Questions pass through the replicas of control. Each answer carries the rate at which
+// the entry continues for the workspace if answers stop, and one at which the replica goes
+// on granting tokens (Standby) if the leader does not answer it: the average of the last
+// seconds, as far as the sums over all entries and over all replicas stay within 0.2 x r
+// and 0.6 x r. A promise shrinks with a time constant of 5 s at both sides, and the leader
+// does not reduce it otherwise, since the holder may miss the answer. An entry begins to
+// use it 0.5 s, a replica 0.3 s after it sent the last question that was answered; both
+// stop 4 s after. The leader knows that time from the questions, also if only its answers
+// are lost. It takes the promised rate out of the bucket for that time. Promises are at
+// most 0.8 x r, so the bucket still fills. The answer of a replica is no contact with the
+// leader for the entry, so the time of its own promise does not move.
 //
 // Most entries are promised less than one request in 4 s. The first one therefore comes
 // at a random time, with the right average. The sum over n entries exceeds the charge by
@@ -45,9 +48,9 @@
 //   - Change of the leader. A leader grants tokens only within LeaseTime of the start of
 //     a read that a majority confirmed; a later leader is elected after that read. It
 //     waits for OfficeDelay, which is longer, and begins with an empty bucket. It does
-//     not know the promises of its predecessors, which are at most half of the rate
-//     together. It keeps that part back, as far as entries have not released it, until
-//     the promises have ended, and makes new ones only out of the rest. Entries drop and
+//     not know the promises of its predecessors, which are at most 0.8 x r together. It
+//     keeps that part back, as far as it has not been released, until the promises have
+//     ended, and makes new ones only out of the rest. Entries and replicas drop and
 //     release them when it answers.
 //   - Cut entries: see above. After 4 s they have no token.
 //   - Restarts, added entries: a Stock begins without tokens and promises. The promises
--- a/core/bucket/holding.go
+++ b/core/bucket/holding.go
@@ -57,6 +57,7 @@
 type batch struct {
 	sent  time.Duration // when the question was sent
 	count int
+	lent  bool // by a replica without the leader
 }
 
 // holding is the state of one workspace at an entry.
@@ -73,13 +74,7 @@
 	shortAt  time.Duration // when the last answer granted too few tokens, or the start of the clock
 	moreAt   time.Duration // when there are tokens, as the leader estimates
 
-	promised   float64 // rate at which to continue without an answer
-	promisedAt time.Duration
-	released   float64 // promise of former leaders that ended at releasedAt, to be reported
-	releasedAt time.Duration
-	lentSince  time.Duration // contact from which lent and phase count
-	lent       int
-	phase      float64
+	promise promise
 }
 
 func (h *holding) setLimit(l Limit) {
@@ -87,7 +82,7 @@
 		return
 	}
 	if l.Rate < h.limit.Rate {
-		h.promised *= l.Rate / h.limit.Rate
+		h.promise.rate *= l.Rate / h.limit.Rate
 	}
 	h.limit, h.batches, h.askAgain = l, nil, 0
 }
@@ -102,21 +97,10 @@
 	return h.demand * decay(now-h.demandAt, demandTime) / demandTime.Seconds()
 }
 
-// release ends the promise of a former leader.
-func (h *holding) release(now time.Duration) {
-	h.released = h.released*decay(now-h.releasedAt, shareTime) + h.promised*decay(now-h.promisedAt, shareTime)
-	h.releasedAt, h.promised = now, 0
-}
-
-// reportRelease returns the released rate in thousandths.
-func (h *holding) reportRelease(now time.Duration) int {
-	return int(1000 * h.released * decay(now-h.releasedAt, shareTime))
-}
-
 // isIdle reports whether nothing would be lost if the holding were removed.
 func (h *holding) isIdle(now time.Duration) bool {
 	return len(h.waiters) == 0 && h.asked == 0 && h.rate(now) < minDemand && h.count(now) == 0 &&
-		h.promised*decay(now-h.promisedAt, shareTime) < minShare
+		h.promise.now(now) < minShare
 }
 
 // count removes expired tokens and returns the number of the others.
@@ -141,7 +125,7 @@
 		}
 	}
 	h.batches[first].count--
-	return Token{workspace: h.workspace, limit: h.limit, sent: h.batches[first].sent}, true
+	return Token{workspace: h.workspace, limit: h.limit, sent: h.batches[first].sent, lent: h.batches[first].lent}, true
 }
 
 // ahead returns the number of tokens to hold for requests that are expected.
@@ -171,7 +155,7 @@
 	spare := max(0, h.count(now)-h.ahead(now))
 	returned := 0
 	for i := range h.batches {
-		if b := &h.batches[i]; now-b.sent <= h.limit.returnTime()/2 {
+		if b := &h.batches[i]; !b.lent && now-b.sent <= h.limit.returnTime()/2 {
 			n := min(spare, b.count)
 			b.count -= n
 			spare -= n
@@ -186,9 +170,7 @@
 	if g.Tokens > 0 {
 		h.batches = append(h.batches, batch{sent: sent, count: g.Tokens})
 	}
-	if sent >= h.promisedAt {
-		h.promised, h.promisedAt = float64(g.Rate)/1000, sent
-	}
+	h.promise.set(float64(g.Rate)/1000, sent)
 	decided := h.serveWaiters(now)
 	if g.Wait <= 0 {
 		h.askAgain = 0
@@ -200,6 +182,21 @@
 	return append(decided, h.refuse(func(w *Waiter) bool { return w.Deadline < h.moreAt }, Result{Outcome: Empty, Retry: wait})...)
 }
 
+// receiveStandby records a grant of a replica without the leader. A request that gets no
+// token is refused because its limit is not known.
+func (h *holding) receiveStandby(now, sent time.Duration, g wire.TokenGrant) []*Waiter {
+	if g.Tokens > 0 {
+		h.batches = append(h.batches, batch{sent: sent, count: g.Tokens, lent: true})
+	}
+	decided := h.serveWaiters(now)
+	if g.Wait <= 0 {
+		return decided
+	}
+	h.shortAt, h.askAgain, h.moreAt = now, now+probeInterval, now
+	wait := time.Duration(g.Wait) * time.Millisecond
+	return append(decided, h.refuse(func(w *Waiter) bool { return w.Deadline < now+wait }, Result{Outcome: Unknown, Retry: wait})...)
+}
+
 func (h *holding) serveWaiters(now time.Duration) []*Waiter {
 	var decided []*Waiter
 	for len(h.waiters) > 0 {
--- a/core/bucket/model_test.go
+++ b/core/bucket/model_test.go
@@ -13,12 +13,13 @@
 )
 
 const (
-	modelTick    = 10 * time.Millisecond
-	modelStart   = time.Hour // of the clock
-	modelWait    = 190 * time.Millisecond
-	modelTimeout = 250 * time.Millisecond // of a question
-	modelWindow  = 5 * time.Second
-	frameBytes   = 35 // around the body of a message
+	modelReplicas = 5
+	modelTick     = 10 * time.Millisecond
+	modelStart    = time.Hour // of the clock
+	modelWait     = 190 * time.Millisecond
+	modelTimeout  = 250 * time.Millisecond // of a question
+	modelWindow   = 5 * time.Second
+	frameBytes    = 35 // around the body of a message
 )
 
 // model is a fleet of entries with uneven demand for the tokens of workspaces.
@@ -31,13 +32,16 @@
 	entries    []*modelEntry
 	queue      map[time.Duration][]func(now time.Duration)
 	leader     *bucket.Allocator
+	replicas   []*modelReplica
 	office     uint64
-	// answers reports whether the leader answers an entry; arrives whether the answer arrives.
+	// answers reports whether a replica hears an entry, arrives whether its answer arrives.
 	answers, arrives func(now time.Duration, e *modelEntry) bool
-	frozen           func(now time.Duration, e *modelEntry) bool
-	events           map[time.Duration]func(now time.Duration)
-	waiters          map[*bucket.Waiter]*modelWorkspace
-	up, down         int // bytes
+	// hears reports whether the leader hears a replica, heard the other direction.
+	hears, heard func(now time.Duration, r *modelReplica) bool
+	frozen       func(now time.Duration, e *modelEntry) bool
+	events       map[time.Duration]func(now time.Duration)
+	waiters      map[*bucket.Waiter]*modelWorkspace
+	up, down     int // bytes
 }
 
 type modelWorkspace struct {
@@ -52,6 +56,12 @@
 	ran     []time.Duration
 }
 
+type modelReplica struct {
+	number  int
+	id      uint64
+	standby *bucket.Standby
+}
+
 type modelEntry struct {
 	number  int
 	id      uint64
@@ -70,6 +80,13 @@
 	}
 	always := func(time.Duration, *modelEntry) bool { return true }
 	m.answers, m.arrives = always, always
+	linked := func(time.Duration, *modelReplica) bool { return true }
+	m.hears, m.heard = linked, linked
+	for i := range modelReplicas {
+		m.replicas = append(m.replicas, &modelReplica{
+			number: i, id: uint64(1000 + i), standby: bucket.NewStandby(rand.New(rand.NewPCG(seed, uint64(i)))),
+		})
+	}
 	m.frozen = func(time.Duration, *modelEntry) bool { return false }
 	total := 0.0
 	for i := range workspaces {
@@ -244,16 +261,18 @@
 			return
 		}
 		q.Body.Entry = id
-		answer := m.leader.Serve(now, q.Body, m.directory)
-		m.after(now, m.delay(), func(now time.Duration) {
-			if m.arrives(now, e) {
+		m.ask(now, m.replicas[e.number%modelReplicas], q.Body, func(now time.Duration, answer wire.TokenAnswer) {
+			m.after(now, m.delay(), func(now time.Duration) {
+				if !m.arrives(now, e) {
+					return
+				}
 				m.whenAwake(now, e, func(now time.Duration) {
 					finish(now, func() {
 						m.down += size(answer)
 						m.wake(now, e.stock.Receive(now, q, answer))
 					})
 				})
-			}
+			})
 		})
 	})
 	m.after(now, modelTimeout, func(now time.Duration) {
@@ -261,6 +280,33 @@
 	})
 }
 
+// ask lets a replica answer a question, by itself or by asking the leader.
+func (m *model) ask(now time.Duration, r *modelReplica, q wire.TokenRequest, answer func(now time.Duration, a wire.TokenAnswer)) {
+	b := wire.TokenBatch{List: []wire.TokenRequest{q}}
+	if r.standby.Serves(now) {
+		answer(now, r.standby.Serve(now, q))
+		b.List = nil // only finds out whether the leader answers
+	}
+	sent := now
+	b.Replica = r.standby.Question(now)
+	b.Replica.Entry = r.id
+	m.after(now, m.delay(), func(now time.Duration) {
+		if !m.hears(now, r) {
+			return
+		}
+		a := m.leader.Serve(now, b, m.directory)
+		m.after(now, m.delay(), func(now time.Duration) {
+			switch {
+			case !m.heard(now, r):
+			case r.standby.Receive(now, sent, b.Replica, a) && len(a.List) == 1:
+				answer(now, a.List[0])
+			case a.Pending && len(b.List) == 1:
+				answer(now, wire.TokenAnswer{Office: a.Office, Pending: true})
+			}
+		})
+	})
+}
+
 func (m *model) whenAwake(now time.Duration, e *modelEntry, f func(now time.Duration)) {
 	if m.frozen(now, e) {
 		m.after(now, modelTick, func(now time.Duration) { m.whenAwake(now, e, f) })
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -1,7 +1,6 @@
 package bucket
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -233,7 +232,7 @@
 			s.scheduleAsk(now, h)
 		}
 		entry, known := s.directory.byName[h.workspace]
-		d := wire.TokenDemand{Workspace: entry.number, Want: h.want(now), Return: h.surplus(now), Release: h.reportRelease(now)}
+		d := wire.TokenDemand{Workspace: entry.number, Want: h.want(now), Return: h.surplus(now), Release: h.promise.report(now)}
 		if !known || d.Want == 0 && d.Return == 0 && d.Release == 0 {
 			continue
 		}
@@ -272,10 +271,13 @@
 		s.Fail(now, q)
 		return nil
 	}
+	if answer.Standby {
+		return s.receiveStandby(now, q, answer)
+	}
 	if answer.Office != s.office {
 		s.office, s.urgent = answer.Office, true
 		for _, h := range s.holdings {
-			h.release(now) // the new leader does not know what its predecessors promised
+			h.promise.end(now) // the new leader does not know what its predecessors promised
 		}
 	}
 	s.contact, s.asking = max(s.contact, q.Sent), 0
@@ -283,7 +285,7 @@
 	for i, h := range q.holdings {
 		h.asked -= q.Body.List[i].Want
 		if q.Body.List[i].Release > 0 {
-			h.released = 0
+			h.promise.released = 0
 		}
 		decided = append(decided, h.receive(now, q.Sent, answer.List[i])...)
 		if len(h.waiters) > 0 {
@@ -293,27 +295,31 @@
 	return decided
 }
 
+// receiveStandby handles the answer of a replica that continues without the leader. It is
+// no contact with the leader, and its tokens do not return to the bucket.
+func (s *Stock) receiveStandby(now time.Duration, q *Question, answer wire.TokenAnswer) []*Waiter {
+	s.asking = 0
+	var decided []*Waiter
+	for i, h := range q.holdings {
+		h.asked -= q.Body.List[i].Want
+		decided = append(decided, h.receiveStandby(now, q.Sent, answer.List[i])...)
+		if len(h.waiters) > 0 {
+			s.scheduleAsk(now, h)
+		}
+	}
+	return decided
+}
+
 // takePromised takes a token out of the promised rate while there is no answer.
 func (s *Stock) takePromised(now time.Duration, h *holding) (Token, bool) {
 	silence := now - s.contact
-	if s.contact == 0 || silence < SilenceLimit || silence > ContinueLimit || h.promised == 0 {
-		return Token{}, false
-	}
-	if h.lentSince != s.contact {
-		// The first token comes at a random time: most entries have less than one
-		// token in the time for which they continue.
-		h.lentSince, h.lent, h.phase = s.contact, 0, s.random.Float64()
-	}
-	// The promise has shrunk since the answer that carried it.
-	begin := s.contact + SilenceLimit
-	rate := h.promised * decay(begin-h.promisedAt, shareTime)
-	if rate < minShare {
+	if s.contact == 0 || silence < SilenceLimit || silence > ContinueLimit {
 		return Token{}, false
 	}
-	accrued := rate * shareTime.Seconds() * (1 - decay(now-begin, shareTime))
-	if float64(h.lent+1) > math.Floor(accrued+h.phase) {
+	// The first token comes at a random time: most entries have less than one token in
+	// the time for which they continue.
+	if h.promise.take(now, s.contact, s.contact+SilenceLimit, 1, s.random.Float64) == 0 {
 		return Token{}, false
 	}
-	h.lent++
 	return Token{workspace: h.workspace, lent: true, limit: h.limit, sent: now}, true
 }
--- a/core/bucket/stock_test.go
+++ b/core/bucket/stock_test.go
@@ -11,6 +11,15 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
+// serve asks the allocator directly.
+func serve(a *bucket.Allocator, now time.Duration, q wire.TokenRequest, d *bucket.Directory) wire.TokenAnswer {
+	answer := a.Serve(now, wire.TokenBatch{List: []wire.TokenRequest{q}}, d)
+	if answer.Pending {
+		return wire.TokenAnswer{Office: answer.Office, Pending: true}
+	}
+	return answer.List[0]
+}
+
 // Guards against a token that is used after a suspension, a return that is counted
 // twice or late, and a refusal at the gate of a workspace that has a token.
 func TestTokenOfOneRequest(t *testing.T) {
@@ -22,7 +31,7 @@
 	now := time.Minute
 	ask := func() {
 		q, _ := s.Step(now)
-		s.Receive(now, q, allocator.Serve(now, q.Body, directory))
+		s.Receive(now, q, serve(allocator, now, q.Body, directory))
 	}
 	take := func() bucket.Token {
 		_, waiter := s.Take(now, now+time.Second, "a")
@@ -68,7 +77,7 @@
 	for _, now := range []time.Duration{100 * time.Millisecond, time.Minute} {
 		_, waiter := s.Take(now, now+50*time.Millisecond, "a")
 		q, _ := s.Step(now)
-		answer := allocator.Serve(now, q.Body, other)
+		answer := serve(allocator, now, q.Body, other)
 		is.Equal(answer.Pending, now < bucket.OfficeDelay)
 		s.Receive(now, q, answer)
 		s.Step(now + 50*time.Millisecond)
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -36,9 +36,7 @@
 	KindReach    Kind = "reach"    // Reach, from an entry to another one, answered by Reached
 	KindTokens   Kind = "tokens"   // TokenRequest, from an entry to control, answered by TokenAnswer
 
-	// KindTokenBatch carries a List of TokenRequest from a replica to the leader. It is
-	// answered by a List of TokenAnswer in the same order.
-	KindTokenBatch Kind = "tokenbatch"
+	KindTokenBatch Kind = "tokenbatch" // TokenBatch, from a replica to the leader, answered by TokenBatchAnswer
 )
 
 // Message is one frame on a link. Call is nonzero for a message that expects
--- a/core/wire/tokens.go
+++ b/core/wire/tokens.go
@@ -46,6 +46,7 @@
 	_       struct{}     `cbor:",toarray"`
 	Office  uint64       // term of the leader that answers
 	Pending bool         // the leader may not grant tokens yet; List is empty
+	Standby bool         // a replica answers, since the leader does not; Rate is 0
 	List    []TokenGrant // in the order of the demands
 }
 
@@ -56,3 +57,37 @@
 	Wait   int // milliseconds until there are more; 0 if Tokens is the number asked for
 	Rate   int // thousandths of a request a second at which the entry continues without an answer
 }
+
+// TokenBatch carries the requests of the entries of a replica to the leader.
+type TokenBatch struct {
+	_       struct{}     `cbor:",toarray"`
+	Replica TokenRequest // of the replica itself, without wants
+	List    []TokenRequest
+}
+
+// Check returns a *FaultError if a number is out of range.
+func (b TokenBatch) Check() error {
+	for _, r := range append([]TokenRequest{b.Replica}, b.List...) {
+		if err := r.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TokenBatchAnswer answers a TokenBatch.
+type TokenBatchAnswer struct {
+	_        struct{}       `cbor:",toarray"`
+	Office   uint64         // as in TokenAnswer
+	Pending  bool           // as in TokenAnswer; both lists are empty
+	List     []TokenAnswer  // in the order of the requests
+	Promises []TokenPromise // to the replica, of the workspaces in the batch
+}
+
+// TokenPromise is the rate at which a replica continues for a workspace without the
+// leader.
+type TokenPromise struct {
+	_         struct{} `cbor:",toarray"`
+	Workspace uint64
+	Rate      int // thousandths of a request a second
+}
--- a/entry/agent/tokens_test.go
+++ b/entry/agent/tokens_test.go
@@ -50,7 +50,7 @@
 	a := startWithWorkspace(t, func(m wire.Message) (wire.TokenAnswer, error) {
 		var q wire.TokenRequest
 		err := wire.Decode(m.Body, &q)
-		return allocator.Serve(boot.Now(), q, directory), err
+		return allocator.Serve(boot.Now(), wire.TokenBatch{List: []wire.TokenRequest{q}}, directory).List[0], err
 	})
 	send := func(class proxy.Class) {
 		r, err := admit(t, a, "")
