--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -60,7 +60,7 @@
 	LinkBytes:           {"counter", "By", "direction", "Bytes on links between processes"},
 	Ejections:           {"counter", "{event}", "event", "Events in the ejection of targets"},
 	TargetLimits:        {"counter", "{event}", "event", "Changes of the limits that targets name: named, changed or lifted"},
-	WorkspaceTokens:     {"counter", "{request}", "result", "Requests of workspaces with a limit, by result: taken, promised (continued without an answer of control), empty or unknown"},
+	WorkspaceTokens:     {"counter", "{request}", "result", "Requests of workspaces with a limit, by result: taken, promised (run without an answer of the leader of control), empty or unknown"},
 	TargetCrashes:       {"counter", "{request}", "", "Requests during which their target crashed"},
 	TargetPauses:        {"counter", "{event}", "event", "Targets that begin a pause (paused) or tell that they leave (leaving)"},
 	PathStates:          {"counter", "{check}", "state", "Checks of the path to the targets, by the state that they found: connected, stranded or isolated"},
