--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -34,6 +34,9 @@
 	KindCrashes  Kind = "crashes"  // List of Crash, forwarded in the same way
 	KindHelpers  Kind = "helpers"  // empty, from an entry to control, answered by Helpers
 	KindReach    Kind = "reach"    // Reach, from an entry to another one, answered by Reached
+	KindTokens   Kind = "tokens"   // TokenRequest, from an entry to control, answered by TokenAnswer
+
+	KindTokenBatch Kind = "tokenbatch" // TokenBatch, from a replica to the leader, answered by TokenBatchAnswer
 )
 
 // Message is one frame on a link. Call is nonzero for a message that expects
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -70,6 +70,7 @@
 	controlLinks     atomic.Pointer[conns]
 	fleet            atomic.Pointer[Fleet]
 	rates            *rates
+	tokens           *tokens
 	poisons          *poison.Table
 	path             path
 	lag              update.Lag
@@ -103,6 +104,7 @@
 		startupGate:    proxy.NewStartupGate(s.Start.Add(s.StartupWait)),
 		age:            update.NewAge(s.Revoke),
 	}
+	a.tokens = newTokens(func() conns { return *a.controlLinks.Load() }, log)
 	a.crashes.probing = map[*target]bool{}
 	if a.hooks.CountAdmission == nil {
 		a.hooks.CountAdmission = func(limit.Event) {}
@@ -162,6 +164,7 @@
 	if a.registry != nil {
 		interval = registryTickInterval
 	}
+	defer a.startTokens(ctx)()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -60,6 +60,7 @@
 	CountCrash       func()                               // counts a request during which its target crashed
 	CountPause       func(event string)                   // counts targets that pause or leave
 	CountAdmission   func(event limit.Event)              // counts a request that is held or refused because the targets queue requests; may be nil
+	CountToken       func(result string)                  // counts a request of a workspace with a limit
 	CountRelay       func(result string)                  // counts a request that was passed to another entry
 	CloseIdle        func()                               // closes the idle connections to targets
 	CountPath        func(state reach.State)              // counts a check of the path to the targets
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -122,6 +122,7 @@
 		CountRelay:       c.addRelay,
 		CountPause:       c.addPause,
 		CountAdmission:   c.addAdmission,
+		CountToken:       c.addToken,
 		Inflight:         d.inflight,
 		CloseIdle:        func() { d.proxy.CloseIdle() },
 		Connect:          connectWith(s.Dial),
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -19,6 +19,7 @@
 	relays           *meter.Counter
 	pauses           *meter.Counter
 	admissions       *meter.Counter
+	tokens           *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -32,6 +33,7 @@
 		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
 		{meter.PathStates, &c.pathStates}, {meter.RelayedRequests, &c.relays},
 		{meter.TargetPauses, &c.pauses}, {meter.Admissions, &c.admissions},
+		{meter.WorkspaceTokens, &c.tokens},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -61,6 +63,8 @@
 
 func (c *counters) addAdmission(event limit.Event) { c.admissions.Add(1, string(event)) }
 
+func (c *counters) addToken(result string) { c.tokens.Add(1, result) }
+
 func (c *counters) addRelay(result string) { c.relays.Add(1, result) }
 
 func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -151,9 +151,11 @@
 	var bodyErr *pool.RequestBodyError
 	var malformed *pool.RequestError
 	var access *accessError
+	var refused *refuse.Error
 	resend := !c.streaming || !c.upload.started.Load()
 	switch {
-	case errors.As(err, &bodyErr), errors.As(err, &malformed), errors.Is(err, errStaleClaim), errors.As(err, &access):
+	case errors.As(err, &bodyErr), errors.As(err, &malformed), errors.Is(err, errStaleClaim),
+		errors.As(err, &access), errors.As(err, &refused):
 		return "", false
 	case c.proxy.rules.Unsent(err):
 		return RetryConnect, resend
@@ -181,10 +183,13 @@
 	var relay *relayError
 	var stopping *stoppingError
 	var access *accessError
+	var refused *refuse.Error
 	switch {
 	case errors.As(err, &access) && run == refuse.NotRun:
 		return access.refusal()
-	case errors.As(err, &access):
+	case errors.As(err, &refused) && run == refuse.NotRun: // by Admission.Send
+		return refused
+	case errors.As(err, &access), errors.As(err, &refused):
 		out.Reason = refuse.Broken // the status of any other refusal would promise that the request has not run
 	case errors.As(err, &stopping):
 		out.Reason, out.RetryAfter = refuse.Draining, retryElsewhere
