Setting pace: only where it is set do requests give way by rank

So it is off unless the settings say otherwise; Retry-After, the reserve in the retry budget and the rule on hedges are part of it.

--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -259,7 +259,7 @@
 
 func (g *Gate) refuse(now time.Time, t *Ticket, reason refuse.Reason) {
 	t.Decision, t.Reason = Refused, reason
-	if e := g.room.At(now); e.Known() {
+	if e := g.room.At(now); g.pacing && e.Known() {
 		t.RetryAfter = g.pacer.RetryAfter(now, &e, t.Rank, g.ahead(t.Rank))
 	}
 	g.onRefusal(reason)
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -61,10 +61,13 @@
 }
 
 // RetryAfter returns the time after which a request of the rank that no target took may
-// find room, and false if the targets do not report their load.
+// find room, and false if the targets do not report their load or the gate does not pace.
 func (g *Gate) RetryAfter(now time.Time, rank int) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.pacing {
+		return 0, false
+	}
 	e := g.room.At(now)
 	return g.pacer.RetryAfter(now, &e, rank, g.ahead(rank)), e.Known() || e.Sheds()
 }
@@ -74,6 +77,9 @@
 func (g *Gate) Reserve(now time.Time, rank int) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.pacing {
+		return 0
+	}
 	e := g.room.At(now)
 	return g.pacer.Reserve(&e, rank)
 }
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -31,6 +31,7 @@
 	Revoke       time.Duration    // time after which a withdrawn key must not let a request run; 0: no bound
 	Retry        RetryBudget
 	MinInflight  int            // concurrent requests of a service that are always admitted
+	Pace         bool           // less urgent requests give way while targets queue requests
 	Start        time.Time      // start of the process, identifies its incarnation
 	Path         *reach.Tracker // state of the path to the targets
 }
--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -52,7 +52,7 @@
 			deliverDecisions(u.gate.Tick(now))
 			_, _, waiting := u.gate.Limit()
 			e := u.gate.Room(now)
-			u.budget.SetBusy(waiting > 0 || room.Limits(&e, waiting))
+			u.budget.SetBusy(waiting > 0 || a.settings.Pace && room.Limits(&e, waiting))
 			a.tickOverloadLog(now, u, e, waiting)
 		}
 	}
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -71,7 +71,7 @@
 		})),
 		monitor:      health.New(now, s.Name, a.settings.Region),
 		budget:       a.newBudget(now),
-		gate:         limit.New(now, limit.WithMinLimit(a.settings.MinInflight), limit.WithEventHook(a.hooks.CountAdmission)),
+		gate:         a.newGate(now),
 		dirty:        true,
 		targets:      map[netip.AddrPort]*target{},
 		ejected:      map[netip.AddrPort]bool{},
@@ -83,6 +83,14 @@
 	return u
 }
 
+func (a *Agent) newGate(now time.Time) *limit.Gate {
+	opts := []limit.Option{limit.WithMinLimit(a.settings.MinInflight), limit.WithEventHook(a.hooks.CountAdmission)}
+	if !a.settings.Pace {
+		opts = append(opts, limit.WithoutPacing())
+	}
+	return limit.New(now, opts...)
+}
+
 func (a *Agent) newBudget(now time.Time) *retry.Budget {
 	opts := []retry.Option{retry.WithDecisionHook(func(reason retry.Reason, decision retry.Decision) {
 		a.hooks.CountRetry(string(reason), string(decision))
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -98,7 +98,7 @@
 		Fleet: s.Fleet, Instance: s.Instance, Region: s.Region, DataCentre: s.DataCentre,
 		Peer: p.server.Addr(), Control: s.Control, OverlaySeeds: slices.Concat(s.Peers, s.Control),
 		DataDir: s.Data, SlowStart: s.Ramp, StartupWait: s.Wait, Start: d.start,
-		ControlSeeds: s.Seeds, ControlLinks: s.Links, MinInflight: s.Inflight, Quarantine: s.Quarantine,
+		ControlSeeds: s.Seeds, ControlLinks: s.Links, MinInflight: s.Inflight, Pace: s.Pace, Quarantine: s.Quarantine,
 		Path:   path,
 		Revoke: s.Revoke,
 		Retry:  agent.RetryBudget{Window: s.RetryWindow, Share: s.RetryShare, Slack: s.RetrySlack},
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -34,6 +34,7 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 	Inflight    int
+	Pace        bool
 	Data        string
 	Grace       time.Duration
 	Limit       time.Duration
@@ -112,6 +113,7 @@
 	t.Duration("revoke", &s.Revoke, 0, 0, maxRevoke, "time after which a withdrawn key of a workspace must not let a request run; without a confirmation of the configuration for 0.8 of it, requests with keys are refused; 0: no bound")
 	t.Int("inflight", &s.Inflight, 0, 0, maxInflight, "requests", "requests of a service that this entry always admits, however few slots its share is")
 	t.Duration("retry.window", &s.RetryWindow, 0, 0, maxRetryWindow, "span in which further attempts are bounded over the whole fleet; 0: each entry has a budget of its own")
+	t.Bool("pace", &s.Pace, false, "while targets queue requests, less urgent ones wait at the entry or are refused")
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
 	t.Float("retry.slack", &s.RetrySlack, 0, 0, maxRetrySlack, "attempts", "with a window, further attempts of all entries beyond the share")
 	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections of callers")
