--- a/control/daemon/mutate_test.go
+++ b/control/daemon/mutate_test.go
@@ -56,6 +56,7 @@
 		wire.KindEvidence: {wire.Evidence{Instance: "entry-1", Region: "salish", DataCentre: "salish-2", Targets: []wire.TargetEvidence{
 			{Service: "s0", Target: mutateTarget, Start: start, Score: 2, Good: 3, Slow: 1, Failed: 1},
 		}}},
+		wire.KindTokens:  {tokenRequest()},
 		wire.KindClaim:   {claim},
 		wire.KindClose:   {wire.Close{Service: "s0", Key: "k", Owner: "entry-1", Incarnation: start, Attempt: 1, Outcome: wire.OutcomeDone, Answer: answer}},
 		wire.KindPull:    {wire.Pull{Have: 1, Checksum: 7}},
@@ -112,7 +113,7 @@
 	t.Logf("seed %d", *mutateSeed)
 	log := &lockedBuffer{}
 	r := startGroupWith(t, 1, func(r *replica) { r.settings.Log = io.Writer(log) }, nil)[0]
-	is.Equal(r.submitUntilAnswered(0, "first", serviceText(1))["revision"], 1.0)
+	is.Equal(r.submitUntilAnswered(0, "first", serviceText(1)+limitedWorkspace)["revision"], 1.0)
 	start, m := time.Now(), mutate.New(*mutateSeed)
 	entry, peer := dialAs(t, r, wire.RoleEntry, 0), dialAs(t, r, wire.RoleControl, 2)
 	accepted := 0
@@ -139,6 +140,7 @@
 			}
 		}
 		send(peer, wire.KindHeard, changed(heard))
+		send(peer, wire.KindTokenBatch, changed(wire.TokenBatch{Replica: tokenRequest(), Office: 1, List: []wire.TokenRequest{tokenRequest()}}))
 		for _, valid := range commands(start) {
 			send(peer, wire.KindPropose, wire.Propose{Command: changed(valid)})
 		}
--- a/core/bucket/account.go
+++ b/core/bucket/account.go
@@ -149,7 +149,7 @@
 	if missing := float64(d.Want) - granted; missing > 0 {
 		ac.shortage += missing
 		wait := (max(1, ac.shortage) - ac.level) / ac.limit.Rate
-		grant.Wait = int(min(math.Ceil(wait*1000), maxWait.Seconds()*1000))
+		grant.Wait = int(min(math.Ceil(wait*1000), maxWaitMillis))
 	}
 	return grant, promisedReplica
 }
@@ -159,8 +159,8 @@
 	return p.record(now, holder, tokens, float64(released)/1000, p.part*ac.limit.Rate-ac.reserve(p))
 }
 
-// maxWait limits the time after which a caller is told to come back.
-const maxWait = 5 * time.Second
+// maxWaitMillis limits the time after which a caller is told to come back.
+const maxWaitMillis = 5000
 
 // prune removes holders without grants, and reports whether the account is as if it were
 // new.
--- a/core/bucket/holding.go
+++ b/core/bucket/holding.go
@@ -176,7 +176,7 @@
 		h.askAgain = 0
 		return decided
 	}
-	wait := time.Duration(g.Wait) * time.Millisecond
+	wait := time.Duration(min(g.Wait, maxWaitMillis)) * time.Millisecond
 	h.shortAt, h.moreAt = now, now+wait
 	h.askAgain = now + min(wait, probeInterval)
 	return append(decided, h.refuse(func(w *Waiter) bool { return w.Deadline < h.moreAt }, Result{Outcome: Empty, Retry: wait})...)
@@ -193,7 +193,7 @@
 		return decided
 	}
 	h.shortAt, h.askAgain, h.moreAt = now, now+probeInterval, now
-	wait := time.Duration(g.Wait) * time.Millisecond
+	wait := time.Duration(min(g.Wait, maxWaitMillis)) * time.Millisecond
 	return append(decided, h.refuse(func(w *Waiter) bool { return w.Deadline < now+wait }, Result{Outcome: Unknown, Retry: wait})...)
 }
 
