--- a/core/bucket/bucket_test.go
+++ b/core/bucket/bucket_test.go
@@ -182,10 +182,10 @@
 	is.True(largest(0) <= 1)
 }
 
-// Prints overshoot, wrongly refused requests and bytes for two fleets, with equal
+// Prints with -v overshoot, wrongly refused requests and bytes for two fleets, with equal
 // shares and with tokens.
 func TestTable(t *testing.T) {
-	if testing.Short() {
+	if !testing.Verbose() {
 		t.Skip("a table, not a check")
 	}
 	for _, size := range []struct {
--- a/entry/agent/rates.go
+++ b/entry/agent/rates.go
@@ -9,8 +9,8 @@
 	"github.com/galenalock/galenalock/core/spec"
 )
 
-// rates limits the request rates of workspaces. The load balancer spreads callers
-// over the entries, so each entry allows an equal share of a rate.
+// rates limits the request rates of workspaces if control does not grant tokens (see
+// tokens): each entry allows an equal share of a rate.
 type rates struct {
 	mu       sync.RWMutex
 	limiters map[string]*rate.Limiter
