Tokens: a text that cannot be parsed does not end the grants

Cause: a leader that could not parse the newest text parsed it again for each question and granted nothing; parsing a large text (up to 0.1 s) held up all answers.

Change: a changed text is parsed beside the answers, once. Until then, and if it has errors, the former limits apply.

--- a/control/tokens/server.go
+++ b/control/tokens/server.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/bucket"
-	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/core/value"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -117,7 +116,7 @@
 // the leader. Its error is a *wire.FaultError.
 func (s *Server) ServeBatch(ctx context.Context, replica uint64, batch wire.TokenBatch) (wire.TokenBatchAnswer, error) {
 	var none wire.TokenBatchAnswer
-	directory, err := s.limits.load(s.deps.Newest(), s.deps.Text)
+	directory, err := s.limits.get(s.deps.Newest(), s.deps.Text)
 	if err != nil {
 		return none, err
 	}
@@ -183,32 +182,3 @@
 	}()
 	return done
 }
-
-// limits holds the limits of the newest service text.
-type limits struct {
-	mu        sync.Mutex
-	parser    *spec.Parser
-	revision  uint64
-	directory *bucket.Directory
-}
-
-func (l *limits) load(newest uint64, text func(number uint64) ([]byte, bool)) (*bucket.Directory, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.directory != nil && l.revision == newest {
-		return l.directory, nil
-	}
-	if l.parser == nil {
-		l.parser = spec.NewParser()
-	}
-	source, ok := text(newest)
-	if !ok {
-		return nil, &wire.FaultError{Code: "notready", Detail: "no service text"}
-	}
-	parsed, err := l.parser.Parse(source)
-	if err != nil {
-		return nil, &wire.FaultError{Code: "notready", Detail: err.Error()}
-	}
-	l.revision, l.directory = newest, bucket.DirectoryOf(parsed)
-	return l.directory, nil
-}
--- a/control/tokens/server_test.go
+++ b/control/tokens/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,6 +24,7 @@
 	mu     sync.Mutex
 	office tokens.Office
 	read   error // of reads from now on
+	texts  []string
 
 	cut    atomic.Bool  // the leader does not answer
 	calls  atomic.Int64 // of the leader
@@ -40,7 +42,7 @@
 // leader, which is nil for the leader itself.
 func newReplica(self uint64, leader *replica) *replica {
 	start := time.Now()
-	r := &replica{office: tokens.Office{Self: self, Leader: 1, Term: 1}}
+	r := &replica{office: tokens.Office{Self: self, Leader: 1, Term: 1}, texts: []string{text}}
 	r.server = tokens.New(tokens.Dependencies{
 		ID: self, Replicas: func() int { return 2 },
 		Office: func() (o tokens.Office) { r.set(func() { o = r.office }); return o },
@@ -51,8 +53,11 @@
 			}
 			return err
 		},
-		Newest: func() uint64 { return 1 },
-		Text:   func(uint64) ([]byte, bool) { return []byte(text), true },
+		Newest: func() (n uint64) { r.set(func() { n = uint64(len(r.texts)) }); return n },
+		Text: func(n uint64) (source []byte, ok bool) {
+			r.set(func() { source = []byte(r.texts[n-1]) })
+			return source, true
+		},
 		Call: func(ctx context.Context, _ uint64, _ wire.Kind, body, answer any) error {
 			r.calls.Add(1)
 			if leader == nil || r.cut.Load() {
@@ -169,3 +174,29 @@
 		is.True(tokens >= 18 && !standby)
 	})
 }
+
+// Guards against a leader that grants by the limits of an earlier text, or nothing after
+// it got a text that it cannot parse.
+func TestLimitsFollowTheNewestText(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newReplica(1, nil)
+		<-time.After(10 * time.Second)
+		granted := func(want int) int {
+			answer, err := r.server.Serve(t.Context(), question(7, want))
+			is.NoErr(err)
+			return answer.List[0].Tokens
+		}
+		is.Equal(granted(1), 1)
+		r.set(func() { r.texts = append(r.texts, "[") })
+		is.Equal(granted(1), 1)
+		synctest.Wait()
+		is.Equal(granted(1), 1)
+		r.set(func() { r.texts = append(r.texts, strings.ReplaceAll(text, "10.0", "1000.0")) })
+		granted(1)
+		synctest.Wait() // the text has been parsed
+		granted(1)
+		<-time.After(10 * time.Second)
+		is.True(granted(1000) >= 50) // the depth of the larger bucket
+	})
+}
