The cost of distance follows connect times and the bytes that a kind carries

Cost is now the connect time beyond that of the own data centre, over the typical latency, and the mean volume of the kind over 2,000 bytes (350 to another region). The choice between tiers has a quarter of the noise. Until a kind was answered, the constants apply as before.

Ruled out: one choice of the tier by its least cost and then one within it. It lets the floor of services with avoided targets depend on the targets of one data centre; a surcharge in the joint choice does not change the existing tests.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -18,6 +18,7 @@
 	headBuffer      []byte // reused for each request head
 	readLimit       int64  // bytes that may still be read, negative: no limit
 	opened          time.Time
+	connectTime     time.Duration // how long opening it took
 	lastResponse    time.Time     // when the last response head arrived
 	targetIdleLimit time.Duration // longest idle time that the target allows, 0: unknown
 	reused          bool
--- a/core/pool/exchange.go
+++ b/core/pool/exchange.go
@@ -49,7 +49,11 @@
 	if response.ContentLength == 0 || !allowsBody(e.request.Method, response.StatusCode) {
 		response.Body.(*body).finish()
 	}
-	return &Response{Response: response, Reused: e.conn.reused}, nil
+	out := &Response{Response: response, Reused: e.conn.reused}
+	if !out.Reused {
+		out.ConnectTime = e.conn.connectTime
+	}
+	return out, nil
 }
 
 // startTransfer starts sending the streamed body.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -65,11 +65,15 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	begin := p.opts.now()
 	raw, err := p.opts.dial(ctx, r.Target)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, r.Target, p.opts.now()), nil
+	now := p.opts.now()
+	c := newConn(raw, r.Target, now)
+	c.connectTime = now.Sub(begin)
+	return c, nil
 }
 
 // takeIdle removes and returns the most recently used connection of a target, or
@@ -188,5 +192,6 @@
 // Response is the final response to a request.
 type Response struct {
 	*http.Response
-	Reused bool // the connection had carried an earlier request
+	Reused      bool          // the connection had carried an earlier request
+	ConnectTime time.Duration // of a connection opened for the request, 0 if it was reused
 }
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -15,11 +15,12 @@
 	costRetry      = 6
 	// costOtherDataCentre is the cost of another data centre of the region,
 	// costOtherRegion that of another region, whose links are slow and billed by
-	// volume. For a request with a large body both are multiplied by
-	// largeBodyFactor, about the ratio of the volumes, so that it leaves its
-	// region only when the targets there are full.
+	// volume, as long as the latency or the volume of the request is unknown. For a
+	// request with a large body both are multiplied by largeBodyFactor, about the
+	// ratio of the volumes, so that it leaves its region only when the targets there
+	// are full.
 	costOtherDataCentre = 1.5
-	costOtherRegion     = 6
+	costOtherRegion     = 6.0
 	largeBodyFactor     = 6
 	// temperature is the cost difference at which one of two endpoints is chosen
 	// e times as often as the other. If the lowest cost always won, entries with
@@ -37,8 +38,9 @@
 // Request holds the properties of a request that affect the choice of its
 // target.
 type Request struct {
-	NonRepeatable bool // the request must not be repeated
-	LargeBody     bool // the request has a large body
+	NonRepeatable bool    // the request must not be repeated
+	LargeBody     bool    // the request has a large body
+	Bytes         float64 // volume of the request and its response, see Volume; 0: unknown
 	Exclude       []netip.AddrPort
 }
 
@@ -49,14 +51,14 @@
 // nil when no target can take a request. draw is a uniformly random number.
 func (r *Router) PickByCost(now time.Time, draw uint64, req Request) *Endpoint {
 	s := r.current.Load()
-	nowMs := uint32(now.Sub(r.epoch).Milliseconds())
-	typicalLatency := float64(r.latency.Load())
-	leastCost := math.Inf(1)
+	q := r.costQuery(s, now, req)
+	least := [tierCount]float64{}
 	var stats regionStats
 	for i := range s.tiers {
+		least[i] = math.Inf(1)
 		for j := range s.tiers[i].members {
 			m := &s.tiers[i].members[j]
-			leastCost = min(leastCost, m.expectedCost(now, nowMs, typicalLatency, i, &req))
+			least[i] = min(least[i], m.expectedCost(&q, i))
 			if i != otherRegion {
 				draw = splitMix64(draw)
 				stats.add(m.endpoint, now, draw)
@@ -70,17 +72,44 @@
 			return stats.testTarget
 		}
 	}
+	return s.sample(&q, &least, draw)
+}
+
+// costQuery holds what the costs of all endpoints have in common.
+type costQuery struct {
+	now            time.Time
+	nowMs          uint32 // now since the epoch of the router
+	typicalLatency float64
+	nearRoundTrip  float64 // to targets of the same data centre
+	req            Request
+}
+
+func (r *Router) costQuery(s *snapshot, now time.Time, req Request) costQuery {
+	q := costQuery{
+		now: now, nowMs: uint32(now.Sub(r.epoch).Milliseconds()), typicalLatency: float64(r.latency.Load()),
+		nearRoundTrip: float64(assumedLatencies[sameDataCentre]), req: req,
+	}
+	if near := s.tiers[sameDataCentre].members; len(near) > 0 {
+		q.nearRoundTrip = near[0].endpoint.roundTrip(sameDataCentre)
+	}
+	return q
+}
+
+// sample draws one endpoint by cost, given the least cost of each tier.
+func (s *snapshot) sample(q *costQuery, least *[tierCount]float64, draw uint64) *Endpoint {
+	lowest := min(least[sameDataCentre], least[sameRegion], least[otherRegion])
 	var best *Endpoint
 	bestScore := math.Inf(1)
 	for i := range s.tiers {
+		surcharge := q.surcharge(least[i] - lowest)
 		for j := range s.tiers[i].members {
 			m := &s.tiers[i].members[j]
-			cost := m.expectedCost(now, nowMs, typicalLatency, i, &req)
-			if math.IsInf(cost, 1) || cost > leastCost+maxCostGap {
+			cost := m.expectedCost(q, i) + surcharge
+			if math.IsInf(cost, 1) || cost > lowest+maxCostGap {
 				continue
 			}
-			// Taking the minimum after adding Gumbel noise samples an endpoint
-			// with a probability proportional to exp(-cost/temperature).
+			// Taking the minimum after adding Gumbel noise samples an endpoint with a
+			// probability proportional to exp(-cost/temperature).
 			draw = splitMix64(draw)
 			if noisyCost := cost - temperature*gumbel(draw); noisyCost < bestScore {
 				best, bestScore = m.endpoint, noisyCost
@@ -98,30 +127,21 @@
 
 // expectedCost returns the expected cost of the endpoint in the given tier. It
 // is infinite if the endpoint cannot take the request.
-func (m *member) expectedCost(now time.Time, nowMs uint32, typicalLatency float64, tierIndex int, req *Request) float64 {
+func (m *member) expectedCost(q *costQuery, tierIndex int) float64 {
 	e := m.endpoint
-	if !e.available(now) || slices.Contains(req.Exclude, e.address) {
+	if !e.available(q.now) || slices.Contains(q.req.Exclude, e.address) {
 		return math.Inf(1)
 	}
-	load, slots := e.estimateLoad(nowMs, m.slots)
+	load, slots := e.estimateLoad(q.nowMs, m.slots)
 	utilization := (load + 1) / slots
-	cost := e.latencyRatio(typicalLatency) * (1 + utilization) * max(1, utilization) / m.weight
-	factor := 1.0
-	if req.LargeBody {
-		factor = largeBodyFactor
-	}
-	switch tierIndex {
-	case sameRegion:
-		cost += costOtherDataCentre * factor
-	case otherRegion:
-		cost += costOtherRegion * factor
-	}
+	cost := e.latencyRatio(q.typicalLatency)*(1+utilization)*max(1, utilization)/m.weight +
+		e.distanceCost(q.typicalLatency, q.nearRoundTrip, tierIndex, &q.req)
 	if e.suspicion != nil {
 		failureCost := float64(costRetry)
-		if req.NonRepeatable {
+		if q.req.NonRepeatable {
 			failureCost = costFailedOnce
 		}
-		cost += failureCost * e.suspicion.Risk(now)
+		cost += failureCost * e.suspicion.Risk(q.now)
 	}
 	return cost
 }
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -41,6 +41,7 @@
 	suspicion      *susp.Target  // nil: the target is never avoided
 	quota          *quota.Target // nil: the target is never limited
 	serviceLatency *atomic.Int64 // average latency of all endpoints of the router
+	connectTime    *atomic.Int64 // average connect time of the data centre in nanoseconds, 0 if unknown
 
 	connectionLimit atomic.Int64
 	inflight        atomic.Int64
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -44,8 +44,9 @@
 	latency         atomic.Int64    // moving average over all endpoints in nanoseconds, 0 if unknown
 	requestInterval requestInterval // between requests of this entry
 
-	endpoints map[netip.AddrPort]*Endpoint
-	current   atomic.Pointer[snapshot]
+	endpoints    map[netip.AddrPort]*Endpoint
+	connectTimes map[string]*atomic.Int64 // by data centre; used by the control goroutine
+	current      atomic.Pointer[snapshot]
 }
 
 // Option configures a Router.
@@ -63,7 +64,7 @@
 // New returns a router without targets. Load reports are timestamped relative
 // to now.
 func New(now time.Time, location Location, opts ...Option) *Router {
-	r := &Router{location: location, slowStart: 10 * time.Second, epoch: now.Add(-time.Second), endpoints: map[netip.AddrPort]*Endpoint{}}
+	r := &Router{location: location, slowStart: 10 * time.Second, epoch: now.Add(-time.Second), endpoints: map[netip.AddrPort]*Endpoint{}, connectTimes: map[string]*atomic.Int64{}}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -129,7 +130,7 @@
 	return &Endpoint{
 		address: t.Address, start: t.Start, region: t.Region, tag: t.Tag,
 		crossRegion: t.Region != r.location.Region, epoch: r.epoch, countTraffic: r.countTraffic,
-		suspicion: t.Suspicion, quota: t.Quota, serviceLatency: &r.latency,
+		suspicion: t.Suspicion, quota: t.Quota, serviceLatency: &r.latency, connectTime: r.connectTimeOf(t.DataCentre),
 	}
 }
 
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -51,7 +51,7 @@
 	}
 	var e *route.Endpoint
 	if a.registry != nil {
-		e = u.router.PickByCost(now, rand.Uint64(), route.Request{NonRepeatable: !r.Kind.Repeatable, LargeBody: r.Kind.Upload, Exclude: exclude})
+		e = u.router.PickByCost(now, rand.Uint64(), route.Request{NonRepeatable: !r.Kind.Repeatable, LargeBody: r.Kind.Upload, Bytes: u.volumes.of(r.Kind.Name).Mean(), Exclude: exclude})
 	} else {
 		e = u.pick(now, r.Kind.Repeatable && !r.Kind.Upload, exclude)
 	}
@@ -132,6 +132,7 @@
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
 	d.endpoint.RecordBytes(o.BytesSent, o.BytesReceived)
+	d.recordDistance(at, o)
 	if observation, ok := observationOf(at, o); ok && a.registry != nil {
 		a.recordObservation(d.target, observation, at.Start, o.End)
 	}
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -42,6 +42,7 @@
 	active    atomic.Bool                      // an attempt began or ended since the last tick of the monitor
 	lastProbe atomic.Int64                     // Unix nanoseconds of the last probe
 	meter     quota.Meter                      // demand of this entry
+	volumes   volumes
 	// limitEvents tells the control goroutine that limits of targets have changed.
 	limitEvents atomic.Bool
 
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -77,7 +77,7 @@
 	}
 	a.response = response
 	a.outcome.HeaderLatency = hooks.Now().Sub(a.info.Start)
-	a.outcome.Status = response.StatusCode
+	a.outcome.Status, a.outcome.ConnectTime = response.StatusCode, response.ConnectTime
 	if a.info.Target.Relay {
 		return a.receiveRelayed()
 	}
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -129,9 +129,10 @@
 	LeavingStart  time.Time
 	HeaderLatency time.Duration // from the start to the response header, 0 without a response
 	End           time.Time
-	Reused        bool  // the connection had carried a request before
-	BytesReceived int64 // of the response body
-	BytesSent     int64 // of the request body
-	Lost          bool  // the target or its host closed the connection before the response was complete
-	Err           error // why the attempt failed
+	Reused        bool          // the connection had carried a request before
+	ConnectTime   time.Duration // of a connection opened for the attempt, 0 without a response
+	BytesReceived int64         // of the response body
+	BytesSent     int64         // of the request body
+	Lost          bool          // the target or its host closed the connection before the response was complete
+	Err           error         // why the attempt failed
 }
