--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -28,6 +28,8 @@
 	RelayedRequests     Name = "relays"
 	Claims              Name = "claims"
 	CrossRegionBytes    Name = "crossing"
+	NearbyBytes         Name = "nearby"
+	Connections         Name = "connections"
 	Commits             Name = "commits"
 	Fsyncs              Name = "syncs"
 	DroppedMessages     Name = "dropped"
@@ -65,6 +67,8 @@
 	RelayedRequests:     {"counter", "{request}", "result", "Requests passed to another entry because this one has no path, by result: answered, declined, refused, failed or cancelled"},
 	Claims:              {"counter", "{claim}", "state", "Claims, by answer"},
 	CrossRegionBytes:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
+	NearbyBytes:         {"counter", "By", "direction", "Bytes of bodies exchanged with targets in other data centres of the region"},
+	Connections:         {"counter", "{attempt}", "use", "Attempts that ended with a complete response, by connection: opened or reused"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
 	Fsyncs:              {"counter", "{sync}", "", "Calls of fsync by a control replica"},
 	DroppedLogLines:     {"gauge", "{line}", "", "Lines left out of the log since the start"},
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -54,6 +54,7 @@
 	SetDrained       func(on bool)                        // called when an operator starts or ends a drain of the instance
 	CountRetry       func(reason, decision string)        // counts a decision of a retry budget
 	CountCrossRegion func(sent, received int64)           // counts bytes exchanged with targets in other regions
+	CountRoute       func(r Route)                        // counts a complete response; may be nil
 	CountLimit       func(event quota.Event)              // counts a change of the limit of a target
 	CountCrash       func()                               // counts a request during which its target crashed
 	CountPause       func(event string)                   // counts targets that pause or leave
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -132,7 +132,7 @@
 	d.upstream.active.Store(true)
 	d.endpoint.End(latency)
 	d.endpoint.RecordBytes(o.BytesSent, o.BytesReceived)
-	d.recordRoute(at, o)
+	a.recordRoute(d, at, o)
 	if observation, ok := observationOf(at, o); ok && a.registry != nil {
 		a.recordObservation(d.target, observation, at.Start, o.End)
 	}
--- a/entry/agent/volumes.go
+++ b/entry/agent/volumes.go
@@ -19,14 +19,25 @@
 	return known.(*route.Volume) //nolint:forcetypeassert // the map holds nothing else
 }
 
+// Route describes how a complete response came.
+type Route struct {
+	Reused         bool // the connection had carried a request before
+	Nearby         bool // from another data centre of the region
+	Sent, Received int64
+}
+
 // recordRoute records what later choices depend on: the connect time, the bytes of a
 // complete exchange, and refusals.
-func (d *attemptHandle) recordRoute(at proxy.Attempt, o proxy.Outcome) {
+func (a *Agent) recordRoute(d *attemptHandle, at proxy.Attempt, o proxy.Outcome) {
 	d.endpoint.RecordConnect(o.ConnectTime)
 	switch o.Class {
 	case proxy.Refused:
 		d.upstream.router.RecordRefusal(o.End)
 	case proxy.Answered:
 		d.upstream.volumes.of(at.Request.Kind.Name).Record(o.BytesSent, o.BytesReceived)
+		if a.hooks.CountRoute != nil {
+			nearby := d.target.Region == a.settings.Region && d.target.DataCentre != a.settings.DataCentre
+			a.hooks.CountRoute(Route{Reused: o.Reused, Nearby: nearby, Sent: o.BytesSent, Received: o.BytesReceived})
+		}
 	}
 }
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -116,6 +116,7 @@
 		CountRetry:       c.addRetry,
 		CountCrossRegion: c.addCrossRegion,
 		CountLimit:       c.addLimitEvent,
+		CountRoute:       c.addRoute,
 		CountCrash:       c.addCrash,
 		CountPath:        c.addPath,
 		CountRelay:       c.addRelay,
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -4,6 +4,7 @@
 	"github.com/galenalock/galenalock/core/meter"
 	"github.com/galenalock/galenalock/core/quota"
 	"github.com/galenalock/galenalock/core/reach"
+	"github.com/galenalock/galenalock/entry/agent"
 )
 
 // counters are the metrics of an entry that the data path does not count itself.
@@ -17,6 +18,8 @@
 	pathStates       *meter.Counter
 	relays           *meter.Counter
 	pauses           *meter.Counter
+	nearbyBytes      *meter.Counter
+	connections      *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -30,6 +33,7 @@
 		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
 		{meter.PathStates, &c.pathStates}, {meter.RelayedRequests, &c.relays},
 		{meter.TargetPauses, &c.pauses},
+		{meter.NearbyBytes, &c.nearbyBytes}, {meter.Connections, &c.connections},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -49,6 +53,18 @@
 	c.crossRegionBytes.Add(received, "in")
 }
 
+func (c *counters) addRoute(r agent.Route) {
+	use := "opened"
+	if r.Reused {
+		use = "reused"
+	}
+	c.connections.Add(1, use)
+	if r.Nearby {
+		c.nearbyBytes.Add(r.Sent, "out")
+		c.nearbyBytes.Add(r.Received, "in")
+	}
+}
+
 func (c *counters) addLinkBytes(dir string, n int) { c.linkBytes.Add(int64(n), dir) }
 
 func (c *counters) addLimitEvent(event quota.Event) { c.targetLimits.Add(1, string(event)) }
