The cost of a volume is bounded, so that large requests leave full targets

With the price of bytes alone, an upload of 360 kB would have left its data centre at a cost of 180 typical latencies: rather refused by full targets than sent to idle ones.

--- a/core/route/distance.go
+++ b/core/route/distance.go
@@ -77,8 +77,9 @@
 }
 
 // distanceCost returns the cost of the endpoint's distance in multiples of the typical
-// latency: the additional time and the volume that is transferred. As long as one of
-// them is unknown, it is a constant.
+// latency: the additional time and the volume that is transferred. The cost of the volume
+// is bounded, so that a large request leaves full targets rather than be refused. As long
+// as the latency or the volume is unknown, the cost is a constant.
 func (e *Endpoint) distanceCost(typicalLatency, nearRoundTrip float64, tierIndex int, req *Request) float64 {
 	if tierIndex == sameDataCentre {
 		return 0
@@ -89,7 +90,7 @@
 	}
 	switch {
 	case req.Bytes > 0 && typicalLatency > 0:
-		return max(0, e.roundTrip(tierIndex)-nearRoundTrip)/typicalLatency + req.Bytes/unit
+		return max(0, e.roundTrip(tierIndex)-nearRoundTrip)/typicalLatency + min(req.Bytes/unit, constant*largeBodyFactor)
 	case req.LargeBody:
 		return constant * largeBodyFactor
 	}
--- a/core/route/distance_test.go
+++ b/core/route/distance_test.go
@@ -16,7 +16,7 @@
 func TestDistanceIsMeasured(t *testing.T) {
 	is := is.New(t)
 	now := start.Add(time.Minute)
-	away := func(bytes int64, connect time.Duration) float64 {
+	away := func(bytes int64, connect time.Duration, use float64) float64 {
 		r, targets := routeAmongTwelve(now)
 		var volume route.Volume
 		is.Equal(volume.Mean(), 0.0)
@@ -27,7 +27,7 @@
 			e.End(200 * time.Millisecond)
 			if targets[i].DataCentre == "salish-0" {
 				e.RecordConnect(time.Millisecond)
-				e.RecordLoad(now, targets[i].Slots-1, targets[i].Slots)
+				e.RecordLoad(now, int(use*float64(targets[i].Slots)), targets[i].Slots)
 				continue
 			}
 			e.RecordConnect(connect)
@@ -43,9 +43,11 @@
 		}
 		return left / 1000
 	}
-	is.True(away(100, 2*time.Millisecond) > 0.8)
-	is.True(away(5000, 2*time.Millisecond) < 0.05)
-	is.True(away(100, 300*time.Millisecond) < 0.05)
+	is.True(away(100, 2*time.Millisecond, 0.9) > 0.8)
+	is.True(away(5000, 2*time.Millisecond, 0.9) < 0.05)
+	is.True(away(100, 300*time.Millisecond, 0.9) < 0.05)
+	is.True(away(360_000, 2*time.Millisecond, 0.9) == 0)
+	is.True(away(360_000, 2*time.Millisecond, 4) > 0.8) // the queues nearby are full
 }
 
 // Guards against entries that take the targets of another data centre for idle because
