--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -30,6 +30,8 @@
 	Admissions          Name = "admissions"
 	Claims              Name = "claims"
 	CrossRegionBytes    Name = "crossing"
+	NearbyBytes         Name = "nearby"
+	Connections         Name = "connections"
 	Commits             Name = "commits"
 	Fsyncs              Name = "syncs"
 	DroppedMessages     Name = "dropped"
@@ -69,6 +71,8 @@
 	Admissions:          {"counter", "{request}", "event", "Requests at entries while the targets of a service queue requests: held, released after that, diverted to targets further away, or refused because they could not end in time"},
 	Claims:              {"counter", "{claim}", "state", "Claims, by answer"},
 	CrossRegionBytes:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
+	NearbyBytes:         {"counter", "By", "direction", "Bytes of bodies exchanged with targets in other data centres of the region"},
+	Connections:         {"counter", "{attempt}", "use", "Attempts that ended with a complete response, by connection: opened or reused"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
 	Fsyncs:              {"counter", "{sync}", "", "Calls of fsync by a control replica"},
 	DroppedLogLines:     {"gauge", "{line}", "", "Lines left out of the log since the start"},
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -65,11 +65,15 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	begin := p.opts.now()
 	raw, err := p.opts.dial(ctx, r.Target)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, r.Target, p.opts.now()), nil
+	now := p.opts.now()
+	c := newConn(raw, r.Target, now)
+	c.connectTime = now.Sub(begin)
+	return c, nil
 }
 
 // takeIdle removes and returns the most recently used connection of a target, or
@@ -165,6 +169,20 @@
 	}
 }
 
+// HasIdle reports whether there is an idle connection to a target that a request may
+// use. The connection may turn out to be closed when it is used.
+func (p *Pool) HasIdle(target netip.AddrPort, nonRepeatable bool) bool {
+	now := p.opts.now()
+	limit := p.opts.idleTimeout
+	if nonRepeatable {
+		limit = p.opts.recentLimit
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[target]
+	return len(list) > 0 && list[len(list)-1].usable(now, limit)
+}
+
 // IdleCount returns the number of idle connections to a target.
 func (p *Pool) IdleCount(target netip.AddrPort) int {
 	p.mu.Lock()
@@ -188,5 +206,6 @@
 // Response is the final response to a request.
 type Response struct {
 	*http.Response
-	Reused bool // the connection had carried an earlier request
+	Reused      bool          // the connection had carried an earlier request
+	ConnectTime time.Duration // of a connection opened for the request, 0 if it was reused
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -43,8 +43,12 @@
 
 	latency         atomic.Int64    // moving average over all endpoints in nanoseconds, 0 if unknown
 	requestInterval requestInterval // between requests of this entry
+	hasIdle         func(target netip.AddrPort, nonRepeatable bool) bool
+	dials           dialCredit
+	lastRefusal     atomic.Int64 // nanoseconds since the epoch, 0: none
 
 	endpoints map[netip.AddrPort]*Endpoint
+	places    map[string]*place // by data centre; used by the control goroutine
 	current   atomic.Pointer[snapshot]
 }
 
@@ -63,7 +67,7 @@
 // New returns a router without targets. Load reports are timestamped relative
 // to now.
 func New(now time.Time, location Location, opts ...Option) *Router {
-	r := &Router{location: location, slowStart: 10 * time.Second, epoch: now.Add(-time.Second), endpoints: map[netip.AddrPort]*Endpoint{}}
+	r := &Router{location: location, slowStart: 10 * time.Second, epoch: now.Add(-time.Second), endpoints: map[netip.AddrPort]*Endpoint{}, places: map[string]*place{}}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -83,7 +87,7 @@
 	}
 	for i := range targets {
 		t := &targets[i]
-		e := r.endpointFor(t)
+		e := r.endpointFor(now, t)
 		endpoints[t.Address] = e
 		limit := max(connections[i], limitedConnections(t))
 		e.connectionLimit.Store(int64(limit))
@@ -122,15 +126,19 @@
 
 // endpointFor returns the existing endpoint of the target, or a new one if the
 // target has a new incarnation.
-func (r *Router) endpointFor(t *Target) *Endpoint {
+func (r *Router) endpointFor(now time.Time, t *Target) *Endpoint {
 	if e := r.endpoints[t.Address]; e != nil && e.start.Equal(t.Start) {
 		return e
 	}
-	return &Endpoint{
+	e := &Endpoint{
 		address: t.Address, start: t.Start, region: t.Region, tag: t.Tag,
 		crossRegion: t.Region != r.location.Region, epoch: r.epoch, countTraffic: r.countTraffic,
-		suspicion: t.Suspicion, quota: t.Quota, serviceLatency: &r.latency,
+		suspicion: t.Suspicion, quota: t.Quota, serviceLatency: &r.latency, place: r.placeOf(t.DataCentre),
 	}
+	if len(r.endpoints) > 0 {
+		e.freshUntil = now.Add(freshDuration)
+	}
+	return e
 }
 
 // countRegionPeers counts the instances of the router's region, including this
--- a/entry/agent/admission_test.go
+++ b/entry/agent/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/entry/agent"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
--- a/entry/agent/pick.go
+++ b/entry/agent/pick.go
@@ -12,7 +12,7 @@
 // pickEndpoint selects a target of a request that is not in exclude.
 func (a *Agent) pickEndpoint(u *upstream, r proxy.Request, exclude []netip.AddrPort, now time.Time) *route.Endpoint {
 	if a.registry != nil {
-		return u.router.PickByCost(now, rand.Uint64(), route.Request{NonRepeatable: !r.Kind.Repeatable, LargeBody: r.Kind.Upload, Exclude: exclude})
+		return u.router.PickByCost(now, rand.Uint64(), a.routeRequest(u, r, exclude))
 	}
 	return u.pick(now, r.Kind.Repeatable && !r.Kind.Upload, exclude)
 }
--- a/entry/agent/settings.go
+++ b/entry/agent/settings.go
@@ -31,6 +31,7 @@
 	Revoke       time.Duration    // time after which a withdrawn key must not let a request run; 0: no bound
 	Retry        RetryBudget
 	MinInflight  int            // concurrent requests of a service that are always admitted
+	Near         bool           // targets are chosen by the measured distance, the volume of requests and open connections
 	Pace         bool           // less urgent requests give way while targets queue requests
 	Start        time.Time      // start of the process, identifies its incarnation
 	Path         *reach.Tracker // state of the path to the targets
@@ -57,6 +58,7 @@
 	SetDrained       func(on bool)                        // called when an operator starts or ends a drain of the instance
 	CountRetry       func(reason, decision string)        // counts a decision of a retry budget
 	CountCrossRegion func(sent, received int64)           // counts bytes exchanged with targets in other regions
+	CountRoute       func(r Route)                        // counts a complete response; may be nil
 	CountLimit       func(event quota.Event)              // counts a change of the limit of a target
 	CountCrash       func()                               // counts a request during which its target crashed
 	CountPause       func(event string)                   // counts targets that pause or leave
@@ -66,6 +68,9 @@
 	CloseIdle        func()                               // closes the idle connections to targets
 	CountPath        func(state reach.State)              // counts a check of the path to the targets
 	Inflight         func() int                           // returns the number of requests in flight
+	// HasIdle reports whether there is an idle connection to a target that a request may
+	// use. It may be nil.
+	HasIdle func(target netip.AddrPort, nonRepeatable bool) bool
 	// Connect opens a connection to a target and closes it. The default is a TCP
 	// connection.
 	Connect func(ctx context.Context, target netip.AddrPort) error
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -43,6 +43,7 @@
 	active    atomic.Bool                      // an attempt began or ended since the last tick of the monitor
 	lastProbe atomic.Int64                     // Unix nanoseconds of the last probe
 	meter     quota.Meter                      // demand of this entry
+	volumes   volumes
 	// limitEvents tells the control goroutine that limits of targets have changed.
 	limitEvents atomic.Bool
 
@@ -64,11 +65,15 @@
 
 func (a *Agent) newUpstream(now time.Time, s *spec.Service) *upstream {
 	location := route.Location{Instance: a.settings.Instance, Region: a.settings.Region, DataCentre: a.settings.DataCentre}
+	hasIdle := a.hooks.HasIdle
+	if !a.settings.Near {
+		hasIdle = nil
+	}
 	u := &upstream{
 		service: s,
 		router: route.New(now, location, route.WithSlowStart(a.settings.SlowStart), route.WithTrafficCounter(func(_ string, sent, received int64) {
 			a.hooks.CountCrossRegion(sent, received)
-		})),
+		}), route.WithIdleConnections(hasIdle)),
 		monitor:      health.New(now, s.Name, a.settings.Region),
 		budget:       a.newBudget(now),
 		gate:         a.newGate(now),
