Tests with hostile callers, which fail: memory of entry and control has no bound

Change: process tests for each kind of attack, on the traffic address of an entry and on both addresses of a control replica. They check memory (96 MB), open files (700 with 500 connections) and one ordinary request while the crowd is connected. The settings memory and connections exist but have no effect yet, so that the failures are those of the present code.

--- a/bench/procs/fleet.go
+++ b/bench/procs/fleet.go
@@ -25,6 +25,7 @@
 	Folder   string
 	Programs Programs
 	TLS      TLSFiles // for links and the traffic address; TLS is off while Cert is empty
+	Settings []string // further lines in the settings of control replicas and entries
 
 	controlPeers []netip.AddrPort
 }
@@ -52,10 +53,10 @@
 }
 
 func (f *Fleet) commonSettings(name string, at Place) []string {
-	return []string{
+	return append([]string{
 		fmt.Sprintf("instance = %q", name), fmt.Sprintf("fleet = %q", f.Name),
 		fmt.Sprintf("region = %q", at.Region), fmt.Sprintf("datacentre = %q", at.DataCentre),
-	}
+	}, f.Settings...)
 }
 
 // tlsSettings returns the [tls] table, which must come last in a settings file
--- a/bench/procs/harness_test.go
+++ b/bench/procs/harness_test.go
@@ -93,8 +93,15 @@
 	if testing.Short() {
 		t.Skip("starts processes, which the race detector does not see")
 	}
+	return launchFleet(t, size)
+}
+
+// launchFleet starts a fleet, in short mode too. The settings are further lines in the
+// settings files of control replicas and entries.
+func launchFleet(t *testing.T, size fleetSize, settings ...string) *fleet {
+	t.Helper()
 	f := &fleet{
-		T: t, Fleet: procs.Fleet{Name: "test", Folder: t.TempDir(), Programs: programs},
+		T: t, Fleet: procs.Fleet{Name: "test", Folder: t.TempDir(), Programs: programs, Settings: settings},
 		place: procs.Place{Region: "salish", DataCentre: "salish-1"},
 	}
 	free, err := procs.FreeAddresses(2 * size.replicas)
--- a/bench/procs/process.go
+++ b/bench/procs/process.go
@@ -7,6 +7,9 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -175,3 +178,40 @@
 	}
 	return state.UserTime() + state.SystemTime(), usage.Maxrss * 1024
 }
+
+// Memory returns the resident memory of the process in bytes, and the most that it has
+// had since the start or since ResetPeak.
+func (p *Process) Memory() (now, peak int64, err error) {
+	data, err := os.ReadFile(p.file("status"))
+	if err != nil {
+		return 0, 0, eris.Wrapf(err, "read memory of %s", p.Name)
+	}
+	for line := range strings.Lines(string(data)) {
+		switch fields := strings.Fields(line); fields[0] {
+		case "VmRSS:":
+			now, err = strconv.ParseInt(fields[1], 10, 64)
+		case "VmHWM:":
+			peak, err = strconv.ParseInt(fields[1], 10, 64)
+		}
+		if err != nil {
+			return 0, 0, eris.Wrapf(err, "parse memory of %s", p.Name)
+		}
+	}
+	return now << 10, peak << 10, nil
+}
+
+// ResetPeak sets the peak of Memory to the present value.
+func (p *Process) ResetPeak() error {
+	const resetPeak = "5" // see proc_pid_clear_refs(5)
+	return eris.Wrapf(os.WriteFile(p.file("clear_refs"), []byte(resetPeak), 0), "reset peak memory of %s", p.Name)
+}
+
+// OpenFiles returns the number of file descriptors that the process has open.
+func (p *Process) OpenFiles() (int, error) {
+	entries, err := os.ReadDir(p.file("fd"))
+	return len(entries), eris.Wrapf(err, "read descriptors of %s", p.Name)
+}
+
+func (p *Process) file(name string) string {
+	return filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid), name)
+}
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -20,29 +20,31 @@
 
 // Settings are the settings of a control replica.
 type Settings struct {
-	Instance   string
-	Fleet      string
-	Region     string
-	DataCentre string
-	Replica    int
-	Peer       netip.AddrPort
-	Admin      netip.AddrPort
-	Replicas   map[uint64]netip.AddrPort
-	Seeds      []netip.AddrPort
-	Tolerance  int
-	Regions    map[string]string
-	Life       time.Duration
-	Data       string
-	Found      bool
-	Tokens     string
-	Cert       string
-	Key        string
-	Authority  string
-	Level      string
-	Lines      int
-	Metrics    netip.AddrPort // invalid: none
-	Grace      time.Duration
-	Snapshot   int
+	Instance    string
+	Fleet       string
+	Region      string
+	DataCentre  string
+	Replica     int
+	Peer        netip.AddrPort
+	Admin       netip.AddrPort
+	Replicas    map[uint64]netip.AddrPort
+	Seeds       []netip.AddrPort
+	Tolerance   int
+	Regions     map[string]string
+	Life        time.Duration
+	Data        string
+	Found       bool
+	Tokens      string
+	Cert        string
+	Key         string
+	Authority   string
+	Level       string
+	Lines       int
+	Metrics     netip.AddrPort // invalid: none
+	Grace       time.Duration
+	Memory      int
+	Connections int
+	Snapshot    int
 
 	Log   io.Writer        // destination of log lines, standard output by default
 	Clock func() time.Time // time.Now by default
@@ -56,8 +58,11 @@
 const (
 	defaultGrace           = 10 * time.Second
 	maxGrace               = 5 * time.Minute
-	defaultSnapshotEntries = 16384 // log entries; with 1,800 changes and a few claims a day, the log takes days to reach it
-	maxTolerance           = 3     // seven voters; each further voter adds to the latency of a commit
+	defaultSnapshotEntries = 16384   // log entries; with 1,800 changes and a few claims a day, the log takes days to reach it
+	maxMemory              = 1 << 20 // MiB
+	defaultConnections     = 4096
+	maxConnections         = 1 << 20
+	maxTolerance           = 3 // seven voters; each further voter adds to the latency of a commit
 	defaultLife            = 10 * time.Second
 	maxLife                = time.Hour
 )
@@ -81,6 +86,8 @@
 	t.Text("data", &s.Data, "data", "folder of the log and the snapshots")
 	t.Bool("found", &s.Found, false, "found a new group; set it for the first start only")
 	t.Text("tokens", &s.Tokens, "", "file of the administration tokens; without one the admin address must be a loopback address")
+	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, at least 64; half of it is for connections to the peer and admin addresses and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
+	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections at the peer address, and as many at the admin address")
 	t.Text("tls.cert", &s.Cert, "", "certificate file of both addresses; empty: no TLS")
 	t.Text("tls.key", &s.Key, "", "key file of the certificate")
 	t.Text("tls.authority", &s.Authority, "", "file of the authority that signs all instances of the fleet")
@@ -153,6 +160,9 @@
 	if s.Data == "" {
 		s.Data = "data"
 	}
+	if s.Connections == 0 {
+		s.Connections = defaultConnections
+	}
 	if s.Life == 0 {
 		s.Life = defaultLife
 	}
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -42,6 +42,7 @@
 	Wait        time.Duration
 	Quarantine  time.Duration
 	Connections int
+	Memory      int
 	Body        int
 	Cert        string
 	Key         string
@@ -73,7 +74,8 @@
 	maxWait            = time.Minute
 	defaultConnections = 20000
 	maxConnections     = 1 << 20
-	defaultBody        = 1024 // MiB
+	maxMemory          = 1 << 20 // MiB
+	defaultBody        = 1024    // MiB
 	maxBody            = 1 << 20
 	defaultLinks       = 3 // one more than the replicas that a control group of five may lose
 	maxLinks           = 16
@@ -111,6 +113,7 @@
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
 	t.Float("retry.slack", &s.RetrySlack, 0, 0, maxRetrySlack, "attempts", "with a window, further attempts of all entries beyond the share")
 	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections of callers")
+	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, at least 64; half of it is for connections of callers and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
 	t.Int("body", &s.Body, defaultBody, 1, maxBody, "MiB", "largest request body")
 	t.Text("tls.cert", &s.Cert, "", "certificate file for links between instances; empty: no TLS")
 	t.Text("tls.key", &s.Key, "", "key file of the certificate")
