Memory of callers has a bound; idle and stalled connections make room

Cause: net/http parses a head as it arrives, at about 130 bytes for each line, an order allocated its announced length, handlers of control buffer whole bodies, and HTTP/2 holds up to 1 MB of bodies on each connection. Nothing bounded the sum. At the limit of connections new callers waited in the backlog, for up to two minutes if the others were idle. After a connection was lost, net/http kept its unfinished request for another 500 ms, and a request without its whole body was not cancelled.

Change: core/budget counts what each connection holds, half of the new setting memory, and gives up the one that holds most. The lines and bytes of heads are counted before they are parsed. Buffers of bodies grow as the body arrives. A body that does not go on for the new setting stall ends its connection. At the limit of connections the one that was idle for longest is closed. Control has the setting connections. The heap is kept below 0.7 of the memory. New metrics: closures, held.

Ruled out: a limit of header lines (16 KiB hold 5,400 of the shortest ones); a heap limit without the budget (live memory exceeded it); counting heads only (uploads after such heads still reached 134 MB, those of connections given up 123 MB, until their requests were ended as well).

--- a/control/daemon/assemble.go
+++ b/control/daemon/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -41,6 +42,8 @@
 	syncs     *meter.Counter
 	linkBytes *meter.Counter
 	stopping  atomic.Bool
+
+	serverOpts []serve.Option // of the servers that operators and targets reach
 }
 
 // counters are the metrics that a replica counts.
@@ -147,6 +150,9 @@
 	})
 	p.machine.onChange = p.fleet.ViewChanged
 	d.registry = d.newRegistry()
+	if err := d.guardCallers(); err != nil {
+		return err
+	}
 	d.connectLinks(in.LinkByteCount)
 	d.connectAdmin()
 	if b, ok := d.settings.Log.(*logs.RateLimitedWriter); ok {
@@ -191,7 +197,7 @@
 		link.WithPanicHook(link.LogPanics(p.log)), link.WithControlPing(link.ControlPing),
 		link.WithByteCounter(func(direction string, n int) { linkBytes.Add(int64(n), direction) }),
 	}
-	serverOpts := []serve.Option{serve.WithErrorLog(connLog{p.log})}
+	serverOpts := append(slices.Clone(p.serverOpts), serve.WithErrorLog(connLog{p.log}))
 	dialOpts := opts
 	if p.certs != nil {
 		dialOpts = append(dialOpts, link.WithTLS(p.certs.ClientConfig()))
@@ -254,7 +260,7 @@
 		Metrics:       p.meter.Handler(),
 		Clock:         s.Clock, Auth: p.auth, Log: p.log,
 	})
-	opts := []serve.Option{serve.WithHandler(handler), serve.WithErrorLog(connLog{p.log})}
+	opts := append(slices.Clone(p.serverOpts), serve.WithHandler(handler), serve.WithErrorLog(connLog{p.log}))
 	if p.certs != nil {
 		opts = append(opts, serve.WithTLS(p.certs.PublicServerConfig()))
 	}
--- a/control/daemon/settings.go
+++ b/control/daemon/settings.go
@@ -43,6 +43,7 @@
 	Metrics     netip.AddrPort // invalid: none
 	Grace       time.Duration
 	Memory      int
+	Stall       time.Duration
 	Connections int
 	Snapshot    int
 
@@ -58,7 +59,8 @@
 const (
 	defaultGrace           = 10 * time.Second
 	maxGrace               = 5 * time.Minute
-	defaultSnapshotEntries = 16384   // log entries; with 1,800 changes and a few claims a day, the log takes days to reach it
+	defaultSnapshotEntries = 16384 // log entries; with 1,800 changes and a few claims a day, the log takes days to reach it
+	defaultStall           = 15 * time.Second
 	maxMemory              = 1 << 20 // MiB
 	defaultConnections     = 4096
 	maxConnections         = 1 << 20
@@ -86,7 +88,8 @@
 	t.Text("data", &s.Data, "data", "folder of the log and the snapshots")
 	t.Bool("found", &s.Found, false, "found a new group; set it for the first start only")
 	t.Text("tokens", &s.Tokens, "", "file of the administration tokens; without one the admin address must be a loopback address")
-	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, at least 64; half of it is for connections to the peer and admin addresses and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
+	t.Duration("stall", &s.Stall, defaultStall, 0, time.Hour, "time for which the rest of a request body may not go on before its connection is closed; 0: no limit")
+	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, for a process that is alone on it; the garbage collector keeps its heap below 0.7 of it, and half of it is for connections to the peer and admin addresses and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
 	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections at the peer address, and as many at the admin address")
 	t.Text("tls.cert", &s.Cert, "", "certificate file of both addresses; empty: no TLS")
 	t.Text("tls.key", &s.Key, "", "key file of the certificate")
--- a/core/meter/page.go
+++ b/core/meter/page.go
@@ -14,6 +14,8 @@
 		switch {
 		case m.Kind == "counter" && m.Unit == "By":
 			name += "_bytes_total"
+		case m.Unit == "By":
+			name += "_bytes"
 		case m.Kind == "counter":
 			name += "_total"
 		case m.Kind == "histogram" || m.Unit == "s":
--- a/core/serve/limits.go
+++ b/core/serve/limits.go
@@ -8,7 +8,8 @@
 	MaxRequestHeaderBytes int           // size of a request header
 	HeaderTimeout         time.Duration // time to read a request header; HTTP/1 only
 	IdleConnTimeout       time.Duration // time until an idle connection is closed
-	MaxConnections        int           // open connections, 0: no limit; further ones wait in the listen backlog
+	MaxConnections        int           // open connections, 0: no limit; at the limit the one that was idle for longest is closed
+	StallTimeout          time.Duration // time for which the rest of a request body may not go on, 0: no limit
 }
 
 // DefaultLimits returns the limits of an administration server.
@@ -19,5 +20,6 @@
 		HeaderTimeout:         5 * time.Second,
 		IdleConnTimeout:       2 * time.Minute,
 		MaxConnections:        4096,
+		StallTimeout:          15 * time.Second,
 	}
 }
--- a/core/serve/server.go
+++ b/core/serve/server.go
@@ -11,7 +11,8 @@
 	"net/netip"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
+
+	"github.com/galenalock/galenalock/core/budget"
 )
 
 // Server is an HTTP server that listens on one address.
@@ -19,6 +20,11 @@
 	http     *http.Server
 	limits   Limits
 	listener net.Listener
+
+	budget       *budget.Budget
+	bodyByteCost int64
+	closed       func(reason string)
+	onConnState  func(net.Conn, http.ConnState)
 }
 
 // Option configures a Server.
@@ -46,9 +52,26 @@
 // WithConnState sets a function that is called whenever the state of a connection
 // changes.
 func WithConnState(f func(net.Conn, http.ConnState)) Option {
-	return func(s *Server) { s.http.ConnState = f }
+	return func(s *Server) { s.onConnState = f }
 }
 
+// WithBudget sets the memory that the connections of this server share with those of
+// other ones. The default has no bound.
+func WithBudget(b *budget.Budget) Option { return func(s *Server) { s.budget = b } }
+
+// decodedBodyCost is the memory of a byte of a body that a handler reads as a whole and
+// decodes: a buffer that doubles, the old one and the values. With 4, 50 bodies of 4 MB
+// raised a process to 95 MB, of 96.
+const decodedBodyCost = 8
+
+// WithBufferedBodies counts bodies as held by their handlers. Without it, handlers count
+// themselves what they hold of a body.
+func WithBufferedBodies() Option { return func(s *Server) { s.bodyByteCost = decodedBodyCost } }
+
+// WithCloseHook sets a function that is called when the server closes a connection to
+// protect others, with the reason.
+func WithCloseHook(f func(reason string)) Option { return func(s *Server) { s.closed = f } }
+
 // New returns a server that does not listen yet.
 func New(opts ...Option) *Server {
 	s := &Server{http: &http.Server{Protocols: new(http.Protocols)}, limits: DefaultLimits()}
@@ -63,9 +86,34 @@
 	if s.limits.MaxRequestBodyBytes > 0 && s.http.Handler != nil {
 		s.http.Handler = http.MaxBytesHandler(s.http.Handler, s.limits.MaxRequestBodyBytes)
 	}
+	if s.http.Handler != nil {
+		s.http.Handler = s.guard(s.http.Handler)
+	}
+	s.http.ConnContext = withConn
+	s.http.ConnState = func(c net.Conn, state http.ConnState) {
+		if accepted := acceptedConn(c); accepted != nil {
+			accepted.setState(state)
+		}
+		if s.onConnState != nil {
+			s.onConnState(c, state)
+		}
+	}
+	if s.budget != nil {
+		s.http.HTTP2 = &http.HTTP2Config{
+			MaxReceiveBufferPerConnection: http2Buffer, MaxReceiveBufferPerStream: http2Buffer,
+			MaxConcurrentStreams: http2Streams,
+		}
+	}
 	return s
 }
 
+// Limits of HTTP/2 connections with a budget. net/http holds up to 1 MiB of the bodies on
+// each connection by default, and 250 streams.
+const (
+	http2Buffer  = 64 << 10 // the least that the protocol allows
+	http2Streams = 100
+)
+
 // NewMetricsServer returns a server that serves only /metrics.
 func NewMetricsServer(metrics http.Handler) *Server {
 	mux := http.NewServeMux()
@@ -79,10 +127,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", addr)
 	}
-	if s.limits.MaxConnections > 0 {
-		l = netutil.LimitListener(l, s.limits.MaxConnections)
-	}
-	s.listener = l
+	limited := newListener(l)
+	limited.limit, limited.budget, limited.closed = s.limits.MaxConnections, s.budget, s.closed
+	limited.encrypted, limited.http2Buffer = s.http.TLSConfig != nil, http2Buffer
+	s.listener = limited
 	return nil
 }
 
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -78,11 +78,11 @@
 // before it serves.
 type deferredHandler struct{ http.Handler }
 
-func (d *Daemon) newPeer(k certSet) (peerServer, error) {
+func (d *Daemon) newPeer(c *counters, k certSet) (peerServer, error) {
 	handler := &deferredHandler{}
 	limits := serve.DefaultLimits()
 	limits.MaxRequestBodyBytes = int64(d.settings.Body) << 20 // of relayed requests
-	opts := []serve.Option{serve.WithLimits(limits), serve.WithHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	opts := []serve.Option{serve.WithLimits(limits), serve.WithBudget(d.budget), serve.WithCloseHook(c.addClosure), serve.WithHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handler.ServeHTTP(w, r)
 	}))}
 	if k.peer != nil {
@@ -206,8 +206,8 @@
 
 	s := &d.settings
 	limits := serve.DefaultLimits()
-	limits.MaxRequestBodyBytes, limits.MaxConnections = int64(s.Body)<<20, s.Connections
-	traffic := []serve.Option{serve.WithHandler(in.Proxy), serve.WithLimits(limits), serve.WithH2C()}
+	limits.MaxRequestBodyBytes, limits.MaxConnections, limits.StallTimeout = int64(s.Body)<<20, s.Connections, s.Stall
+	traffic := []serve.Option{serve.WithHandler(in.Proxy), serve.WithLimits(limits), serve.WithH2C(), serve.WithBudget(d.budget), serve.WithCloseHook(in.Counters.addClosure)}
 	if in.CertSet.public != nil {
 		traffic = append(traffic, serve.WithTLS(in.CertSet.public.PublicServerConfig()))
 	}
@@ -230,7 +230,7 @@
 func (d *Daemon) newAnnounce(in components) *serve.Server {
 	r := serve.NewRouter(in.Log)
 	r.Post(agent.AnnouncePath, in.Agent.Announce)
-	opts := []serve.Option{serve.WithHandler(r)}
+	opts := []serve.Option{serve.WithHandler(r), serve.WithBudget(d.budget), serve.WithCloseHook(in.Counters.addClosure), serve.WithBufferedBodies()}
 	if in.CertSet.public != nil {
 		opts = append(opts, serve.WithTLS(in.CertSet.public.PublicServerConfig()))
 	}
@@ -283,5 +283,8 @@
 			return err
 		}
 	}
+	if err := d.meter.Gauge(meter.HeldBytes, func() float64 { return float64(d.budget.Used()) }); err != nil {
+		return err
+	}
 	return d.meter.Gauge(meter.Links, func() float64 { return float64(len(d.agent.Mesh().Neighbours())) })
 }
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -17,6 +17,7 @@
 	pathStates       *meter.Counter
 	relays           *meter.Counter
 	pauses           *meter.Counter
+	closures         *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -29,7 +30,7 @@
 		{meter.LinkBytes, &c.linkBytes}, {meter.RequestsInterrupted, &c.requestsCut},
 		{meter.TargetLimits, &c.targetLimits}, {meter.TargetCrashes, &c.targetCrashes},
 		{meter.PathStates, &c.pathStates}, {meter.RelayedRequests, &c.relays},
-		{meter.TargetPauses, &c.pauses},
+		{meter.TargetPauses, &c.pauses}, {meter.ClosedConnections, &c.closures},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -60,3 +61,5 @@
 func (c *counters) addRelay(result string) { c.relays.Add(1, result) }
 
 func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
+
+func (c *counters) addClosure(reason string) { c.closures.Add(1, reason) }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenalock/galenalock/core/budget"
 	"github.com/galenalock/galenalock/core/certs"
 	"github.com/galenalock/galenalock/core/drain"
 	"github.com/galenalock/galenalock/core/logs"
@@ -52,6 +53,7 @@
 	stopping     atomic.Bool
 	drained      atomic.Bool // drained by an operator
 	skipDrain    chan struct{}
+	budget       *budget.Budget // memory for callers, nil without a bound
 }
 
 // New creates an entry and binds its addresses. Run serves them.
@@ -62,6 +64,7 @@
 		return nil, fault
 	}
 	d := &Daemon{settings: s, start: time.Now(), skipDrain: make(chan struct{}, 1)}
+	d.budget = budget.OfInstance(int64(s.Memory) << 20)
 	d.inflightCore = drain.New(drain.WithTimeouts(s.StopTimes()))
 	if err := d.assemble(); err != nil {
 		return nil, err
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -43,6 +43,7 @@
 	Quarantine  time.Duration
 	Connections int
 	Memory      int
+	Stall       time.Duration
 	Body        int
 	Cert        string
 	Key         string
@@ -74,6 +75,7 @@
 	maxWait            = time.Minute
 	defaultConnections = 20000
 	maxConnections     = 1 << 20
+	defaultStall       = 15 * time.Second
 	maxMemory          = 1 << 20 // MiB
 	defaultBody        = 1024    // MiB
 	maxBody            = 1 << 20
@@ -113,7 +115,8 @@
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
 	t.Float("retry.slack", &s.RetrySlack, 0, 0, maxRetrySlack, "attempts", "with a window, further attempts of all entries beyond the share")
 	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections of callers")
-	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, at least 64; half of it is for connections of callers and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
+	t.Duration("stall", &s.Stall, defaultStall, 0, maxLimit, "time for which the rest of a request body may not go on before its connection is closed; 0: no limit")
+	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, for a process that is alone on it; the garbage collector keeps its heap below 0.7 of it, and half of it is for connections of callers and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
 	t.Int("body", &s.Body, defaultBody, 1, maxBody, "MiB", "largest request body")
 	t.Text("tls.cert", &s.Cert, "", "certificate file for links between instances; empty: no TLS")
 	t.Text("tls.key", &s.Key, "", "key file of the certificate")
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenalock/galenalock/core/budget"
 	"github.com/galenalock/galenalock/core/refuse"
 )
 
@@ -28,6 +29,8 @@
 	stopped atomic.Bool
 	ended   atomic.Bool
 	mu      sync.Mutex // held during a read
+
+	charge *budget.Charge // memory that the request holds
 }
 
 var errUploadStopped = errors.New("the body is no longer read")
@@ -36,7 +39,7 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return &upload{controller: controller, body: http.NoBody, mapError: mapError}
 	}
-	return &upload{controller: controller, body: r.Body, length: r.ContentLength, mapError: mapError}
+	return &upload{controller: controller, body: r.Body, length: r.ContentLength, mapError: mapError, charge: budget.FromContext(r.Context())}
 }
 
 // Read returns io.EOF only after the digest was verified. It withholds the last
@@ -124,6 +127,15 @@
 	defer u.mu.Unlock()
 }
 
+const (
+	// streamedBytes is the memory of a body that is forwarded while it arrives: the
+	// buffers of the transfer.
+	streamedBytes = 64 << 10
+	// firstBuffer is how much of a body is allocated before any of it has arrived. An
+	// announced length alone must not take memory.
+	firstBuffer = 16 << 10
+)
+
 // loadBody reads the body before dispatch if it is small or the request has a
 // key: the fingerprint of a claim covers the body, and a buffered body can be
 // resent.
@@ -142,6 +154,7 @@
 		}
 	} else if r.ContentLength < 0 || r.ContentLength > limit || expectsContinue(r) {
 		c.streaming = true
+		c.upload.charge.Add(streamedBytes)
 		return nil
 	}
 	if c.bufferedBody, err = c.upload.readAll(limit); err == nil && int64(len(c.bufferedBody)) <= limit {
@@ -165,24 +178,48 @@
 	return errors.As(err, &large)
 }
 
-// readAll reads the body, up to one byte more than the limit.
+// readAll reads the body, up to one byte more than the limit. The buffer grows as the
+// body arrives.
 func (u *upload) readAll(limit int64) ([]byte, error) {
-	switch {
-	case u.length == 0 && u.digest == nil:
+	if u.length == 0 && u.digest == nil {
 		u.ended.Store(true)
 		return nil, nil
-	case u.length > 0 && u.length <= limit:
-		data := make([]byte, u.length)
-		if _, err := io.ReadFull(u, data); err != nil {
-			return nil, err
+	}
+	most := limit + 1
+	if u.length > 0 && u.length <= limit {
+		most = u.length
+	}
+	var data []byte
+	for int64(len(data)) < most {
+		if len(data) == cap(data) {
+			data = u.grow(data, most)
 		}
-		_, err := u.Read(nil) // lets net/http see the end of an HTTP/1.1 body
-		if errors.Is(err, io.EOF) {
-			err = nil
+		n, err := u.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, err
 		}
-		return data, err
 	}
-	return io.ReadAll(io.LimitReader(u, limit+1))
+	if most > limit {
+		return data, nil
+	}
+	_, err := u.Read(nil) // lets net/http see the end of an HTTP/1.1 body
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return data, err
+}
+
+// grow returns a larger buffer with the same content, for at most that many bytes.
+func (u *upload) grow(data []byte, most int64) []byte {
+	size := min(max(firstBuffer, 2*int64(cap(data))), most)
+	u.charge.Add(size) // the old one is counted until the end, since it becomes garbage
+	out := make([]byte, len(data), size)
+	copy(out, data)
+	return out
 }
 
 func expectsContinue(r *http.Request) bool {
