A reset connection completes no response, and statuses outside 100 to 599 are none

Cause: a target answered a long upload with a 200 without a length, sent a part and reset the connection. The failed write of the upload got the error of the reset, and the read then saw the end of the stream, which completes a response without a length. A status below 100, such as 000, counted as an informational response, and passing it on was a panic; 600 and above were passed on.

Change: core/pool asks the operating system at the end of a response without a length whether the connection was reset, by sending no bytes. A status outside 100 to 599 is an error.

Ruled out: refusing all such responses that end before the request was sent, and the error of the transfer (docs/design/responses.md).

--- a/core/pool/error.go
+++ b/core/pool/error.go
@@ -89,6 +89,10 @@
 // ErrHeadTooLong reports a response head that exceeds the limit.
 var ErrHeadTooLong = errors.New("response head is too long")
 
+// ErrInvalidStatus reports a response whose status lies outside 100 to 599, which RFC
+// 9110 calls invalid.
+var ErrInvalidStatus = errors.New("response has an invalid status")
+
 // ErrTooManyInformational reports more 1xx responses than are accepted.
 var ErrTooManyInformational = errors.New("too many informational responses")
 
--- a/core/pool/exchange.go
+++ b/core/pool/exchange.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -95,6 +96,12 @@
 	return nil
 }
 
+// Range of valid statuses.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // readFinalResponse reads informational responses and returns the final one.
 func (e *exchange) readFinalResponse() (*http.Response, error) {
 	waiting := e.bodyTransfer != nil && e.request.ExpectContinue
@@ -104,6 +111,8 @@
 			return nil, err
 		}
 		switch code := response.StatusCode; {
+		case code < minStatus || code > maxStatus:
+			return nil, ErrInvalidStatus
 		case code == http.StatusSwitchingProtocols:
 			return nil, ErrUpgrade
 		case code == http.StatusContinue:
@@ -192,6 +201,9 @@
 		return 0, io.EOF
 	}
 	n, err := b.inner.Read(p)
+	if err == io.EOF && isCloseDelimited(b.exchange.request.Method, b.response) && wasReset(b.exchange.conn.netConn) { //nolint:errorlint // as below
+		err = syscall.ECONNRESET
+	}
 	if err == io.EOF { //nolint:errorlint // only a bare io.EOF means a complete body
 		b.finish()
 		return n, io.EOF
--- a/entry/proxy/harness_test.go
+++ b/entry/proxy/harness_test.go
@@ -142,8 +142,10 @@
 }
 
 // serve starts an HTTP server for the proxy, which runs until the test ends.
-func (e *entry) serve(t testing.TB, h2c bool) {
-	server := httptest.NewUnstartedServer(e.proxy)
+func (e *entry) serve(t testing.TB, h2c bool) { e.serveHandler(t, h2c, e.proxy) }
+
+func (e *entry) serveHandler(t testing.TB, h2c bool, handler http.Handler) {
+	server := httptest.NewUnstartedServer(handler)
 	server.Config.Protocols = new(http.Protocols)
 	server.Config.Protocols.SetHTTP1(true)
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
