galenactl preview: what an entry would do with a request, without sending it

Cause: operators could see why a request went where it went only afterwards, in the log.

Change: a read-only endpoint /v1/preview at the admin address of an entry and the subcommand preview, as text and JSON: route, kind, workspace and what it may still send, admission, and each target with the terms of its cost, its share of the requests or the reason why it is passed over.

Ruled out: extending explain, which reads log lines; computing the costs apart from the choice, which would drift from it.

Measured: TestExplainAgreesWithChoice, 20,000 choices among 12 targets: the shares agree within 0.02, the terms add up, and the state is unchanged. TestPreview: command, entry and control together; four previews in a row leave the limit of the workspace as it was.

--- a/entry/daemon/admin.go
+++ b/entry/daemon/admin.go
@@ -36,6 +36,7 @@
 	})
 	r.Handle("/metrics", d.meter.Handler())
 	r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { serve.WriteJSON(w, http.StatusOK, d.status()) })
+	r.Get(PreviewPath, d.preview)
 	r.Get("/v1/targets", func(w http.ResponseWriter, _ *http.Request) { serve.WriteJSON(w, http.StatusOK, d.agent.Targets()) })
 	return r
 }
