Bodies that stop make room for new connections at the limit

Cause: at the limit of connections only idle ones were closed for new ones. Callers whose bodies had stopped kept out all others until the stall limit of 15 s.

Change: if no connection is idle, the one whose body has not gone on for longest is closed, after a second at least. Bodies that go on and requests without one are never closed for a new caller.

Ruled out: a shorter stall limit, which ordinary callers on slow links would meet without an attack.

--- a/bench/procs/hostile_test.go
+++ b/bench/procs/hostile_test.go
@@ -120,6 +120,40 @@
 	}
 }
 
+// http2Heads opens many streams whose heads have many fields but few bytes, since each
+// field is a reference to an earlier one, and ends none of them.
+func http2Heads(path string, streams, fields int) func(c net.Conn) error {
+	return func(c net.Conn) error {
+		if _, err := io.WriteString(c, http2.ClientPreface); err != nil {
+			return err
+		}
+		framer := http2.NewFramer(c, c)
+		if err := framer.WriteSettings(); err != nil {
+			return err
+		}
+		var head bytes.Buffer
+		encoder := hpack.NewEncoder(&head)
+		for stream := range streams {
+			head.Reset()
+			for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":authority", "h"}, {":path", path}} {
+				if err := encoder.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]}); err != nil {
+					return err
+				}
+			}
+			for range fields {
+				if err := encoder.WriteField(hpack.HeaderField{Name: "a", Value: "b"}); err != nil {
+					return err
+				}
+			}
+			err := framer.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(2*stream + 1), BlockFragment: head.Bytes(), EndHeaders: true})
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // awaitAnswer sends a request and waits until an answer begins, after which the
 // connection is idle.
 func awaitAnswer(request string) func(c net.Conn) error {
@@ -211,6 +245,9 @@
 		attack{"almost whole small upload", 400, write(body(upload, 60<<10, 60<<10-1))},
 		attack{"upload with short lines", 400, write(body(upload+shortLines(2200), 4<<20, 1000))},
 		attack{"upload over HTTP/2", 400, http2Body("/uploads/x", "", 4<<20, 200_000)},
+		attack{"streams with short lines", 20, http2Heads("/uploads/x", 90, 1200)},
+		attack{"more uploads than connections", 800, write(body(upload, 4<<20, 200_000))},
+		attack{"more small uploads than connections", 800, write(body(upload, 60<<10, 1000))},
 		attack{"order", 400, keyedBody(keyed, 1<<20, 200_000)},
 		attack{"announced order", 400, keyedBody(keyed, 1<<20, 1)},
 		attack{"almost whole order", 100, keyedBody(keyed, 1<<20, 1<<20-1)},
--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -69,7 +69,7 @@
 	CrossRegionBytes:    {"counter", "By", "direction", "Bytes exchanged with targets in other regions"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
 	Fsyncs:              {"counter", "{sync}", "", "Calls of fsync by a control replica"},
-	ClosedConnections:   {"counter", "{connection}", "reason", "Connections closed to protect other callers, by reason: memory (it held most), connections (idle for longest at the limit) or stall (a request body did not go on)"},
+	ClosedConnections:   {"counter", "{connection}", "reason", "Connections closed to protect other callers, by reason: memory (it held most), connections (at the limit, idle or with a stopped body for longest) or stall (a request body did not go on)"},
 	HeldBytes:           {"gauge", "By", "", "Estimated memory of connections of callers and the requests on them, 0 if the memory of the instance is not set"},
 	DroppedLogLines:     {"gauge", "{line}", "", "Lines left out of the log since the start"},
 	DroppedMessages:     {"counter", "{message}", "queue", "Messages dropped from full statistics queues"},
--- a/core/serve/conn.go
+++ b/core/serve/conn.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/galenalock/galenalock/core/budget"
 )
@@ -41,6 +43,7 @@
 	head      *budget.Charge // of the request head that is being read or served
 	unread    *budget.Charge // bytes that HTTP/2 has received and no handler has read
 	closeOnce sync.Once
+	progress  atomic.Int64 // nanoseconds since the start of the listener, of the last bytes of a request body
 
 	mu           sync.Mutex
 	receiving    bool // the next head is being read or awaited
@@ -170,9 +173,14 @@
 	return accepted
 }
 
+// bodyGrace is the time for which a request body must not have gone on before its
+// connection may be closed for a new one.
+const bodyGrace = time.Second
+
 // listener accepts connections up to a limit. At the limit it closes the one that has
 // awaited a request for longest, since callers that only stay connected would keep out
-// all others. If every connection has a request, it waits.
+// all others, or else the one whose request body has not gone on for longest. If there is
+// neither, it waits.
 type listener struct {
 	net.Listener
 	limit       int // 0: none
@@ -184,12 +192,14 @@
 	mu      sync.Mutex
 	changed sync.Cond // open, waiting or ended has changed
 	open    int
-	waiting list.List // of *conn, the one that has waited for longest first
+	waiting list.List     // of *conn, the one that has waited for longest first
+	bodies  map[*conn]int // number of unfinished request bodies
 	ended   bool
+	start   time.Time
 }
 
 func newListener(l net.Listener) *listener {
-	out := &listener{Listener: l}
+	out := &listener{Listener: l, bodies: map[*conn]int{}, start: time.Now()}
 	out.changed.L = &out.mu
 	return out
 }
@@ -219,19 +229,62 @@
 		return
 	}
 	l.mu.Lock()
-	for l.open >= l.limit && l.waiting.Len() == 0 && !l.ended {
-		l.changed.Wait()
-	}
 	var oldest *conn
-	if closeOldest && l.open >= l.limit && l.waiting.Len() > 0 {
-		oldest, _ = l.waiting.Front().Value.(*conn)
+	for l.open >= l.limit && !l.ended {
+		if oldest = l.oldest(); oldest != nil {
+			break
+		}
+		l.awaitChange()
 	}
 	l.mu.Unlock()
-	if oldest != nil {
+	if closeOldest && oldest != nil {
 		l.giveUp(oldest, ClosedForConnections)
 	}
 }
 
+// awaitChange returns when connections may have changed, or a body may have stopped. The
+// caller holds the lock.
+func (l *listener) awaitChange() {
+	if len(l.bodies) > 0 {
+		timer := time.AfterFunc(bodyGrace/4, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.changed.Signal()
+		})
+		defer timer.Stop()
+	}
+	l.changed.Wait()
+}
+
+// oldest returns the connection to close for a new one, or nil. The caller holds the lock.
+func (l *listener) oldest() *conn {
+	if first := l.waiting.Front(); first != nil {
+		c, _ := first.Value.(*conn)
+		return c
+	}
+	var out *conn
+	least := int64(time.Since(l.start) - bodyGrace)
+	for c := range l.bodies {
+		if at := c.progress.Load(); at <= least {
+			out, least = c, at
+		}
+	}
+	return out
+}
+
+// addBody adds 1 or -1 to the unfinished request bodies of a connection.
+func (l *listener) addBody(c *conn, n int) {
+	c.recordProgress()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bodies[c] += n; l.bodies[c] <= 0 {
+		delete(l.bodies, c)
+	}
+	l.changed.Signal()
+}
+
+func (c *conn) recordProgress() { c.progress.Store(int64(time.Since(c.listener.start))) }
+
 func (l *listener) giveUp(c *conn, reason string) {
 	err := c.Close()
 	c.mu.Lock()
@@ -263,6 +316,7 @@
 	l.setWaiting(c, false)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.bodies, c)
 	l.open--
 	l.changed.Signal()
 }
--- a/core/serve/conn_test.go
+++ b/core/serve/conn_test.go
@@ -79,6 +79,55 @@
 	is.Equal(<-status, 200)
 }
 
+// Guards against bodies that stop and keep out all other callers, and against one that
+// goes on, or a request without one, that is closed for a new caller.
+func TestStoppedBodyIsClosedAtTheLimit(t *testing.T) {
+	is := is.New(t)
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	read := make(chan struct{}, 64)
+	limits := serve.DefaultLimits()
+	limits.MaxConnections = 3
+	_, addr, _ := start(t, serve.WithLimits(limits), serve.WithHandler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/block" {
+			entered <- struct{}{}
+			<-proceed
+			return
+		}
+		for b := make([]byte, 1); ; read <- struct{}{} {
+			if _, err := r.Body.Read(b); err != nil {
+				return
+			}
+		}
+	})))
+	busy, slow, stopped := dialRaw(t, addr), dialRaw(t, addr), dialRaw(t, addr)
+	status := make(chan int, 1)
+	go func() { status <- busy.exchange(block) }()
+	<-entered
+	for _, c := range []*rawConn{stopped, slow} {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 64\r\n\r\nx")
+		is.NoErr(err)
+		<-read
+	}
+	newcomer := make(chan int, 1)
+	go func() { newcomer <- dialRaw(t, addr).exchange(get) }()
+	sent := 1
+	for served := false; !served; sent++ {
+		select {
+		case s := <-newcomer:
+			is.Equal(s, 200)
+			served = true
+		case <-time.After(100 * time.Millisecond):
+			_, err := io.WriteString(slow, "x")
+			is.NoErr(err)
+			<-read
+		}
+	}
+	is.Equal(stopped.exchange("x"), 0)
+	is.Equal(slow.exchange(strings.Repeat("x", 64-sent+1)), 200)
+	close(proceed)
+	is.Equal(<-status, 200)
+}
+
 // Guards against a body that stops and holds its request, and against a slow one that is
 // taken for such a body.
 func TestStalledBodyIsClosed(t *testing.T) {
--- a/core/serve/guard.go
+++ b/core/serve/guard.go
@@ -43,6 +43,8 @@
 		r = r.WithContext(ctx)
 		if r.Body != nil && r.Body != http.NoBody {
 			body := &guardedBody{ReadCloser: r.Body, conn: c, charge: charge, byteCost: s.bodyByteCost}
+			c.listener.addBody(c, 1)
+			defer body.finish()
 			if s.limits.StallTimeout > 0 {
 				body.interval = s.limits.StallTimeout / stallChecks
 				body.stallTimer = time.AfterFunc(body.interval, body.checkStall)
@@ -81,6 +83,7 @@
 	interval   time.Duration
 
 	mu      sync.Mutex
+	ended   bool // read to its end, or the request has ended
 	reading bool // a read waits for the caller
 	checks  int  // that this read has outlasted
 }
@@ -126,11 +129,24 @@
 	b.setReading(true)
 	n, err := b.ReadCloser.Read(p)
 	b.setReading(false)
-	if n > 0 && b.conn.holder != nil {
+	if n > 0 {
+		b.conn.recordProgress()
 		b.conn.bodyRead(n)
-		if b.byteCost > 0 {
-			b.charge.Add(int64(n) * b.byteCost)
-		}
+		b.charge.Add(int64(n) * b.byteCost)
+	}
+	if err != nil {
+		b.finish()
 	}
 	return n, err
 }
+
+// finish records that nothing more of the body is awaited.
+func (b *guardedBody) finish() {
+	b.mu.Lock()
+	ended := b.ended
+	b.ended = true
+	b.mu.Unlock()
+	if !ended {
+		b.conn.listener.addBody(b.conn, -1)
+	}
+}
--- a/core/serve/limits.go
+++ b/core/serve/limits.go
@@ -8,7 +8,7 @@
 	MaxRequestHeaderBytes int           // size of a request header
 	HeaderTimeout         time.Duration // time to read a request header; HTTP/1 only
 	IdleConnTimeout       time.Duration // time until an idle connection is closed
-	MaxConnections        int           // open connections, 0: no limit; at the limit the one that was idle for longest is closed
+	MaxConnections        int           // open connections, 0: no limit; at the limit one that is idle or whose body has stopped is closed
 	StallTimeout          time.Duration // time for which the rest of a request body may not go on, 0: no limit
 }
 
