--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -36,6 +36,8 @@
 	Fsyncs              Name = "syncs"
 	DroppedMessages     Name = "dropped"
 	DroppedLogLines     Name = "linesout"
+	ClosedConnections   Name = "closures"
+	HeldBytes           Name = "held"
 )
 
 // Metric describes one metric.
@@ -75,6 +77,8 @@
 	Connections:         {"counter", "{attempt}", "use", "Attempts that ended with a complete response, by connection: opened or reused"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
 	Fsyncs:              {"counter", "{sync}", "", "Calls of fsync by a control replica"},
+	ClosedConnections:   {"counter", "{connection}", "reason", "Connections closed to protect other callers, by reason: memory (it held most), connections (at the limit, idle or with a stopped body for longest) or stall (a request body did not go on)"},
+	HeldBytes:           {"gauge", "By", "", "Estimated memory of connections of callers and the requests on them, 0 if the memory of the instance is not set"},
 	DroppedLogLines:     {"gauge", "{line}", "", "Lines left out of the log since the start"},
 	DroppedMessages:     {"counter", "{message}", "queue", "Messages dropped from full statistics queues"},
 }
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -143,25 +143,40 @@
 // gumbel maps a draw to the standard Gumbel distribution.
 func gumbel(draw uint64) float64 { return -math.Log(-math.Log(uniform(draw))) }
 
+// terms are the parts of an expected cost, in multiples of the typical latency.
+type terms struct {
+	busy float64 // latency at the present load
+	far  float64 // distance
+	risk float64 // failure
+}
+
+func (t terms) sum() float64 { return t.busy + t.far + t.risk }
+
 // expectedCost returns the expected cost of the endpoint in the given tier. It
 // is infinite if the endpoint cannot take the request.
 func (m *member) expectedCost(q *costQuery, tierIndex int) float64 {
-	e := m.endpoint
-	if !e.available(q.now) || slices.Contains(q.req.Exclude, e.address) {
+	if e := m.endpoint; !e.available(q.now) || slices.Contains(q.req.Exclude, e.address) {
 		return math.Inf(1)
 	}
+	return m.costTerms(q, tierIndex).sum()
+}
+
+// costTerms returns the terms of the expected cost of an endpoint that can take the
+// request.
+func (m *member) costTerms(q *costQuery, tierIndex int) (out terms) {
+	e := m.endpoint
 	load, slots := e.expectedLoad(q, m.slots)
 	utilization := (load + 1) / slots
-	cost := e.latencyRatio(q.typicalLatency)*(1+utilization)*max(1, utilization)/m.weight +
-		e.distanceCost(q.typicalLatency, q.nearRoundTrip, tierIndex, &q.req)
+	out.busy = e.latencyRatio(q.typicalLatency) * (1 + utilization) * max(1, utilization) / m.weight
+	out.far = e.distanceCost(q.typicalLatency, q.nearRoundTrip, tierIndex, &q.req)
 	if e.suspicion != nil {
 		failureCost := float64(costRetry)
 		if q.req.NonRepeatable {
 			failureCost = costFailedOnce
 		}
-		cost += failureCost * e.suspicion.Risk(q.now)
+		out.risk = failureCost * e.suspicion.Risk(q.now)
 	}
-	return cost
+	return out
 }
 
 // latencyRatio returns the latency of the endpoint in multiples of the typical
--- a/entry/agent/admission_test.go
+++ b/entry/agent/admission_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
-	"net/netip"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -22,7 +22,7 @@
 	is := is.New(t)
 	text := string(serviceText(1)) + "[[workspace]]\nname = \"w\"\nservices = [\"s0\"]\npriority = 0\n"
 	r := startFakeReplica(t, &fakeReplica{text: []byte(text), number: 1})
-	a := startAgent(t, r.addr)
+	a := startAgentWith(t, agent.Settings{Control: []netip.AddrPort{r.addr}, Pace: true})
 	waitUntil(t, "ready", func() bool { return a.View().Ready })
 	is.Equal(announce(t, a, renewal("s0", 0)), http.StatusOK)
 	waitUntil(t, "the target is picked", func() bool { return len(picksByAddress(a, "s0")) == 1 })
--- a/entry/agent/volumes.go
+++ b/entry/agent/volumes.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/galenalock/galenalock/core/route"
+	"github.com/galenalock/galenalock/core/spec"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
 
@@ -43,11 +44,11 @@
 	}
 }
 
-// routeRequest describes a request to the router.
-func (a *Agent) routeRequest(u *upstream, r proxy.Request, exclude []netip.AddrPort) route.Request {
-	out := route.Request{NonRepeatable: !r.Kind.Repeatable, LargeBody: r.Kind.Upload, Exclude: exclude}
+// routeRequest describes a request of a kind to the router.
+func (a *Agent) routeRequest(u *upstream, k *spec.Kind, exclude []netip.AddrPort) route.Request {
+	out := route.Request{NonRepeatable: !k.Repeatable, LargeBody: k.Upload, Exclude: exclude}
 	if a.settings.Near {
-		out.Bytes = u.volumes.of(r.Kind.Name).Mean()
+		out.Bytes = u.volumes.of(k.Name).Mean()
 	}
 	return out
 }
--- a/entry/daemon/counts.go
+++ b/entry/daemon/counts.go
@@ -23,6 +23,7 @@
 	tokens           *meter.Counter
 	nearbyBytes      *meter.Counter
 	connections      *meter.Counter
+	closures         *meter.Counter
 }
 
 func newCounters(m *meter.Meter) (*counters, error) {
@@ -38,6 +39,7 @@
 		{meter.TargetPauses, &c.pauses}, {meter.Admissions, &c.admissions},
 		{meter.WorkspaceTokens, &c.tokens},
 		{meter.NearbyBytes, &c.nearbyBytes}, {meter.Connections, &c.connections},
+		{meter.ClosedConnections, &c.closures},
 	} {
 		counter, err := m.Counter(metric.name)
 		if err != nil {
@@ -84,3 +86,5 @@
 func (c *counters) addRelay(result string) { c.relays.Add(1, result) }
 
 func (c *counters) addCrash() { c.targetCrashes.Add(1, "") }
+
+func (c *counters) addClosure(reason string) { c.closures.Add(1, reason) }
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -45,6 +45,8 @@
 	Quarantine  time.Duration
 	Revoke      time.Duration
 	Connections int
+	Memory      int
+	Stall       time.Duration
 	Body        int
 	Cert        string
 	Key         string
@@ -76,7 +78,9 @@
 	maxWait            = time.Minute
 	defaultConnections = 20000
 	maxConnections     = 1 << 20
-	defaultBody        = 1024 // MiB
+	defaultStall       = 15 * time.Second
+	maxMemory          = 1 << 20 // MiB
+	defaultBody        = 1024    // MiB
 	maxBody            = 1 << 20
 	defaultLinks       = 3 // one more than the replicas that a control group of five may lose
 	maxLinks           = 16
@@ -119,6 +123,8 @@
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
 	t.Float("retry.slack", &s.RetrySlack, 0, 0, maxRetrySlack, "attempts", "with a window, further attempts of all entries beyond the share")
 	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections of callers")
+	t.Duration("stall", &s.Stall, defaultStall, 0, maxLimit, "time for which the rest of a request body may not go on before its connection is closed; 0: no limit")
+	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, for a process that is alone on it; the garbage collector keeps its heap below 0.7 of it, and half of it is for connections of callers and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
 	t.Int("body", &s.Body, defaultBody, 1, maxBody, "MiB", "largest request body")
 	t.Text("tls.cert", &s.Cert, "", "certificate file for links between instances; empty: no TLS")
 	t.Text("tls.key", &s.Key, "", "key file of the certificate")
