--- a/core/limit/load_test.go
+++ b/core/limit/load_test.go
@@ -54,9 +54,9 @@
 
 // customers are the requests of a fleet with three kinds, a fifth of its size.
 var customers = []class{
-	{name: "lodge", rank: 0, rate: 42, work: 260 * time.Millisecond, goal: 800 * time.Millisecond, wait: 2 * time.Second, limit: 1200 * time.Millisecond, inTime: 6.1, late: 0.74},
-	{name: "tally", rank: 1, rate: 58, work: 370 * time.Millisecond, goal: 1500 * time.Millisecond, wait: 3 * time.Second, limit: 2 * time.Second, inTime: 1.1, late: 0.32},
-	{name: "sign", rank: 2, rate: 148, work: 480 * time.Millisecond, goal: 3 * time.Second, wait: 4 * time.Second, limit: 2500 * time.Millisecond, inTime: 1.1, late: 0.49},
+	{name: "order", rank: 0, rate: 42, work: 260 * time.Millisecond, goal: 800 * time.Millisecond, wait: 2 * time.Second, limit: 1200 * time.Millisecond, inTime: 6.1, late: 0.74},
+	{name: "lookup", rank: 1, rate: 58, work: 370 * time.Millisecond, goal: 1500 * time.Millisecond, wait: 3 * time.Second, limit: 2 * time.Second, inTime: 1.1, late: 0.32},
+	{name: "note", rank: 2, rate: 148, work: 480 * time.Millisecond, goal: 3 * time.Second, wait: 4 * time.Second, limit: 2500 * time.Millisecond, inTime: 1.1, late: 0.49},
 }
 
 // burst returns the customers with a factor on the rate of each class.
@@ -68,7 +68,7 @@
 	return out
 }
 
-// workspaces returns the customers and one more workspace with requests like sign, of
+// workspaces returns the customers and one more workspace with requests like note, of
 // which it sends 7.5 times as many in the overload.
 func workspaces() []class {
 	one := customers[2]
@@ -399,7 +399,7 @@
 		is.Equal(paced.String(), naive.String())
 	}
 	if l.wantUrgent {
-		is.True(paced.served("lodge") > naive.served("lodge"))
+		is.True(paced.served("order") > naive.served("order"))
 	}
 	if l.wantWorth {
 		is.True(paced.worth() > naive.worth())
