Requests of limited workspaces wait for longer while control does not answer

A request waited at most 0.3 s, and not at all once control had been silent for a second. It now waits for 0.6 of what its goal or its deadline leaves, as long as control is silent; an empty bucket is refused at once as before.

--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -37,8 +37,8 @@
 	// workspace that had none. If each entry waited for as long as its callers, no
 	// one might ask for the tokens that accrue meanwhile.
 	probeInterval = 100 * time.Millisecond
-	// lostTime is the time without an answer after which requests do not wait for one.
-	lostTime = time.Second
+	// lostTime is the time without an answer after which requests wait for longer.
+	lostTime = 100 * time.Millisecond
 	// unknownRetry is the time after which a caller may come back if the limit could
 	// not be checked.
 	unknownRetry = 300 * time.Millisecond
@@ -75,9 +75,15 @@
 	holdings []*holding // of each demand
 }
 
-// Take takes a token for a request, which may wait for it until the deadline. Without
-// a limit the token is the zero Token. A waiter is returned if the request has to wait.
-func (s *Stock) Take(now, deadline time.Duration, workspace string) (Result, *Waiter) {
+// Deadlines limit how long a request waits for a token.
+type Deadlines struct {
+	Answered time.Duration // while control answers
+	Silent   time.Duration // while it does not, so that nobody knows whether there is a token
+}
+
+// Take takes a token for a request, which may wait for it. Without a limit the token is
+// the zero Token. A waiter is returned if the request has to wait.
+func (s *Stock) Take(now time.Duration, until Deadlines, workspace string) (Result, *Waiter) {
 	entry := s.directory.byName[workspace]
 	if entry.limit.Rate <= 0 {
 		return Result{Outcome: Taken}, nil
@@ -98,10 +104,10 @@
 	if t, ok := s.takePromised(now, h); ok {
 		return Result{Outcome: Taken, Token: t}, nil
 	}
-	switch {
-	case s.asking > 0 && now-s.asking > lostTime && now-s.sent < lostTime:
-		return Result{Outcome: Unknown, Retry: unknownRetry}, nil
-	case now < h.askAgain && h.moreAt > deadline:
+	deadline := until.Answered
+	if s.contact == 0 || s.Silence(now) > lostTime {
+		deadline = until.Silent
+	} else if now < h.askAgain && h.moreAt > deadline {
 		return Result{Outcome: Empty, Retry: h.moreAt - now}, nil
 	}
 	w := &Waiter{Deadline: deadline, Wake: make(chan Result, 1), holding: h}
@@ -143,7 +149,7 @@
 // Renew returns a token for a request whose token has expired before it was sent. It
 // does not wait.
 func (s *Stock) Renew(now time.Duration, t Token) Result {
-	r, w := s.Take(now, now, t.workspace)
+	r, w := s.Take(now, Deadlines{Answered: now, Silent: now}, t.workspace)
 	if w == nil {
 		return r
 	}
--- a/core/bucket/stock_test.go
+++ b/core/bucket/stock_test.go
@@ -20,6 +20,8 @@
 	return answer.List[0]
 }
 
+func untilBoth(d time.Duration) bucket.Deadlines { return bucket.Deadlines{Answered: d, Silent: d} }
+
 // Guards against a token that is used after a suspension, a return that is counted
 // twice or late, and a refusal at the gate of a workspace that has a token.
 func TestTokenOfOneRequest(t *testing.T) {
@@ -34,7 +36,7 @@
 		s.Receive(now, q, serve(allocator, now, q.Body, directory))
 	}
 	take := func() bucket.Token {
-		_, waiter := s.Take(now, now+time.Second, "a")
+		_, waiter := s.Take(now, untilBoth(now+time.Second), "a")
 		ask()
 		is.Equal(waiter.Result.Outcome, bucket.Taken)
 		return waiter.Result.Token
@@ -46,7 +48,7 @@
 	s.Return(now, first)
 	_, empty := s.Peek(now, now, "a")
 	is.True(!empty)
-	r, _ := s.Take(now, now, "a")
+	r, _ := s.Take(now, untilBoth(now), "a")
 	is.Equal(r.Outcome, bucket.Taken) // the returned token
 	s.Return(now, r.Token)
 	now += 300 * time.Millisecond
@@ -75,7 +77,7 @@
 	other := bucket.NewDirectory([]bucket.Workspace{{Name: "b", Limit: limit}})
 	allocator := bucket.NewAllocator(0, 1)
 	for _, now := range []time.Duration{100 * time.Millisecond, time.Minute} {
-		_, waiter := s.Take(now, now+50*time.Millisecond, "a")
+		_, waiter := s.Take(now, untilBoth(now+50*time.Millisecond), "a")
 		q, _ := s.Step(now)
 		answer := serve(allocator, now, q.Body, other)
 		is.Equal(answer.Pending, now < bucket.OfficeDelay)
--- a/entry/agent/admit.go
+++ b/entry/agent/admit.go
@@ -16,6 +16,10 @@
 	tokenWaitShare = 1.0 / 8
 	minTokenWait   = 100 * time.Millisecond
 	maxTokenWait   = 300 * time.Millisecond
+	// silentWaitShare is the share of the latency goal for which a request waits while
+	// control elects a leader, which takes one to two seconds: many requests are then
+	// answered in time that would be refused.
+	silentWaitShare = 0.6
 	// minTokenRetry keeps callers from coming back before a question could be answered.
 	minTokenRetry = 20 * time.Millisecond
 )
@@ -65,6 +69,12 @@
 	return min(maxTokenWait, max(minTokenWait, time.Duration(tokenWaitShare*float64(r.Kind.LatencyGoal))))
 }
 
+// silentWait returns how long a request waits while control does not answer.
+func silentWait(r proxy.Request, now time.Time) time.Duration {
+	left := min(r.Kind.LatencyGoal, r.Deadline.Sub(now))
+	return max(tokenWait(r), time.Duration(silentWaitShare*float64(left)))
+}
+
 func (a *Agent) tokenRefusal(r bucket.Result) error {
 	if r.Outcome == bucket.Empty {
 		a.hooks.CountToken(tokenEmpty)
@@ -80,7 +90,7 @@
 	if !hasOwnRate(r) || a.usesShares() {
 		return admitted, nil
 	}
-	result := a.tokens.take(ctx, r.Workspace, tokenWait(r))
+	result := a.tokens.take(ctx, r.Workspace, tokenWait(r), silentWait(r, time.Now()))
 	if err := a.tokenError(ctx, r, result); err != nil {
 		admitted.Release(false)
 		return proxy.Admission{}, err
--- a/entry/agent/tokens.go
+++ b/entry/agent/tokens.go
@@ -180,11 +180,12 @@
 	t.log.Info("tokens from control again")
 }
 
-// take takes a token and waits for it if needed.
-func (t *tokens) take(ctx context.Context, workspace string, wait time.Duration) bucket.Result {
+// take takes a token and waits for it if needed, for another time while control does not
+// answer.
+func (t *tokens) take(ctx context.Context, workspace string, answered, silent time.Duration) bucket.Result {
 	t.mu.Lock()
 	now := boot.Now()
-	r, w := t.stock.Take(now, now+wait, workspace)
+	r, w := t.stock.Take(now, bucket.Deadlines{Answered: now + answered, Silent: now + silent}, workspace)
 	urgent := w != nil || t.stock.Urgent()
 	t.mu.Unlock()
 	if urgent {
