--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -130,6 +130,14 @@
 	return h.moreAt - now, true
 }
 
+// Held returns the number of tokens of a workspace in the stock.
+func (s *Stock) Held(now time.Duration, workspace string) int {
+	if h := s.holdings[workspace]; h != nil {
+		return h.count(now)
+	}
+	return 0
+}
+
 // Return takes back the token of a request that reached no target.
 func (s *Stock) Return(now time.Duration, t Token) []*Waiter {
 	h := s.holdings[t.workspace]
--- a/entry/agent/preview.go
+++ b/entry/agent/preview.go
@@ -38,7 +38,9 @@
 	Name  string  `json:"name"`
 	Rate  float64 `json:"rate"` // requests a second in the whole fleet, 0: no limit
 	Burst float64 `json:"burst"`
-	Left  float64 `json:"left"` // requests that this entry may send at once; without meaning if rate is 0
+	// Left is the number of requests that this entry may send at once. It asks control
+	// for more tokens if its targets come from there. Without meaning if Rate is 0.
+	Left float64 `json:"left"`
 }
 
 // ServicePreview is a service that may run the request.
@@ -109,7 +111,7 @@
 	switch {
 	case workspace != nil:
 		out.Workspace = &WorkspacePreview{
-			Name: workspace.Name, Rate: workspace.RateLimit, Burst: workspace.Burst, Left: a.rates.left(q.Workspace),
+			Name: workspace.Name, Rate: workspace.RateLimit, Burst: workspace.Burst, Left: a.rateLeft(q.Workspace),
 		}
 	case q.Workspace != "":
 		out.Refusal = string(refuse.NoWorkspace)
@@ -184,6 +186,14 @@
 	return out
 }
 
+// rateLeft returns the requests that a workspace may send at once through this entry.
+func (a *Agent) rateLeft(workspace string) float64 {
+	if a.usesShares() {
+		return a.rates.left(workspace)
+	}
+	return float64(a.tokens.held(workspace))
+}
+
 // left returns the requests that a workspace may send at once through this entry. It
 // takes none of them.
 func (r *rates) left(workspace string) float64 {
--- a/entry/agent/tokens.go
+++ b/entry/agent/tokens.go
@@ -217,6 +217,13 @@
 	return bucket.Result{Outcome: bucket.Empty, Retry: retry}, empty
 }
 
+// held returns the number of tokens of a workspace at this entry.
+func (t *tokens) held(workspace string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stock.Held(boot.Now(), workspace)
+}
+
 func (t *tokens) giveBack(token bucket.Token) {
 	t.mu.Lock()
 	decided := t.stock.Return(boot.Now(), token)
