--- a/control/tokens/server_test.go
+++ b/control/tokens/server_test.go
@@ -76,6 +76,10 @@
 	return r
 }
 
+// awaitIdle waits until the replicas no longer send batches on their own, and until
+// those that were sent have timed out: a bubble must not end with blocked goroutines.
+func awaitIdle() { <-time.After(time.Minute) }
+
 // question asks for tokens of workspace "a".
 func question(entry uint64, want int) wire.TokenRequest {
 	directory := bucket.NewDirectory([]bucket.Workspace{{Name: "a"}})
@@ -86,6 +90,7 @@
 // against one that grants them right after it was elected.
 func TestLeaderGrantsWithinItsLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer awaitIdle()
 		is := is.New(t)
 		r := newReplica(1, nil)
 		ask := func() (wire.TokenBatchAnswer, error) {
@@ -121,6 +126,7 @@
 // reach another entry.
 func TestQuestionsAreForwardedInBatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer awaitIdle()
 		is := is.New(t)
 		leader := newReplica(1, nil)
 		follower := newReplica(2, leader)
@@ -144,6 +150,7 @@
 // promised a rate, and against a replica that goes on for longer than the leader allows.
 func TestReplicaContinuesWithoutTheLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer awaitIdle()
 		is := is.New(t)
 		leader := newReplica(1, nil)
 		follower := newReplica(2, leader)
@@ -179,6 +186,7 @@
 // it got a text that it cannot parse.
 func TestLimitsFollowTheNewestText(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer awaitIdle()
 		is := is.New(t)
 		r := newReplica(1, nil)
 		<-time.After(10 * time.Second)
