Gate: no estimate and no pacer for each request while pacing is off

With pacing off, which is the default, each request still estimated the room and updated the shares of the ranks, whose results nothing used. Decisions are unchanged; the tests of core/limit, core/room and those of admission, tokens and preview in entry/agent pass. enqueue no longer returns an index that nobody read.

--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -136,16 +136,21 @@
 	if t.Deadline.Before(t.latestEnd) {
 		t.latestEnd = t.Deadline
 	}
-	e := g.room.At(now)
-	g.pacer.Arrive(now, &e, t.Rank)
-	if room.Limits(&e, g.held()) && g.pacing {
-		return g.acquirePaced(now, &e, t)
+	var e room.Estimate
+	if g.pacing {
+		e = g.room.At(now)
+		g.pacer.Arrive(now, &e, t.Rank)
+		if room.Limits(&e, g.held()) {
+			return g.acquirePaced(now, &e, t)
+		}
 	}
 	if len(g.queue) == 0 && float64(g.inflight) < g.limit {
 		if now.Add(t.slotTime / 2).After(t.Deadline) {
 			g.refuse(now, t, refuse.Deadline)
 		} else {
-			g.pacer.Take(now, &e, t.Rank, 0)
+			if g.pacing {
+				g.pacer.Take(now, &e, t.Rank, 0)
+			}
 			g.startRequest(now, t)
 		}
 		return t.Decision, nil
@@ -155,11 +160,10 @@
 	return t.Decision, without(decided, t)
 }
 
-func (g *Gate) enqueue(t *Ticket) int {
+func (g *Gate) enqueue(t *Ticket) {
 	// A request is placed behind those that it equals.
 	index, _ := slices.BinarySearchFunc(g.queue, t, func(a, b *Ticket) int { return cmp.Or(a.compare(b), -1) })
 	g.queue = slices.Insert(g.queue, index, t)
-	return index
 }
 
 // Release ends an admitted request and returns the tickets that were decided.
@@ -169,8 +173,10 @@
 	defer g.mu.Unlock()
 	g.inflight--
 	if answered {
-		e := g.room.At(now)
-		g.pacer.Answer(now, &e)
+		if g.pacing {
+			e := g.room.At(now)
+			g.pacer.Answer(now, &e)
+		}
 		// A target with more requests than slots queues them. That time depends on
 		// the load and not on the kind, and would make all kinds look alike.
 		latencyFactor := max(1, t.targetUse)
