--- /dev/null
+++ b/review/bed-2/cases.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// cases are the scripts by name. With trouble false, a script does the same without the
+// disruption.
+var cases = map[string]func(b *bed, trouble bool) error{
+	"foreign": playForeign,
+	"memory":  playMemory,
+	"prefix":  playPrefix,
+	"path":    playPath,
+}
+
+// playForeign lets two customers place an order with the same body and the same
+// Idempotency-Key. Their cookies tell the service who orders.
+func playForeign(b *bed, trouble bool) error {
+	ledger := &endpoint{id: "i-ledger", service: "ledgerroom"}
+	ledger.body = func(r *http.Request) string {
+		return "order of " + r.Header.Get("Cookie") + " recorded by request " + r.Header.Get("X-Request-Id")
+	}
+	order := request{method: http.MethodPost, host: "ledger.example", target: "/orders/new", body: "one crate"}
+	config := configuration(7, route{"orders", "ledger.example", "/orders/", "unsafe", "ledgerroom"})
+	if err := b.open(config, []*endpoint{ledger}, []request{order}); err != nil {
+		return err
+	}
+	for i, customers := range [][]string{{"anna", "bela"}, {"carl", "dora"}, {"emil", "fred"}} {
+		for j, customer := range customers {
+			r := order.withID(fmt.Sprintf("%s-%d", customer, i))
+			key := fmt.Sprintf("order-%d", i)
+			if !trouble {
+				key = fmt.Sprintf("order-%d-of-%s", i, customer)
+			}
+			r.headers = []string{"Cookie: customer=" + customer, "Idempotency-Key: " + key}
+			got := b.send(b.entries[j%len(b.entries)], r)
+			if got.status != http.StatusOK {
+				continue // a refusal breaks no rule here
+			}
+			if got.header.Get("X-Request-Id") != r.id || !strings.Contains(got.body, customer) {
+				b.breaks("MIXED: the client of request %s got the answer to request %s: %q; its own request ran %d times",
+					r.id, got.header.Get("X-Request-Id"), got.body, len(ledger.runsOf(r.id)))
+			}
+		}
+	}
+	return nil
+}
+
+// playPrefix sends requests whose paths no prefix but "/" begins, or none at all.
+func playPrefix(b *bed, trouble bool) error {
+	routes := []route{
+		{"orders", "almanac.example", "/orders/", "unsafe", "ledgerroom"},
+		{"pages", "almanac.example", "/", "unsafe", "tablehall"},
+		{"only", "ledger.example", "/orders/", "unsafe", "ledgerroom"},
+	}
+	endpoints := []*endpoint{{id: "i-ledger", service: "ledgerroom"}, {id: "i-table", service: "tablehall"}}
+	warmUp := []request{
+		{method: http.MethodPost, host: "almanac.example", target: "/orders/x"},
+		{method: http.MethodPost, host: "almanac.example", target: "/x"},
+	}
+	if err := b.open(configuration(7, routes...), endpoints, warmUp); err != nil {
+		return err
+	}
+	targets := []string{"/orders", "//orders/1", "/orders%2F1"}
+	if !trouble {
+		targets = []string{"/orders/", "/orders/1", "/order", "/orders-1"}
+	}
+	n := 0
+	for _, p := range b.entries {
+		for _, host := range []string{"almanac.example", "ledger.example"} {
+			for _, target := range targets {
+				n++
+				r := request{id: fmt.Sprintf("r-%d", n), method: http.MethodPost, host: host, target: target, body: "one crate"}
+				b.send(p, r)
+				allowed := serviceOf(routes, host, target)
+				for _, e := range endpoints {
+					if len(e.runsOf(r.id)) > 0 && e.service != allowed {
+						b.breaks("ROUTE: request %s, POST %s at %s, ran at %s; the configuration sends it to %q", r.id, target, host, e.service, allowed)
+					}
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// serviceOf returns the service of the route with the longest prefix that begins the
+// path, or an empty string.
+func serviceOf(routes []route, host, path string) string {
+	service, longest := "", -1
+	for _, r := range routes {
+		if r.host == host && strings.HasPrefix(path, r.prefix) && len(r.prefix) > longest {
+			service, longest = r.service, len(r.prefix)
+		}
+	}
+	return service
+}
+
+// playPath sends requests with a path that holds a vertical bar, as browsers send it.
+func playPath(b *bed, trouble bool) error {
+	table := &endpoint{id: "i-table", service: "tablehall"}
+	config := configuration(7,
+		route{"tables", "almanac.example", "/tables/", "safe", "tablehall"},
+		route{"orders", "almanac.example", "/orders/", "unsafe", "tablehall"})
+	warmUp := request{method: http.MethodGet, host: "almanac.example", target: "/tables/x"}
+	if err := b.open(config, []*endpoint{table}, []request{warmUp}); err != nil {
+		return err
+	}
+	targets := []string{"/tables/tide|sunrise", "/orders/co-op%2F17|crate", "/orders/a%2Fb?x=1|2"}
+	if !trouble {
+		targets = []string{"/tables/tide%7Csunrise", "/orders/co-op%2F17%7Ccrate", "/orders/a%2Fb?x=1|2"}
+	}
+	n := 0
+	for _, p := range b.entries {
+		for _, target := range targets {
+			n++
+			r := request{id: fmt.Sprintf("r-%d", n), method: http.MethodGet, host: "almanac.example", target: target}
+			if strings.HasPrefix(target, "/orders/") {
+				r.method = http.MethodPost
+			}
+			b.send(p, r)
+			for _, ran := range table.runsOf(r.id) {
+				if ran.target != target || ran.method != r.method {
+					b.breaks("UNASKED: the client sent %s %s as %s, the endpoint ran %s %s", r.method, target, r.id, ran.method, ran.target)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+const (
+	coreMemory   = 280  // MiB of a core machine on all sheets
+	topUpAnswer  = 5000 // bytes, the mean of card-topup in the site files; the largest have 30,000
+	topUps       = 16000
+	topUpClients = 12
+	topUpPause   = 18 * time.Millisecond // of a client after each request: at most 670 a second together
+	topUpTime    = 50 * time.Second
+	quietTime    = 15 * time.Second // after the last request of a client
+	restartDelay = 500 * time.Millisecond
+)
+
+// memoryWatch stands in for the platform: it kills a process that uses more memory than
+// its machine has, and starts it again.
+type memoryWatch struct {
+	mu   sync.Mutex
+	ends map[string]int
+	most map[string]int // MiB
+}
+
+// total returns how often processes have ended.
+func (w *memoryWatch) total() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, ends := range w.ends {
+		n += ends
+	}
+	return n
+}
+
+func (w *memoryWatch) run(b *bed, p *process, stop <-chan struct{}, stopped *sync.WaitGroup) {
+	defer stopped.Done()
+	const interval = 10 * time.Millisecond
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(interval):
+		}
+		peak := peakMemory(p)
+		w.mu.Lock()
+		w.most[p.name] = max(w.most[p.name], peak)
+		w.mu.Unlock()
+		ended := false
+		select {
+		case <-p.done:
+			ended = true
+			b.note("%s ended by itself", p.name)
+		default:
+		}
+		if peak <= coreMemory && !ended {
+			continue
+		}
+		if !ended {
+			b.note("%s has used %d MiB of %d MiB and is killed", p.name, peak, coreMemory)
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+		w.mu.Lock()
+		w.ends[p.name]++
+		w.mu.Unlock()
+		time.Sleep(restartDelay)
+		if err := b.start(p); err != nil {
+			b.note("%s not started: %v", p.name, err)
+			return
+		}
+	}
+}
+
+// peakMemory returns the largest resident memory of a process in MiB.
+func peakMemory(p *process) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, _ := strconv.Atoi(strings.Fields(value)[0])
+			return kib / 1024
+		}
+	}
+	return 0
+}
+
+// playMemory lets clients that nobody controls send many small unsafe requests, each with
+// an Idempotency-Key of its own.
+func playMemory(b *bed, trouble bool) error {
+	kiosk := &endpoint{id: "i-kiosk", service: "kiosk-core", quiet: true}
+	kiosk.body = func(*http.Request) string { return strings.Repeat("x", topUpAnswer) }
+	topUp := request{method: http.MethodPost, host: "kiosk.example", target: "/topup/card", body: "amount=5", quiet: true}
+	config := configuration(7, route{"topup", "kiosk.example", "/topup/", "unsafe", "kiosk-core"})
+	if err := b.open(config, []*endpoint{kiosk}, []request{topUp}); err != nil {
+		return err
+	}
+	watch := &memoryWatch{ends: map[string]int{}, most: map[string]int{}}
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	for _, p := range b.controls {
+		watching.Add(1)
+		go watch.run(b, p, stop, &watching)
+	}
+	var sending sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	until := time.Now().Add(topUpTime)
+	for c := range topUpClients {
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			for i := c; i < topUps && time.Now().Before(until) && watch.total() == 0; i += topUpClients {
+				r := topUp.withID(fmt.Sprintf("t-%d", i))
+				if trouble {
+					r.headers = []string{"Idempotency-Key: topup-" + r.id}
+				}
+				got := b.send(b.entries[i%len(b.entries)], r)
+				mu.Lock()
+				statuses[got.status]++
+				mu.Unlock()
+				time.Sleep(topUpPause)
+			}
+		}()
+	}
+	sending.Wait()
+	b.note("answers by status (0: none): %v; no client sends any more", statuses)
+	reads := map[int]int{}
+	for end := time.Now().Add(quietTime); time.Now().Before(end); time.Sleep(time.Second) {
+		for _, p := range b.controls {
+			status, _ := b.call(p, http.MethodGet, "/config", "")
+			reads[status]++
+		}
+	}
+	close(stop)
+	watching.Wait()
+	b.note("largest memory in MiB: %v; ends: %v; reads of the configuration by status (0: none): %v", watch.most, watch.ends, reads)
+	total := watch.total()
+	if total >= 3 && 2*len(watch.ends) >= len(b.controls) {
+		b.breaks("Fault: %d of %d core processes ended, %d times in all, since they used more than %d MiB (largest: %v)",
+			len(watch.ends), len(b.controls), total, coreMemory, watch.most)
+		if reads[http.StatusOK] == 0 {
+			b.note("the acknowledged configuration could not be read for %v", quietTime)
+		}
+	}
+	return nil
+}
