--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -155,6 +155,20 @@
 	return os.WriteFile(p.settings, []byte(filled), 0o600)
 }
 
+// frontMemory changes the memory of the machines of entries in their settings.
+func (b *bed) frontMemory(mb int) {
+	for _, p := range b.entries {
+		data, err := os.ReadFile(p.settings)
+		if err == nil {
+			text := strings.Replace(string(data), "memory = 284", fmt.Sprintf("memory = %d", mb), 1)
+			err = os.WriteFile(p.settings, []byte(text), 0o600)
+		}
+		if err != nil {
+			b.note("settings of %s: %v", p.name, err)
+		}
+	}
+}
+
 func regionOf(zone string) string { return strings.Split(zone, "-")[0] }
 
 // start starts a program with the command of the deploy file.
--- a/review/bed-2/cases.go
+++ b/review/bed-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -15,6 +16,7 @@
 var cases = map[string]func(b *bed, trouble bool) error{
 	"foreign": playForeign,
 	"memory":  playMemory,
+	"heads":   playHeads,
 	"prefix":  playPrefix,
 	"path":    playPath,
 }
@@ -149,6 +151,8 @@
 // memoryWatch stands in for the platform: it kills a process that uses more memory than
 // its machine has, and starts it again.
 type memoryWatch struct {
+	limit int // MiB
+
 	mu   sync.Mutex
 	ends map[string]int
 	most map[string]int // MiB
@@ -185,11 +189,11 @@
 			b.note("%s ended by itself", p.name)
 		default:
 		}
-		if peak <= coreMemory && !ended {
+		if peak <= w.limit && !ended {
 			continue
 		}
 		if !ended {
-			b.note("%s has used %d MiB of %d MiB and is killed", p.name, peak, coreMemory)
+			b.note("%s has used %d MiB of %d MiB and is killed", p.name, peak, w.limit)
 			_ = p.cmd.Process.Kill()
 			<-p.done
 		}
@@ -229,7 +233,7 @@
 	if err := b.open(config, []*endpoint{kiosk}, []request{topUp}); err != nil {
 		return err
 	}
-	watch := &memoryWatch{ends: map[string]int{}, most: map[string]int{}}
+	watch := &memoryWatch{limit: coreMemory, ends: map[string]int{}, most: map[string]int{}}
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
 	for _, p := range b.controls {
@@ -279,3 +283,122 @@
 	}
 	return nil
 }
+
+const (
+	frontMemory  = 184  // MiB of a front machine on the sheets of the grown, large and demanding deployments
+	crowd        = 2900 // connections; the settings allow 3,000
+	headFields   = 1400 // lines of a head that does not end
+	waves        = 3    // a crowd comes again when its connections are gone
+	waveTime     = 12 * time.Second
+	crowdDialers = 50
+)
+
+// unfinishedHead returns the start of a request whose head does not end: with http2 a
+// block of fields without the flag that ends it, otherwise lines without an empty one.
+func unfinishedHead(http2 bool) []byte {
+	if !http2 {
+		return []byte("GET /topup/card HTTP/1.1\r\nHost: kiosk.example\r\n" + strings.Repeat("a:b\r\n", headFields))
+	}
+	const (
+		headers      = 1
+		settings     = 4
+		getMethod    = 0x82
+		rootPath     = 0x84
+		schemeHTTP   = 0x86
+		emptyCookies = 0x80 | 32 // the field cookie of the static table, which has no value
+	)
+	frame := func(kind byte, stream byte, payload []byte) []byte {
+		n := len(payload)
+		return append([]byte{byte(n >> 16), byte(n >> 8), byte(n), kind, 0, 0, 0, 0, stream}, payload...)
+	}
+	block := []byte{getMethod, rootPath, schemeHTTP}
+	for range headFields {
+		block = append(block, emptyCookies)
+	}
+	out := append([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"), frame(settings, 0, nil)...)
+	return append(out, frame(headers, 1, block)...)
+}
+
+// playHeads lets a crowd of clients open connections to an entry and send heads without
+// end on them, in HTTP/2. Without the disruption they do it in HTTP/1.1.
+func playHeads(b *bed, trouble bool) error {
+	kiosk := &endpoint{id: "i-kiosk", service: "kiosk-core"}
+	topUp := request{method: http.MethodPost, host: "kiosk.example", target: "/topup/card", body: "amount=5"}
+	config := configuration(7, route{"topup", "kiosk.example", "/topup/", "unsafe", "kiosk-core"})
+	b.frontMemory(frontMemory)
+	if err := b.open(config, []*endpoint{kiosk}, []request{topUp}); err != nil {
+		return err
+	}
+	watch := &memoryWatch{limit: frontMemory, ends: map[string]int{}, most: map[string]int{}}
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	for _, p := range b.entries {
+		watching.Add(1)
+		go watch.run(b, p, stop, &watching)
+	}
+	head := unfinishedHead(trouble)
+	var err error
+	for _, p := range b.entries {
+		for wave := 0; wave < waves && err == nil; wave++ {
+			err = b.sendCrowd(p, head, watch)
+		}
+	}
+	close(stop)
+	watching.Wait()
+	if err != nil {
+		return err
+	}
+	b.note("largest memory in MiB: %v; ends: %v", watch.most, watch.ends)
+	if total := watch.total(); total >= 3 && len(watch.ends) >= 2 {
+		b.breaks("Fault: %d of %d front processes ended, %d times in all, since they used more than %d MiB (largest: %v)",
+			len(watch.ends), len(b.entries), total, frontMemory, watch.most)
+	}
+	return nil
+}
+
+// sendCrowd opens the connections of a crowd, sends the same bytes on each, and closes
+// them when the process has ended or the time of a wave is over.
+func (b *bed) sendCrowd(p *process, head []byte, watch *memoryWatch) error {
+	before := watch.total()
+	var mu sync.Mutex
+	var conns []net.Conn
+	var failed error
+	var dialing sync.WaitGroup
+	for d := range crowdDialers {
+		dialing.Add(1)
+		go func() {
+			defer dialing.Done()
+			for i := d; i < crowd && watch.total() == before; i += crowdDialers {
+				c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", p.ip, b.ports.front), time.Second)
+				mu.Lock()
+				if err == nil {
+					conns = append(conns, c)
+				} else {
+					failed = err
+				}
+				mu.Unlock()
+				if err == nil {
+					_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+					_, _ = c.Write(head) // the entry may have closed the connection
+				}
+			}
+		}()
+	}
+	dialing.Wait()
+	b.note("%d connections to %s, %d bytes sent on each; last failure: %v", len(conns), p.name, len(head), failed)
+	for end := time.Now().Add(waveTime); time.Now().Before(end) && watch.total() == before; {
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	if watch.total() == before && len(conns) < crowd/2 {
+		return fmt.Errorf("only %d connections could be opened: %v", len(conns), failed)
+	}
+	for end := time.Now().Add(setupTime); !b.isReady(p); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s is not ready again", p.name)
+		}
+	}
+	return nil
+}
