--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -24,6 +24,12 @@
 	exitNotRun = 2
 )
 
+// Contracts of thorsby-tides, and those of haneul-vend-grown.
+const (
+	smallContracts = "base,drain,config,cost,retry,recover,health"
+	poolContracts  = smallContracts + ",pool"
+)
+
 const (
 	replicas  = 3
 	entries   = 2
@@ -45,11 +51,12 @@
 
 // bed is a small deployment.
 type bed struct {
-	dir      string
-	net      string // first two octets of all addresses
-	ports    ports
-	controls []*process
-	entries  []*process
+	dir       string
+	net       string // first two octets of all addresses
+	ports     ports
+	contracts string // of the deployment, as in its site file
+	controls  []*process
+	entries   []*process
 
 	mu      sync.Mutex
 	record  *os.File
@@ -67,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bed{dir: dir, record: record, started: time.Now(), net: fmt.Sprintf("127.%d", 1+os.Getpid()%250)}
+	b := &bed{dir: dir, record: record, started: time.Now(), contracts: smallContracts, net: fmt.Sprintf("127.%d", 1+os.Getpid()%250)}
 	var addresses []string
 	for i := range replicas {
 		addresses = append(addresses, b.ip(2, i))
@@ -155,18 +162,16 @@
 	return os.WriteFile(p.settings, []byte(filled), 0o600)
 }
 
-// frontMemory changes the memory of the machines of entries in their settings.
-func (b *bed) frontMemory(mb int) {
-	for _, p := range b.entries {
-		data, err := os.ReadFile(p.settings)
-		if err == nil {
-			text := strings.Replace(string(data), "memory = 284", fmt.Sprintf("memory = %d", mb), 1)
-			err = os.WriteFile(p.settings, []byte(text), 0o600)
-		}
-		if err != nil {
-			b.note("settings of %s: %v", p.name, err)
-		}
+// replaceSetting changes the settings of a process for its next start.
+func replaceSetting(p *process, before, after string) error {
+	data, err := os.ReadFile(p.settings)
+	if err != nil {
+		return err
+	}
+	if !strings.Contains(string(data), before) {
+		return fmt.Errorf("the settings of %s lack %q", p.name, before)
 	}
+	return os.WriteFile(p.settings, []byte(strings.Replace(string(data), before, after, 1)), 0o600)
 }
 
 func regionOf(zone string) string { return strings.Split(zone, "-")[0] }
@@ -179,7 +184,7 @@
 	}
 	p.cmd = exec.Command(filepath.Join("target", p.role), "--settings", p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
-	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GALENALOCK_TERMS=base,drain,config,cost,retry,recover,health"}
+	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GALENALOCK_TERMS=" + b.contracts}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return err
@@ -265,6 +270,11 @@
 		return fmt.Errorf("the configuration was not acknowledged")
 	}
 	b.note("configuration acknowledged: %s", config)
+	for _, p := range b.controls { // only the first start is the first one of the system
+		if err := replaceSetting(p, "found = true", "found = false"); err != nil {
+			return err
+		}
+	}
 	for _, e := range endpoints {
 		if err := e.listen(b); err != nil {
 			return err
--- a/review/bed-2/cases.go
+++ b/review/bed-2/cases.go
@@ -197,6 +197,7 @@
 	kiosk.body = func(*http.Request) string { return strings.Repeat("x", topUpAnswer) }
 	topUp := request{method: http.MethodPost, host: "kiosk.example", target: "/topup/card", body: "amount=5", quiet: true}
 	config := configuration(7, route{"topup", "kiosk.example", "/topup/", "unsafe", "kiosk-core"})
+	b.contracts = poolContracts
 	if err := b.open(config, []*endpoint{kiosk}, []request{topUp}); err != nil {
 		return err
 	}
@@ -292,7 +293,12 @@
 	kiosk := &endpoint{id: "i-kiosk", service: "kiosk-core"}
 	topUp := request{method: http.MethodPost, host: "kiosk.example", target: "/topup/card", body: "amount=5"}
 	config := configuration(7, route{"topup", "kiosk.example", "/topup/", "unsafe", "kiosk-core"})
-	b.frontMemory(frontMemory)
+	b.contracts = poolContracts
+	for _, p := range b.entries {
+		if err := replaceSetting(p, "memory = 284", fmt.Sprintf("memory = %d", frontMemory)); err != nil {
+			return err
+		}
+	}
 	if err := b.open(config, []*endpoint{kiosk}, []request{topUp}); err != nil {
 		return err
 	}
