--- a/review/bed-2/cases.go
+++ b/review/bed-2/cases.go
@@ -18,7 +18,7 @@
 	"memory":  playMemory,
 	"heads":   playHeads,
 	"prefix":  playPrefix,
-	"early":   playEarly,
+	"crowd":   playCrowd,
 }
 
 // playForeign lets two customers place an order with the same body and the same
@@ -377,38 +377,88 @@
 }
 
 const (
-	uploadBytes = 3 << 20 // max_body_bytes is 64 MiB
-	uploadPiece = 64 << 10
-	uploadPause = 10 * time.Millisecond // between two pieces, 50 Mbit/s
-	readPause   = 300 * time.Millisecond
+	surveyBytes   = 240000 // of an ordinary upload; max_body_bytes is 64 MiB
+	surveyWork    = 540 * time.Millisecond
+	surveyClients = 4   // of each entry
+	crowdRate     = 200 // connections a second to each entry, 11 Mbit/s
+	crowdTime     = 30 * time.Second
+	mayBeLost     = 3 // requests of each machine
 )
 
-// playEarly uploads bodies to an endpoint that answers before it has read them, keeps the
-// connection and reads on later. The clients send their whole bodies. Without the
-// disruption the endpoint reads first.
-func playEarly(b *bed, trouble bool) error {
-	desk := &endpoint{id: "i-desk", service: "sounding-desk", early: trouble}
-	upload := request{method: http.MethodPut, host: "survey.example", target: "/survey/tides", body: strings.Repeat("1.25;", uploadBytes/5)}
+// playCrowd lets ordinary clients upload on kept connections while a crowd sends heads
+// without end.
+func playCrowd(b *bed, trouble bool) error {
+	desk := &endpoint{id: "i-desk", service: "sounding-desk", work: surveyWork}
+	upload := request{method: http.MethodPut, host: "survey.example", target: "/survey/tides", body: strings.Repeat("1.25;", surveyBytes/5)}
 	small := upload
 	small.body = "1.25;"
-	upload.piece, upload.pause = uploadPiece, uploadPause
 	config := configuration(7, route{"survey", "survey.example", "/survey/", "upload", "sounding-desk"})
 	if err := b.open(config, []*endpoint{desk}, []request{small}); err != nil {
 		return err
 	}
-	for i := range 3 {
-		for j, p := range b.entries {
-			r := upload.withID(fmt.Sprintf("u-%d-%d", i, j))
-			r.chunked = i%2 == 1
-			got := b.send(p, r)
-			time.Sleep(3 * readPause) // for the endpoint, which reads on
-			for _, ran := range desk.runsOf(r.id) {
-				if got.status == http.StatusOK && got.err == nil && ran.body != r.body {
-					b.breaks("UNASKED: the client of upload %s sent %d bytes and got 200; the endpoint that ran it and read on got %d bytes of it, then: %s",
-						r.id, len(r.body), len(ran.body), ran.failure)
+	stop := time.Now().Add(crowdTime)
+	var playing sync.WaitGroup
+	var mu sync.Mutex
+	lost := map[string]int{}
+	for i, p := range b.entries {
+		for j := range surveyClients {
+			playing.Add(1)
+			go func() {
+				defer playing.Done()
+				for n := 0; time.Now().Before(stop); n++ {
+					first := small.withID(fmt.Sprintf("first-%d-%d-%d", i, j, n))
+					second := upload.withID(fmt.Sprintf("upload-%d-%d-%d", i, j, n))
+					answers := b.sendKept(p, first, second)
+					if answers[0].err != nil || answers[1].err == nil {
+						time.Sleep(100 * time.Millisecond)
+						continue
+					}
+					time.Sleep(2 * surveyWork) // until the endpoint has ended
+					for _, ran := range desk.runsOf(second.id) {
+						mu.Lock()
+						lost[p.name]++
+						mu.Unlock()
+						b.note("LOST: upload %s, on a kept connection to %s, was passed on whole (%d bytes) and run; the connection was closed without an answer: %v",
+							second.id, p.name, len(ran.body), answers[1].err)
+					}
 				}
-			}
+			}()
+		}
+		if trouble {
+			playing.Add(1)
+			go func() {
+				defer playing.Done()
+				b.sendHeads(p, stop)
+			}()
+		}
+	}
+	playing.Wait()
+	b.note("requests lost: %v", lost)
+	for _, p := range b.entries {
+		if lost[p.name] > mayBeLost {
+			b.breaks("LOST: %s passed %d uploads of ordinary clients on from kept connections to a sound endpoint, which ran them, and closed those connections without an answer",
+				p.name, lost[p.name])
 		}
 	}
 	return nil
 }
+
+// sendHeads opens the connections of the crowd one after the other and sends a head without
+// end on each. They stay open until the entry closes them.
+func (b *bed) sendHeads(p *process, stop time.Time) {
+	head := unfinishedHead(false)
+	var conns []net.Conn
+	for time.Now().Before(stop) {
+		c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", p.ip, b.ports.front), time.Second)
+		if err == nil {
+			_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+			_, _ = c.Write(head) // the entry may have closed the connection
+			conns = append(conns, c)
+		}
+		time.Sleep(time.Second / crowdRate)
+	}
+	b.note("the crowd has opened %d connections to %s and sent %d bytes on each", len(conns), p.name, len(head))
+	for _, c := range conns {
+		c.Close()
+	}
+}
--- a/review/bed-2/peers.go
+++ b/review/bed-2/peers.go
@@ -18,7 +18,7 @@
 	id, service string
 	body        func(r *http.Request) string // of an answer, may be nil
 	quiet       bool                         // runs are neither recorded nor kept
-	early       bool                         // answers before it reads the body
+	work        time.Duration                // before an answer
 
 	address string
 	born    int64
@@ -27,10 +27,7 @@
 }
 
 // run is a request that an endpoint has run.
-type run struct {
-	id, method, target, body string
-	failure                  string // why the body ended early, empty if it did not
-}
+type run struct{ id, method, target, body string }
 
 func (e *endpoint) listen(b *bed) error {
 	l, err := net.Listen("tcp", b.ip(3, 0)+":0")
@@ -59,12 +56,8 @@
 			return
 		}
 		id := r.Header.Get("X-Request-Id")
-		if e.early && id != "warm-up" {
-			e.answer(c, r, id)
-			time.Sleep(readPause)
-		}
 		body, err := io.ReadAll(r.Body)
-		if err != nil && !e.early {
+		if err != nil {
 			return
 		}
 		if r.RequestURI == "/health" {
@@ -76,21 +69,13 @@
 			continue
 		}
 		if !e.quiet && id != "warm-up" {
-			ran := run{id: id, method: r.Method, target: r.RequestURI, body: string(body)}
-			if err != nil {
-				ran.failure = err.Error()
-			}
 			e.mu.Lock()
-			e.runs = append(e.runs, ran)
+			e.runs = append(e.runs, run{id: id, method: r.Method, target: r.RequestURI, body: string(body)})
 			e.mu.Unlock()
-			b.note("endpoint %s of %s runs request %s: %s %s, body of %d bytes, then error %v", e.id, e.service, id, r.Method, r.RequestURI, len(body), err)
-		}
-		if err != nil {
-			return
-		}
-		if !e.early || id == "warm-up" {
-			e.answer(c, r, id)
+			b.note("endpoint %s of %s runs request %s: %s %s, body of %d bytes", e.id, e.service, id, r.Method, r.RequestURI, len(body))
 		}
+		time.Sleep(e.work)
+		e.answer(c, r, id)
 	}
 }
 
@@ -173,9 +158,6 @@
 	id, method, host, target, body string
 	headers                        []string
 	quiet                          bool // not recorded
-	chunked                        bool
-	piece                          int // bytes that are written at once, 0: all
-	pause                          time.Duration
 }
 
 func (r request) withID(id string) request { r.id = id; return r }
@@ -189,46 +171,42 @@
 }
 
 // send sends a request to an entry on a connection of its own.
-func (b *bed) send(p *process, r request) answer {
+func (b *bed) send(p *process, r request) answer { return b.sendKept(p, r)[0] }
+
+// sendKept sends requests to an entry on one connection, one after the other, until one
+// gets no answer.
+func (b *bed) sendKept(p *process, requests ...request) []answer {
+	out := make([]answer, len(requests))
 	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", p.ip, b.ports.front), time.Second)
 	if err != nil {
-		return answer{err: err}
+		out[0] = answer{err: err}
+		return out
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	reader := bufio.NewReader(c)
+	for i, r := range requests {
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		if out[i] = b.exchange(p, c, reader, r); out[i].err != nil {
+			break
+		}
+	}
+	return out
+}
+
+// exchange sends a request on a connection and reads the answer.
+func (b *bed) exchange(p *process, c net.Conn, reader *bufio.Reader, r request) answer {
 	lines := []string{r.method + " " + r.target + " HTTP/1.1", "Host: " + r.host, "X-Request-Id: " + r.id, "X-Request-Timeout-Ms: 4000"}
 	lines = append(lines, r.headers...)
-	body := r.body
-	switch {
-	case r.chunked:
-		lines = append(lines, "Transfer-Encoding: chunked")
-		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(r.body), r.body)
-	case r.body != "" || r.method == http.MethodPost:
+	if r.body != "" || r.method == http.MethodPost {
 		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(r.body)))
 	}
-	written := make(chan error, 1)
-	go func() { // the answer may come before the body is sent
-		_, err := io.WriteString(c, strings.Join(lines, "\r\n")+"\r\n\r\n")
-		for err == nil && body != "" {
-			n := len(body)
-			if r.piece > 0 {
-				n = min(n, r.piece)
-			}
-			_, err = io.WriteString(c, body[:n])
-			body = body[n:]
-			time.Sleep(r.pause)
-		}
-		written <- err
-	}()
-	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: r.method})
+	if _, err := io.WriteString(c, strings.Join(lines, "\r\n")+"\r\n\r\n"+r.body); err != nil {
+		return answer{err: err}
+	}
+	response, err := http.ReadResponse(reader, &http.Request{Method: r.method})
 	if err != nil {
 		return answer{err: err}
 	}
-	defer func() {
-		if err := <-written; err != nil {
-			b.note("client of %s could not send all: %v", r.id, err)
-		}
-	}()
 	data, err := io.ReadAll(response.Body)
 	out := answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}
 	if r.id != "warm-up" && !r.quiet {
