--- a/review/bed-2/bed.go
+++ b/review/bed-2/bed.go
@@ -82,10 +82,12 @@
 	for i := range entries {
 		addresses = append(addresses, b.ip(1, i))
 	}
+	taken := map[int]bool{}
 	for _, port := range []*int{&b.ports.front, &b.ports.ready, &b.ports.control, &b.ports.internal0, &b.ports.internal1} {
-		if *port, err = freePort(addresses); err != nil {
+		if *port, err = freePort(addresses, taken); err != nil {
 			return nil, err
 		}
+		taken[*port] = true
 	}
 	for i := range replicas {
 		if err := b.add(&b.controls, "control", b.ip(2, i), i); err != nil {
@@ -102,17 +104,18 @@
 
 func (b *bed) ip(group, i int) string { return fmt.Sprintf("%s.%d.%d", b.net, group, i+1) }
 
-// freePort returns a port that is free on all addresses.
-func freePort(addresses []string) (int, error) {
-	for range 50 {
+// freePort returns a port that is free on all addresses and not taken.
+func freePort(addresses []string, taken map[int]bool) (int, error) {
+	const tries = 50
+	for range tries {
 		first, err := net.Listen("tcp", addresses[0]+":0")
 		if err != nil {
 			return 0, err
 		}
-		defer first.Close() // keeps the next call from choosing the same port
 		port := first.Addr().(*net.TCPAddr).Port
-		free := true
-		for _, address := range addresses[1:] {
+		first.Close()
+		free := !taken[port]
+		for _, address := range addresses {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", address, port))
 			if free = free && err == nil; err == nil {
 				l.Close()
@@ -210,6 +213,18 @@
 	b.record.Close()
 }
 
+// noteLogs adds the last lines of all processes to the record.
+func (b *bed) noteLogs() {
+	const most = 20
+	for _, p := range append(append([]*process{}, b.controls...), b.entries...) {
+		data, _ := os.ReadFile(filepath.Join(b.dir, p.name+".log"))
+		lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+		for _, line := range lines[max(0, len(lines)-most):] {
+			b.note("log of %s: %s", p.name, line)
+		}
+	}
+}
+
 // note adds a line to the record.
 func (b *bed) note(format string, values ...any) {
 	b.mu.Lock()
@@ -336,6 +351,7 @@
 	case err != nil:
 		code = exitNotRun
 		b.note("NOT RUN: %v", err)
+		b.noteLogs()
 		fmt.Println("could not run:", err)
 	case len(b.broken) > 0:
 		code = exitBroken
