--- a/review/bed-2/cases.go
+++ b/review/bed-2/cases.go
@@ -17,8 +17,8 @@
 	"foreign": playForeign,
 	"memory":  playMemory,
 	"heads":   playHeads,
-	"prefix":  playPrefix,
 	"crowd":   playCrowd,
+	"writer":  playWriter,
 }
 
 // playForeign lets two customers place an order with the same body and the same
@@ -54,56 +54,6 @@
 	return nil
 }
 
-// playPrefix sends requests whose paths no prefix but "/" begins, or none at all.
-func playPrefix(b *bed, trouble bool) error {
-	routes := []route{
-		{"orders", "almanac.example", "/orders/", "unsafe", "ledgerroom"},
-		{"pages", "almanac.example", "/", "unsafe", "tablehall"},
-		{"only", "ledger.example", "/orders/", "unsafe", "ledgerroom"},
-	}
-	endpoints := []*endpoint{{id: "i-ledger", service: "ledgerroom"}, {id: "i-table", service: "tablehall"}}
-	warmUp := []request{
-		{method: http.MethodPost, host: "almanac.example", target: "/orders/x"},
-		{method: http.MethodPost, host: "almanac.example", target: "/x"},
-	}
-	if err := b.open(configuration(7, routes...), endpoints, warmUp); err != nil {
-		return err
-	}
-	targets := []string{"/orders", "//orders/1", "/orders%2F1"}
-	if !trouble {
-		targets = []string{"/orders/", "/orders/1", "/order", "/orders-1"}
-	}
-	n := 0
-	for _, p := range b.entries {
-		for _, host := range []string{"almanac.example", "ledger.example"} {
-			for _, target := range targets {
-				n++
-				r := request{id: fmt.Sprintf("r-%d", n), method: http.MethodPost, host: host, target: target, body: "one crate"}
-				b.send(p, r)
-				allowed := serviceOf(routes, host, target)
-				for _, e := range endpoints {
-					if len(e.runsOf(r.id)) > 0 && e.service != allowed {
-						b.breaks("ROUTE: request %s, POST %s at %s, ran at %s; the configuration sends it to %q", r.id, target, host, e.service, allowed)
-					}
-				}
-			}
-		}
-	}
-	return nil
-}
-
-// serviceOf returns the service of the route with the longest prefix that begins the
-// path, or an empty string.
-func serviceOf(routes []route, host, path string) string {
-	service, longest := "", -1
-	for _, r := range routes {
-		if r.host == host && strings.HasPrefix(path, r.prefix) && len(r.prefix) > longest {
-			service, longest = r.service, len(r.prefix)
-		}
-	}
-	return service
-}
-
 const (
 	coreMemory   = 280  // MiB of a core machine on all sheets
 	topUpAnswer  = 5000 // bytes, the mean of card-topup in the site files; the largest have 30,000
@@ -462,3 +412,44 @@
 		c.Close()
 	}
 }
+
+const (
+	writerRequests = 100
+	writerPause    = 200 * time.Millisecond // between two requests
+)
+
+// playWriter lets another writer send one heartbeat for the address of each endpoint. It
+// names a service that is in no configuration.
+func playWriter(b *bed, trouble bool) error {
+	tables := []*endpoint{{id: "i-table-1", service: "tablehall"}, {id: "i-table-2", service: "tablehall"}, {id: "i-table-3", service: "tablehall"}}
+	lookup := request{method: http.MethodGet, host: "almanac.example", target: "/tables/tides"}
+	config := configuration(7, route{"tables", "almanac.example", "/tables/", "safe", "tablehall"})
+	if err := b.open(config, tables, nil); err != nil { // no request before the traffic begins
+		return err
+	}
+	if trouble {
+		for i, e := range tables {
+			other := &endpoint{id: fmt.Sprintf("other-%d", i), service: "not-named-here", address: e.address, born: time.Now().UnixMilli()}
+			status, text := b.call(b.controls[i%len(b.controls)], http.MethodPut, "/instances/"+other.id, other.announcement(1))
+			b.note("another writer announced %s with service %s at the address of %s: %d %s", other.id, other.service, e.id, status, text)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	served := 0
+	for i := range writerRequests {
+		got := b.send(b.entries[i%len(b.entries)], lookup.withID(fmt.Sprintf("r-%d", i)))
+		if got.status == http.StatusOK && got.err == nil {
+			served++
+		}
+		time.Sleep(writerPause)
+	}
+	for _, e := range tables {
+		status, text := b.call(b.controls[0], http.MethodPut, "/instances/"+e.id, e.announcement(1000))
+		b.note("a heartbeat of %s, which has run and announced itself all the time, is answered %d %s", e.id, status, text)
+	}
+	b.note("%d of %d requests served", served, writerRequests)
+	if served == 0 {
+		b.breaks("Fault: no request of %d was served in %v, while three sound endpoints ran", writerRequests, writerRequests*writerPause)
+	}
+	return nil
+}
