Tests: the order of idle connections is awaited in core/serve

A caller has the response before net/http reports the connection as idle, so the second connection could count as idle before the first. The test now waits for the state of each; what it checks is unchanged. Before: fails within 500 runs with -race. After: 200 of 200 hold.

--- a/core/serve/conn_test.go
+++ b/core/serve/conn_test.go
@@ -58,7 +58,12 @@
 	closed := make(chan string, 8)
 	limits := serve.DefaultLimits()
 	limits.MaxConnections = 3
-	_, addr, _ := start(t, serve.WithLimits(limits), serve.WithCloseHook(func(reason string) { closed <- reason }), serve.WithHandler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	idle := make(chan struct{}, 8)
+	_, addr, _ := start(t, serve.WithLimits(limits), serve.WithCloseHook(func(reason string) { closed <- reason }), serve.WithConnState(func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			idle <- struct{}{}
+		}
+	}), serve.WithHandler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/block" {
 			entered <- struct{}{}
 			<-proceed
@@ -69,7 +74,9 @@
 	go func() { status <- busy.exchange(block) }()
 	<-entered
 	is.Equal(old.exchange(get), 200)
+	<-idle // the response arrives before the connection counts as idle
 	is.Equal(young.exchange(get), 200)
+	<-idle
 	is.Equal(len(closed), 0)
 	is.Equal(dialRaw(t, addr).exchange(get), 200)
 	is.Equal(<-closed, serve.ClosedForConnections)
