--- a/bench/stub/serve.go
+++ b/bench/stub/serve.go
@@ -32,6 +32,7 @@
 	Target string `json:"target"`
 	Length int64  `json:"length"` // bytes in the body of the request
 	Digest string `json:"digest"` // SHA-256 of the body of the request, hexadecimal
+	Filler string `json:"filler,omitempty"`
 }
 
 func (s *Stub) handler() http.Handler {
@@ -120,6 +121,7 @@
 		Target: s.Address().String(),
 		Length: n,
 		Digest: hex.EncodeToString(sum.Sum(nil)),
+		Filler: string(fillerText(s.settings.Filler)),
 	}, err
 }
 
--- a/bench/stub/settings.go
+++ b/bench/stub/settings.go
@@ -27,6 +27,7 @@
 	TTL         Duration         `toml:"ttl"`         // announced time to live
 	Grace       Duration         `toml:"grace"`       // time from the announcement of leaving until the target stops listening
 	Size        int              `toml:"size"`        // bytes in the answer to a lookup
+	Filler      int              `toml:"filler"`      // bytes of filler in the answer to an order or an upload
 	Seed        uint64           `toml:"seed"`        // seed for the random latencies and the shares of faults
 	Fault       Fault            `toml:"fault"`       // fault that is active from the start
 }
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/galenalock/galenalock/control/admin"
 	"github.com/galenalock/galenalock/control/fleet"
@@ -129,7 +130,11 @@
 	if d.Hooks.Run != nil {
 		tasks.start("watch targets", func() error { d.Hooks.Run(inner); return nil })
 	}
-	p.log.WithField("peer", d.Peer().String()).WithField("admin", d.Admin().String()).Info("ready")
+	addresses := logrus.Fields{"peer": d.Peer().String(), "admin": d.Admin().String()}
+	if p.metrics != nil {
+		addresses["metrics"] = p.metrics.Addr().String()
+	}
+	p.log.WithFields(addresses).Info("ready")
 	select {
 	case <-ctx.Done():
 		d.shutDown()
--- a/core/serve/server.go
+++ b/core/serve/server.go
@@ -39,9 +39,12 @@
 // WithTLS makes the server accept only TLS connections.
 func WithTLS(c *tls.Config) Option { return func(s *Server) { s.http.TLSConfig = c } }
 
-// WithH2C enables HTTP/2 without TLS in addition to HTTP/1.1.
-func WithH2C() Option {
-	return func(s *Server) { s.http.Protocols.SetUnencryptedHTTP2(true) }
+// WithHTTP2 enables HTTP/2 in addition to HTTP/1.1, with and without TLS.
+func WithHTTP2() Option {
+	return func(s *Server) {
+		s.http.Protocols.SetHTTP2(true)
+		s.http.Protocols.SetUnencryptedHTTP2(true)
+	}
 }
 
 // WithErrorLog sets the writer for errors of single connections.
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -214,7 +214,10 @@
 	s := &d.settings
 	limits := serve.DefaultLimits()
 	limits.MaxRequestBodyBytes, limits.MaxConnections, limits.StallTimeout = int64(s.Body)<<20, s.Connections, s.Stall
-	traffic := []serve.Option{serve.WithHandler(in.Proxy), serve.WithLimits(limits), serve.WithH2C(), serve.WithBudget(d.budget), serve.WithCloseHook(in.Counters.addClosure)}
+	traffic := []serve.Option{serve.WithHandler(in.Proxy), serve.WithLimits(limits), serve.WithBudget(d.budget), serve.WithCloseHook(in.Counters.addClosure)}
+	if s.HTTP2 {
+		traffic = append(traffic, serve.WithHTTP2())
+	}
 	if in.CertSet.public != nil {
 		traffic = append(traffic, serve.WithTLS(in.CertSet.public.PublicServerConfig()))
 	}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -114,6 +114,9 @@
 	if d.announce != nil {
 		addresses["announce"] = d.announce.Addr().String()
 	}
+	if d.metrics != nil {
+		addresses["metrics"] = d.metrics.Addr().String()
+	}
 	d.log.WithFields(addresses).Info("ready")
 	select {
 	case <-ctx.Done():
--- a/entry/daemon/settings.go
+++ b/entry/daemon/settings.go
@@ -44,6 +44,7 @@
 	Wait        time.Duration
 	Quarantine  time.Duration
 	Revoke      time.Duration
+	HTTP2       bool
 	Connections int
 	Memory      int
 	Stall       time.Duration
@@ -122,6 +123,7 @@
 	t.Bool("pace", &s.Pace, false, "while targets queue requests, less urgent ones wait at the entry or are refused")
 	t.Float("retry.share", &s.RetryShare, 0.1, 0, 10, "attempts per request", "with a window, further attempts in proportion to the requests of a service")
 	t.Float("retry.slack", &s.RetrySlack, 0, 0, maxRetrySlack, "attempts", "with a window, further attempts of all entries beyond the share")
+	t.Bool("http2", &s.HTTP2, true, "callers may use HTTP/2 at the traffic address")
 	t.Int("connections", &s.Connections, defaultConnections, 1, maxConnections, "connections", "open connections of callers")
 	t.Duration("stall", &s.Stall, defaultStall, 0, maxLimit, "time for which the rest of a request body may not go on before its connection is closed; 0: no limit")
 	t.Int("memory", &s.Memory, 0, 0, maxMemory, "MiB", "memory of the instance, for a process that is alone on it; the garbage collector keeps its heap below 0.7 of it, and half of it is for connections of callers and the requests on them, and those that hold most are closed beyond that; 0: unknown, no bound")
