Memory for callers counts until their connections have ended

Cause: a connection that was given up left the sum at once, while its goroutines and buffers lived on, so that a second crowd filled the room again. Bytes were counted after their use. The connection that held most went first, whatever its request was worth. HTTP/2 was counted by raw bytes, and names of trailers not at all (191 MB of 96).

Now bytes are asked for before they are used and count until the connection and its handlers have ended; who asks for more waits for that. Connections are given up by the stage of their request: unfinished heads, bodies (those that stand still first), unread responses, idle ones, bodies that are forwarded; whole requests never, in place of which the one that asks is refused. HTTP/2 frames are followed as far as heads, bodies and replies are concerned. A response that is not read for the stall time ends its connection.

Why it holds on a slow machine: nothing depends on how fast connections end, only on their end.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -1,30 +1,45 @@
-// Package budget bounds the memory that a process holds for its callers. When they hold
-// too much, the connection that holds most is given up, so that callers with ordinary
-// requests are served beside those that send much and finish nothing.
+// Package budget bounds the memory that a process holds for its callers. Bytes count from
+// before they are used until the connection that held them has ended. When they are needed
+// and there are none, the connection whose loss costs its caller least is given up.
 package budget
 
 import (
-	"container/heap"
 	"context"
 	"sync"
+	"time"
 )
 
 // Budget is a number of bytes that connections share. It is safe for concurrent use. A
 // nil Budget has no bound.
 type Budget struct {
 	limit int64
+	now   func() time.Time
 
 	mu      sync.Mutex
-	used    int64
-	holders ranking
+	used    int64 // granted and not returned
+	ending  int64 // part of used whose connections were closed but have not ended
+	pending int64 // asked for and not granted
+	waiters []*waiter
+	ranking ranking
 }
 
+// Option configures a Budget.
+type Option func(*Budget)
+
+// WithClock replaces the clock.
+func WithClock(now func() time.Time) Option { return func(b *Budget) { b.now = now } }
+
 // New returns a budget of that many bytes, or nil for 0, which stands for no bound.
-func New(limit int64) *Budget {
+func New(limit int64, opts ...Option) *Budget {
 	if limit == 0 {
 		return nil
 	}
-	return &Budget{limit: limit}
+	b := &Budget{limit: limit, now: time.Now}
+	for _, opt := range opts {
+		opt(b)
+	}
+	b.ranking.init()
+	return b
 }
 
 // Limit returns the size of the budget in bytes, 0 without a bound.
@@ -35,7 +50,7 @@
 	return b.limit
 }
 
-// Used returns the bytes in use.
+// Used returns the bytes in use, at most the limit.
 func (b *Budget) Used() int64 {
 	if b == nil {
 		return 0
@@ -45,96 +60,136 @@
 	return b.used
 }
 
-// Holder is a connection that holds bytes of a budget. A nil Holder holds nothing.
-type Holder struct {
-	budget *Budget
-	giveUp func()
-	held   int64
-	index  int // in the ranking, negative after the end
+// waiter waits until bytes are granted to its charge, or its connection is given up.
+type waiter struct {
+	charge  *Charge
+	bytes   int64
+	decided chan bool
 }
 
-// Open adds a connection to the budget. giveUp has to end it. It is called at most once,
-// in a goroutine that adds bytes to the budget, and must not wait for other callers.
-func (b *Budget) Open(giveUp func()) *Holder {
-	if b == nil {
-		return nil
-	}
+// reserve grants bytes to a charge. It gives up other connections if there are too few and
+// waits until those have ended. It reports false if the connection itself is given up, or
+// if no other one may be.
+func (b *Budget) reserve(c *Charge, n int64) bool {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	h := &Holder{budget: b, giveUp: giveUp}
-	heap.Push(&b.holders, h)
-	return h
+	h := c.holder
+	if !h.isOpen() || c.ended {
+		b.mu.Unlock()
+		return false
+	}
+	given, ok := b.makeRoom(h, n)
+	if !ok {
+		b.mu.Unlock()
+		endAll(given)
+		return false
+	}
+	w := &waiter{charge: c, bytes: n, decided: make(chan bool, 1)}
+	b.waiters = append(b.waiters, w)
+	b.pending += n
+	h.waiting += n
+	b.ranking.fix(h)
+	b.grantWaiting()
+	b.mu.Unlock()
+	endAll(given)
+	return <-w.decided
+}
+
+// makeRoom gives up connections until the bytes of the others leave room for n more. It
+// reports false if the connection that asks would be the next, and returns those that the
+// caller has to end. The caller holds the lock.
+func (b *Budget) makeRoom(asking *Holder, n int64) (given []*Holder, ok bool) {
+	for b.used-b.ending+b.pending+n > b.limit {
+		victim := b.ranking.worst(b.now(), asking, n)
+		if victim == nil || victim == asking {
+			return given, false
+		}
+		b.abandon(victim)
+		given = append(given, victim)
+	}
+	return given, true
 }
 
-// Close returns all bytes of the connection.
-func (h *Holder) Close() {
-	if h == nil {
-		return
+func endAll(given []*Holder) {
+	for _, h := range given {
+		h.giveUp()
 	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.remove()
 }
 
-// remove takes the connection out of the budget. The caller holds the lock.
-func (h *Holder) remove() {
-	if h.index < 0 {
+// abandon counts the bytes of a connection as ending and refuses what it waits for. The
+// caller holds the lock.
+func (b *Budget) abandon(h *Holder) {
+	b.ranking.remove(h)
+	b.ending += h.held
+	if h.waiting == 0 {
 		return
 	}
-	heap.Remove(&h.budget.holders, h.index)
-	h.budget.used -= h.held
-}
-
-// Charge is a part of what a connection holds, such as the body of one request. A nil
-// Charge counts nothing.
-type Charge struct {
-	holder *Holder
-	bytes  int64
-}
-
-// Charge returns a new part of the connection without bytes.
-func (h *Holder) Charge() *Charge {
-	if h == nil {
-		return nil
+	kept := b.waiters[:0]
+	for _, w := range b.waiters {
+		if w.charge.holder == h {
+			b.pending -= w.bytes
+			w.decided <- false
+			continue
+		}
+		kept = append(kept, w)
 	}
-	return &Charge{holder: h}
+	clear(b.waiters[len(kept):])
+	b.waiters = kept
+	h.waiting = 0
 }
 
-// Add counts further bytes, or fewer with a negative number. It may give up
-// connections, this one included.
-func (c *Charge) Add(n int64) {
-	if c != nil {
-		c.change(func(old int64) int64 { return old + n })
+// grantWaiting grants what is waited for once all of it fits. Connections are given up for
+// it when it is asked for, so that it fits when those have ended. The caller holds the
+// lock.
+func (b *Budget) grantWaiting() {
+	if len(b.waiters) == 0 || b.used+b.pending > b.limit {
+		return
 	}
-}
-
-// Set replaces the number of bytes, as Add does.
-func (c *Charge) Set(n int64) {
-	if c != nil {
-		c.change(func(int64) int64 { return n })
+	for i, w := range b.waiters {
+		h := w.charge.holder
+		h.waiting -= w.bytes
+		h.held += w.bytes
+		w.charge.bytes += w.bytes
+		w.charge.countRequest(w.bytes)
+		if h.isOpen() {
+			h.progress = b.now() // it has not stopped by itself
+			b.ranking.advance(h)
+		}
+		w.decided <- true
+		b.waiters[i] = nil
 	}
+	b.used += b.pending
+	b.pending, b.waiters = 0, b.waiters[:0]
 }
 
-func (c *Charge) change(next func(old int64) int64) {
-	h, b := c.holder, c.holder.budget
-	var given []*Holder
+// tryReserve grants bytes if that leaves all connections as they are.
+func (b *Budget) tryReserve(c *Charge, n int64) bool {
 	b.mu.Lock()
-	delta := next(c.bytes) - c.bytes
-	c.bytes += delta
-	if h.index >= 0 && delta != 0 {
-		h.held += delta
-		b.used += delta
-		heap.Fix(&b.holders, h.index)
-		for b.used > b.limit && len(b.holders) > 0 {
-			largest := b.holders[0]
-			largest.remove()
-			given = append(given, largest)
-		}
+	defer b.mu.Unlock()
+	h := c.holder
+	if !h.isOpen() || c.ended || b.used+b.pending+n > b.limit {
+		return false
 	}
-	b.mu.Unlock()
-	for _, holder := range given {
-		holder.giveUp()
+	b.used += n
+	h.held += n
+	c.bytes += n
+	c.countRequest(n)
+	b.ranking.fix(h)
+	return true
+}
+
+// release returns bytes of a charge. The caller holds the lock.
+func (b *Budget) release(c *Charge, n int64) {
+	h := c.holder
+	c.bytes -= n
+	c.countRequest(-n)
+	b.used -= n
+	h.held -= n
+	if h.isOpen() {
+		b.ranking.fix(h)
+	} else {
+		b.ending -= n
 	}
+	b.grantWaiting()
 }
 
 type contextKey struct{}
@@ -152,31 +207,3 @@
 	c, _ := ctx.Value(contextKey{}).(*Charge)
 	return c
 }
-
-// ranking is a heap whose first holder holds most.
-type ranking []*Holder
-
-func (r ranking) Len() int           { return len(r) }
-func (r ranking) Less(i, j int) bool { return r[i].held > r[j].held }
-
-func (r ranking) Swap(i, j int) {
-	r[i], r[j] = r[j], r[i]
-	r[i].index, r[j].index = i, j
-}
-
-// Push appends a holder, for package heap.
-func (r *ranking) Push(x any) {
-	h := x.(*Holder) //nolint:forcetypeassert // only Open calls it
-	h.index = len(*r)
-	*r = append(*r, h)
-}
-
-// Pop removes the last holder, for package heap.
-func (r *ranking) Pop() any {
-	last := len(*r) - 1
-	h := (*r)[last]
-	(*r)[last] = nil
-	*r = (*r)[:last]
-	h.index = -1
-	return h
-}
--- a/core/serve/conn.go
+++ b/core/serve/conn.go
@@ -1,12 +1,11 @@
 package serve
 
 import (
-	"bytes"
-	"container/list"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
-	"strings"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,47 +13,44 @@
 	"github.com/galenalock/galenalock/core/budget"
 )
 
-// Estimated memory of connections and requests in bytes, measured with Go 1.26 on
-// unfinished heads of 2,200 lines of 6 bytes: 290 kB for each connection.
-const (
-	connCost     = 16 << 10 // goroutine, buffers of net/http
-	headLineCost = 160      // parsed line: name, value, entry in the map
-	headByteCost = 2        // line in a buffer and its copy
-	// encryptedByteCost replaces both on TLS connections, whose lines are not visible.
-	// The shortest lines that net/http accepts have 3 bytes.
-	encryptedByteCost = headByteCost + headLineCost/3
-)
-
-const http2Preface = "PRI * HTTP/2.0\r\n"
-
 // Reasons why a connection of a caller is closed.
 const (
-	ClosedForMemory      = "memory"      // it held most of the memory for callers
+	ClosedForMemory      = "memory"      // its memory was needed
 	ClosedForConnections = "connections" // it was idle for longest when there were too many
 	ClosedForStall       = "stall"       // its request body did not go on
 )
 
+// errNoMemory means that a connection must not hold further bytes.
+var errNoMemory = errors.New("the memory for callers is in use")
+
+// writeCheck is the time after which a response that the caller does not read counts as
+// unread.
+const writeCheck = time.Second
+
 // conn is an accepted connection that counts what it holds in memory.
 type conn struct {
 	net.Conn
 	listener  *listener
-	encrypted bool
 	holder    *budget.Holder
+	base      *budget.Charge // of the connection itself
 	head      *budget.Charge // of the request head that is being read or served
-	unread    *budget.Charge // bytes that HTTP/2 has received and no handler has read
+	streams   *budget.Charge // of an HTTP/2 connection, in place of head
 	closeOnce sync.Once
-	progress  atomic.Int64 // nanoseconds since the start of the listener, of the last bytes of a request body
+	progress  atomic.Int64 // nanoseconds since the start of the server's connections, of the last bytes of a request body
+
+	mu            sync.Mutex
+	receiving     bool // the next head is being read or awaited
+	reading       bool // a part of it has arrived
+	hijacked      bool
+	preface       int         // matched bytes of requestLineHTTP2, negative for HTTP/1
+	http2         *http2State // nil for HTTP/1
+	size          headSize    // of the head so far
+	lastRead      headSize    // of the last read, which may have brought the start of the next head along
+	cancel        func()      // ends the HTTP/1 request that is served, nil without one
+	givenUp       bool        // closed to protect others
+	writeDeadline time.Time   // set by the server
 
-	mu           sync.Mutex
-	receiving    bool // the next head is being read or awaited
-	http2        bool
-	lines, bytes int64 // of the head so far
-	// Of the last read, which may have brought the start of the next head along.
-	lastLines, lastBytes int64
-	pending              int64         // as in unread
-	waiting              *list.Element // in listener.waiting, nil during a request
-	cancel               func()        // ends the HTTP/1 request that is served, nil without one
-	givenUp              bool          // closed to protect others
+	place place // guarded by the mutex of the connections
 }
 
 func (c *conn) isGivenUp() bool {
@@ -71,261 +67,240 @@
 	c.cancel = cancel
 }
 
-// Read counts the lines and bytes of request heads before they are parsed.
+// Read counts request heads before they are parsed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.holder != nil {
-		c.count(p[:n])
+	if n > 0 && c.holder != nil && !c.count(p[:n]) {
+		// net/http answers other errors, which would take memory as well.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
 	}
 	return n, err
 }
 
-func (c *conn) count(data []byte) {
-	n, lines := int64(len(data)), int64(bytes.Count(data, []byte("\n")))
+// count counts received bytes and reports whether they may be used.
+func (c *conn) count(data []byte) bool {
 	c.mu.Lock()
-	if c.bytes == 0 && strings.HasPrefix(string(data[:min(len(data), len(http2Preface))]), http2Preface) {
-		c.http2 = true
+	data = c.detectHTTP2(data)
+	if c.http2 != nil {
+		c.http2.receive(data)
+		return c.chargeStreams()
 	}
-	if c.http2 {
-		c.pending += n
-		cost := min(c.pending, c.listener.http2Buffer)
-		c.mu.Unlock()
-		c.unread.Set(cost)
-		return
-	}
-	if n > 1 { // net/http reads one byte ahead while a handler runs
-		c.lastLines, c.lastBytes = 0, 0
+	size := sizeOf(data)
+	if size.bytes > 1 { // net/http reads one byte ahead while a handler runs
+		c.lastRead = headSize{}
 	}
-	c.lastLines, c.lastBytes = c.lastLines+lines, c.lastBytes+n
+	c.lastRead = c.lastRead.plus(size)
 	if !c.receiving {
 		c.mu.Unlock()
-		return
+		return true
 	}
-	c.lines, c.bytes = c.lines+lines, c.bytes+n
-	cost := c.headCost()
+	c.size = c.size.plus(size)
+	cost, began := c.size.cost(c.listener.encrypted), !c.reading
+	c.reading = true
 	c.mu.Unlock()
-	c.head.Set(cost)
+	if began {
+		c.holder.SetReading(true)
+	}
+	return c.head.Set(cost)
 }
 
-// headCost estimates the memory of the head. The caller holds the lock.
-func (c *conn) headCost() int64 {
-	if c.encrypted {
-		return c.bytes * encryptedByteCost
+// detectHTTP2 compares the first bytes of a connection with the preface of HTTP/2 and
+// returns those that follow it. The caller holds the lock.
+func (c *conn) detectHTTP2(data []byte) []byte {
+	if !c.listener.http2 || c.listener.encrypted || c.preface < 0 {
+		return data
 	}
-	return c.lines*headLineCost + c.bytes*headByteCost
+	for i, b := range data {
+		if c.preface == len(requestLineHTTP2) {
+			return data[i:]
+		}
+		if b != requestLineHTTP2[c.preface] {
+			c.preface = -1
+			return data
+		}
+		if c.preface++; c.preface == len(requestLineHTTP2) && c.http2 == nil {
+			c.http2 = newHTTP2State(false, c.listener.maxHeaderBytes)
+		}
+	}
+	if c.http2 != nil {
+		return nil
+	}
+	return data
+}
+
+// chargeStreams charges an HTTP/2 connection. The caller holds the lock, which is released.
+func (c *conn) chargeStreams() bool {
+	cost, reading := c.http2.cost(), c.http2.isReading()
+	changed := reading != c.reading
+	c.reading = reading
+	c.mu.Unlock()
+	if changed {
+		c.holder.SetReading(reading)
+	}
+	return c.streams.Set(cost)
 }
 
-// bodyRead counts bytes of a body that a handler has read.
-func (c *conn) bodyRead(n int) {
+// updateHTTP2 changes the state of an HTTP/2 connection; on others it does nothing.
+func (c *conn) updateHTTP2(change func(s *http2State)) {
 	c.mu.Lock()
-	if !c.http2 {
+	if c.http2 == nil {
 		c.mu.Unlock()
 		return
 	}
-	c.pending = max(0, c.pending-int64(n))
-	cost := min(c.pending, c.listener.http2Buffer)
+	change(c.http2)
+	c.chargeStreams()
+}
+
+// begin records that a handler serves a request of the connection.
+func (c *conn) begin(r *http.Request) {
+	if r.ProtoMajor == 1 {
+		return
+	}
+	c.mu.Lock()
+	if c.http2 == nil {
+		c.http2 = newHTTP2State(c.listener.encrypted, c.listener.maxHeaderBytes)
+	}
 	c.mu.Unlock()
-	c.unread.Set(cost)
+	c.updateHTTP2((*http2State).taken)
 }
 
-// setState follows the states of net/http. A connection is idle while it awaits a
-// request or reads its head.
+// setState follows the states of net/http. A connection is idle while it awaits a request
+// or reads its head.
 func (c *conn) setState(state http.ConnState) {
 	switch state {
 	case http.StateNew, http.StateIdle:
-		c.mu.Lock()
-		c.receiving, c.pending = true, 0
-		c.lines, c.bytes = c.lastLines, c.lastBytes
-		cost := c.headCost()
-		c.mu.Unlock()
-		c.unread.Set(0)
-		c.head.Set(cost)
+		c.updateHTTP2((*http2State).idle)
+		c.awaitHead()
 		c.listener.setWaiting(c, true)
 	case http.StateActive:
 		c.mu.Lock()
-		c.receiving = false
+		c.receiving, c.reading = false, c.http2 != nil && c.reading
+		reading := c.reading
 		c.mu.Unlock()
+		c.holder.SetReading(reading)
 		c.listener.setWaiting(c, false)
 	case http.StateHijacked: // belongs to another process of the fleet
+		c.mu.Lock()
+		c.hijacked, c.receiving = true, false
+		c.mu.Unlock()
+		c.head.Set(0)
 		c.listener.setWaiting(c, false)
-		c.holder.Close()
+		_ = c.Conn.SetWriteDeadline(time.Time{})
 	case http.StateClosed:
-	}
-}
-
-// Close closes the connection. Only the first call has an effect.
-func (c *conn) Close() error {
-	err := net.ErrClosed
-	c.closeOnce.Do(func() {
 		c.holder.Close()
-		err = c.Conn.Close()
-		c.listener.remove(c)
-	})
-	return err
-}
-
-// acceptedConn returns the conn below a connection of net/http, or nil.
-func acceptedConn(c net.Conn) *conn {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
 	}
-	accepted, _ := c.(*conn)
-	return accepted
 }
 
-// bodyGrace is the time for which a request body must not have gone on before its
-// connection may be closed for a new one.
-const bodyGrace = time.Second
-
-// listener accepts connections up to a limit. At the limit it closes the one that has
-// awaited a request for longest, since callers that only stay connected would keep out
-// all others, or else the one whose request body has not gone on for longest. If there is
-// neither, it waits.
-type listener struct {
-	net.Listener
-	limit       int // 0: none
-	budget      *budget.Budget
-	encrypted   bool
-	http2Buffer int64
-	closed      func(reason string)
-
-	mu      sync.Mutex
-	changed sync.Cond // open, waiting or ended has changed
-	open    int
-	waiting list.List     // of *conn, the one that has waited for longest first
-	bodies  map[*conn]int // number of unfinished request bodies
-	ended   bool
-	start   time.Time
-}
-
-func newListener(l net.Listener) *listener {
-	out := &listener{Listener: l, bodies: map[*conn]int{}, start: time.Now()}
-	out.changed.L = &out.mu
-	return out
-}
-
-// Accept returns the next connection.
-func (l *listener) Accept() (net.Conn, error) {
-	l.awaitRoom(false)
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// awaitHead counts the start of the next head, which may have arrived with the last read.
+// A short last read is that of the request before.
+func (c *conn) awaitHead() {
+	c.mu.Lock()
+	if c.http2 != nil {
+		c.mu.Unlock()
+		return
 	}
-	l.awaitRoom(true)
-	c := &conn{Conn: raw, listener: l, encrypted: l.encrypted, receiving: true}
-	c.holder = l.budget.Open(func() { l.giveUp(c, ClosedForMemory) })
-	c.head, c.unread = c.holder.Charge(), c.holder.Charge()
-	l.mu.Lock()
-	l.open++
-	l.mu.Unlock()
-	c.holder.Charge().Set(connCost)
-	return c, nil
+	c.receiving, c.size = true, c.lastRead
+	cost := c.size.cost(c.listener.encrypted)
+	c.reading = cost > connCost
+	reading := c.reading
+	c.mu.Unlock()
+	c.holder.SetReading(reading)
+	c.head.Set(cost)
 }
 
-// awaitRoom returns when one more connection may be open, or one can be closed for it,
-// which it does if closeOldest is set.
-func (l *listener) awaitRoom(closeOldest bool) {
-	if l.limit == 0 {
-		return
+// Write sends bytes. A caller that does not read them for a second may lose the connection
+// to others, and one that does not read for the time limit of stalls does.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.holder == nil || c.isHijacked() {
+		return c.Conn.Write(p)
 	}
-	l.mu.Lock()
-	var oldest *conn
-	for l.open >= l.limit && !l.ended {
-		if oldest = l.oldest(); oldest != nil {
-			break
+	written, waited := 0, time.Duration(0)
+	for {
+		deadline, own := c.nextWriteDeadline()
+		_ = c.Conn.SetWriteDeadline(deadline)
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if n > 0 {
+			waited = 0
+			c.recordProgress()
+		}
+		if err == nil || !own || !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.setUnread(false)
+			return written, err
+		}
+		if waited += writeCheck; c.listener.stall > 0 && waited > c.listener.stall {
+			c.listener.giveUp(c, ClosedForStall)
+			return written, err
+		}
+		if n == 0 {
+			c.setUnread(true)
 		}
-		l.awaitChange()
-	}
-	l.mu.Unlock()
-	if closeOldest && oldest != nil {
-		l.giveUp(oldest, ClosedForConnections)
 	}
 }
 
-// awaitChange returns when connections may have changed, or a body may have stopped. The
-// caller holds the lock.
-func (l *listener) awaitChange() {
-	if len(l.bodies) > 0 {
-		timer := time.AfterFunc(bodyGrace/4, func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.changed.Signal()
-		})
-		defer timer.Stop()
+// nextWriteDeadline returns the time of the next check, or the deadline of the server if
+// that is earlier.
+func (c *conn) nextWriteDeadline() (at time.Time, own bool) {
+	at = time.Now().Add(writeCheck)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d := c.writeDeadline; !d.IsZero() && d.Before(at) {
+		return d, false
 	}
-	l.changed.Wait()
+	return at, true
 }
 
-// oldest returns the connection to close for a new one, or nil. The caller holds the lock.
-func (l *listener) oldest() *conn {
-	if first := l.waiting.Front(); first != nil {
-		c, _ := first.Value.(*conn)
-		return c
-	}
-	var out *conn
-	least := int64(time.Since(l.start) - bodyGrace)
-	for c := range l.bodies {
-		if at := c.progress.Load(); at <= least {
-			out, least = c, at
-		}
-	}
-	return out
+// SetDeadline sets the deadlines of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.setWriteDeadline(t)
+	return c.Conn.SetDeadline(t)
 }
 
-// addBody adds 1 or -1 to the unfinished request bodies of a connection.
-func (l *listener) addBody(c *conn, n int) {
-	c.recordProgress()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.bodies[c] += n; l.bodies[c] <= 0 {
-		delete(l.bodies, c)
-	}
-	l.changed.Signal()
+// SetWriteDeadline sets the deadline of writes.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.setWriteDeadline(t)
+	return c.Conn.SetWriteDeadline(t)
 }
 
-func (c *conn) recordProgress() { c.progress.Store(int64(time.Since(c.listener.start))) }
+func (c *conn) setWriteDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+}
 
-func (l *listener) giveUp(c *conn, reason string) {
-	err := c.Close()
+func (c *conn) isHijacked() bool {
 	c.mu.Lock()
-	c.givenUp = true
-	cancel := c.cancel
-	c.mu.Unlock()
-	if cancel != nil {
-		cancel()
-	}
-	if err == nil && l.closed != nil {
-		l.closed(reason)
-	}
+	defer c.mu.Unlock()
+	return c.hijacked
 }
 
-func (l *listener) setWaiting(c *conn, on bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if c.waiting != nil {
-		l.waiting.Remove(c.waiting)
-		c.waiting = nil
+func (c *conn) setUnread(on bool) {
+	if c.listener.setUnread(c, on) {
+		c.holder.SetUnread(on)
 	}
-	if on {
-		c.waiting = l.waiting.PushBack(c)
-	}
-	l.changed.Signal()
 }
 
-func (l *listener) remove(c *conn) {
-	l.setWaiting(c, false)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.bodies, c)
-	l.open--
-	l.changed.Signal()
+func (c *conn) recordProgress() { c.progress.Store(int64(time.Since(c.listener.conns.start))) }
+
+// Close closes the connection. Only the first call has an effect.
+func (c *conn) Close() error {
+	err := net.ErrClosed
+	c.closeOnce.Do(func() {
+		c.holder.Abandon()
+		err = c.Conn.Close()
+		c.listener.remove(c)
+		if c.isHijacked() {
+			c.holder.Close()
+		}
+	})
+	return err
 }
 
-// Close stops the listener. Open connections stay open.
-func (l *listener) Close() error {
-	l.mu.Lock()
-	l.ended = true
-	l.changed.Broadcast()
-	l.mu.Unlock()
-	return l.Listener.Close()
+// acceptedConn returns the conn below a connection of net/http, or nil.
+func acceptedConn(c net.Conn) *conn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	accepted, _ := c.(*conn)
+	return accepted
 }
--- a/core/serve/guard.go
+++ b/core/serve/guard.go
@@ -21,6 +21,10 @@
 	return ctx
 }
 
+// overloadRetryAfter is the time after which a caller may resend a request for which there
+// was no memory.
+const overloadRetryAfter = time.Second
+
 // guard returns a handler that counts what each request holds in memory and closes the
 // connections of requests whose body does not go on. The handler below can count more
 // by budget.FromContext.
@@ -31,9 +35,21 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		charge := c.holder.Charge()
-		charge.Set(headerCost(r.Header))
-		defer charge.Set(0)
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		stage := budget.Serving
+		if hasBody {
+			stage = budget.Body
+		}
+		charge := c.holder.Request(stage)
+		defer charge.End()
+		c.begin(r)
+		if !charge.Add(parsedCost(r)) {
+			w.Header().Set("Connection", "close")
+			WriteProblem(w, r, &ProblemError{
+				Status: http.StatusServiceUnavailable, Reason: "overload", Detail: errNoMemory.Error(), RetryAfter: overloadRetryAfter,
+			})
+			return
+		}
 		ctx, cancel := context.WithCancel(budget.WithCharge(r.Context(), charge))
 		defer cancel()
 		if r.ProtoMajor == 1 {
@@ -41,7 +57,7 @@
 			defer c.setCancel(nil)
 		}
 		r = r.WithContext(ctx)
-		if r.Body != nil && r.Body != http.NoBody {
+		if hasBody {
 			body := &guardedBody{ReadCloser: r.Body, conn: c, charge: charge, byteCost: s.bodyByteCost}
 			c.listener.addBody(c, 1)
 			defer body.finish()
@@ -61,18 +77,6 @@
 	})
 }
 
-// headerCost estimates the memory of a parsed header.
-func headerCost(h http.Header) int64 {
-	cost := int64(0)
-	for name, values := range h {
-		cost += headLineCost + headByteCost*int64(len(name))
-		for _, v := range values {
-			cost += headByteCost * int64(len(v))
-		}
-	}
-	return cost
-}
-
 // guardedBody is a request body that counts the bytes read.
 type guardedBody struct {
 	io.ReadCloser
@@ -131,8 +135,12 @@
 	b.setReading(false)
 	if n > 0 {
 		b.conn.recordProgress()
-		b.conn.bodyRead(n)
-		b.charge.Add(int64(n) * b.byteCost)
+		b.conn.updateHTTP2(func(s *http2State) { s.read(int64(n)) })
+		b.charge.Advance()
+		if !b.charge.Add(int64(n) * b.byteCost) {
+			b.conn.listener.giveUp(b.conn, ClosedForMemory)
+			return 0, errNoMemory
+		}
 	}
 	if err != nil {
 		b.finish()
@@ -148,5 +156,6 @@
 	b.mu.Unlock()
 	if !ended {
 		b.conn.listener.addBody(b.conn, -1)
+		b.charge.SetStage(budget.Serving)
 	}
 }
--- a/core/serve/server.go
+++ b/core/serve/server.go
@@ -22,6 +22,7 @@
 	listener net.Listener
 
 	budget       *budget.Budget
+	connections  *Connections // nil: its own
 	bodyByteCost int64
 	closed       func(reason string)
 	onConnState  func(net.Conn, http.ConnState)
@@ -62,6 +63,10 @@
 // other ones. The default has no bound.
 func WithBudget(b *budget.Budget) Option { return func(s *Server) { s.budget = b } }
 
+// WithConnections sets the bound on connections that this server shares with other ones, in
+// place of the limit of its own.
+func WithConnections(c *Connections) Option { return func(s *Server) { s.connections = c } }
+
 // decodedBodyCost is the memory of a byte of a body that a handler reads as a whole and
 // decodes: a buffer that doubles, the old one and the values. With 4, 50 bodies of 4 MB
 // raised a process to 95 MB, of 96.
@@ -110,18 +115,11 @@
 	return s
 }
 
-// Limits of HTTP/2 connections with a budget. net/http holds up to 1 MiB of the bodies on
-// each connection by default, and 250 streams.
-const (
-	http2Buffer  = 64 << 10 // the least that the protocol allows
-	http2Streams = 100
-)
-
 // NewMetricsServer returns a server that serves only /metrics.
-func NewMetricsServer(metrics http.Handler) *Server {
+func NewMetricsServer(metrics http.Handler, opts ...Option) *Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics)
-	return New(WithHandler(mux))
+	return New(append(opts, WithHandler(mux))...)
 }
 
 // Listen binds the address. With port 0 the kernel chooses a port.
@@ -130,9 +128,15 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", addr)
 	}
-	limited := newListener(l)
-	limited.limit, limited.budget, limited.closed = s.limits.MaxConnections, s.budget, s.closed
-	limited.encrypted, limited.http2Buffer = s.http.TLSConfig != nil, http2Buffer
+	conns := s.connections
+	if conns == nil {
+		conns = NewConnections(s.limits.MaxConnections)
+	}
+	limited := &listener{
+		Listener: l, conns: conns, budget: s.budget, closed: s.closed, stall: s.limits.StallTimeout,
+		encrypted: s.http.TLSConfig != nil, http2: s.http.Protocols.UnencryptedHTTP2(), maxHeaderBytes: s.limits.MaxRequestHeaderBytes,
+	}
+	conns.addGroup(&limited.group)
 	s.listener = limited
 	return nil
 }
