All addresses of a process share its bounds

Cause: the addresses admin and metrics had no budget, and each address had a limit of connections of its own.

Now all servers of a process share one budget and one bound on connections, the setting connections.

--- a/control/daemon/callers.go
+++ b/control/daemon/callers.go
@@ -6,13 +6,14 @@
 	"github.com/galenalock/galenalock/core/serve"
 )
 
-// callerLimits returns the options of a server that operators and targets reach. The
-// servers of a process share the budget.
+// callerLimits returns the options of a server. All servers of the process share its
+// memory for callers and its connections.
 func (d *Daemon) callerLimits(b *budget.Budget, closures *meter.Counter) []serve.Option {
 	limits := serve.DefaultLimits()
-	limits.MaxConnections, limits.StallTimeout = d.settings.Connections, d.settings.Stall
+	limits.StallTimeout = d.settings.Stall
 	return []serve.Option{
 		serve.WithLimits(limits), serve.WithBudget(b), serve.WithBufferedBodies(),
+		serve.WithConnections(serve.NewConnections(d.settings.Connections)),
 		serve.WithCloseHook(func(reason string) { closures.Add(1, reason) }),
 	}
 }
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	if s.Metrics.IsValid() {
-		d.parts.metrics = serve.NewMetricsServer(d.parts.meter.Handler())
+		d.parts.metrics = serve.NewMetricsServer(d.parts.meter.Handler(), d.parts.serverOpts...)
 		if err := d.parts.metrics.Listen(s.Metrics); err != nil {
 			d.close()
 			return nil, err
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -82,9 +82,9 @@
 	handler := &deferredHandler{}
 	limits := serve.DefaultLimits()
 	limits.MaxRequestBodyBytes = int64(d.settings.Body) << 20 // of relayed requests
-	opts := []serve.Option{serve.WithLimits(limits), serve.WithBudget(d.budget), serve.WithCloseHook(c.addClosure), serve.WithHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	opts := d.callerLimits(c, limits, serve.WithHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handler.ServeHTTP(w, r)
-	}))}
+	})))
 	if k.peer != nil {
 		opts = append(opts, serve.WithTLS(k.peer.ServerConfig()))
 	}
@@ -92,6 +92,14 @@
 	return peerServer{server: server, handler: handler}, server.Listen(d.settings.Peer)
 }
 
+// callerLimits returns the options of a server. All servers of the process share its memory
+// for callers and its connections.
+func (d *Daemon) callerLimits(c *counters, limits serve.Limits, opts ...serve.Option) []serve.Option {
+	return append([]serve.Option{
+		serve.WithLimits(limits), serve.WithBudget(d.budget), serve.WithConnections(d.connections), serve.WithCloseHook(c.addClosure),
+	}, opts...)
+}
+
 func (d *Daemon) newAgent(log *logrus.Entry, c *counters, path *reach.Tracker, k certSet, p peerServer) *agent.Agent {
 	s := &d.settings
 	return agent.New(agent.Settings{
@@ -213,8 +221,8 @@
 
 	s := &d.settings
 	limits := serve.DefaultLimits()
-	limits.MaxRequestBodyBytes, limits.MaxConnections, limits.StallTimeout = int64(s.Body)<<20, s.Connections, s.Stall
-	traffic := []serve.Option{serve.WithHandler(in.Proxy), serve.WithLimits(limits), serve.WithBudget(d.budget), serve.WithCloseHook(in.Counters.addClosure)}
+	limits.MaxRequestBodyBytes, limits.StallTimeout = int64(s.Body)<<20, s.Stall
+	traffic := d.callerLimits(in.Counters, limits, serve.WithHandler(in.Proxy))
 	if s.HTTP2 {
 		traffic = append(traffic, serve.WithHTTP2())
 	}
@@ -222,12 +230,12 @@
 		traffic = append(traffic, serve.WithTLS(in.CertSet.public.PublicServerConfig()))
 	}
 	d.traffic = serve.New(traffic...)
-	d.admin = serve.New(serve.WithHandler(d.adminRouter()))
+	d.admin = serve.New(d.callerLimits(in.Counters, serve.DefaultLimits(), serve.WithHandler(d.adminRouter()), serve.WithBufferedBodies())...)
 	if s.Announce.IsValid() {
 		d.announce = d.newAnnounce(in)
 	}
 	if s.Metrics.IsValid() {
-		d.metrics = serve.NewMetricsServer(in.Meter.Handler())
+		d.metrics = serve.NewMetricsServer(in.Meter.Handler(), d.callerLimits(in.Counters, serve.DefaultLimits())...)
 	}
 	if err := d.registerGauges(); err != nil {
 		return err
@@ -240,7 +248,7 @@
 func (d *Daemon) newAnnounce(in components) *serve.Server {
 	r := serve.NewRouter(in.Log)
 	r.Post(agent.AnnouncePath, in.Agent.Announce)
-	opts := []serve.Option{serve.WithHandler(r), serve.WithBudget(d.budget), serve.WithCloseHook(in.Counters.addClosure), serve.WithBufferedBodies()}
+	opts := d.callerLimits(in.Counters, serve.DefaultLimits(), serve.WithHandler(r), serve.WithBufferedBodies())
 	if in.CertSet.public != nil {
 		opts = append(opts, serve.WithTLS(in.CertSet.public.PublicServerConfig()))
 	}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -54,6 +54,7 @@
 	drained      atomic.Bool // drained by an operator
 	skipDrain    chan struct{}
 	budget       *budget.Budget // memory for callers, nil without a bound
+	connections  *serve.Connections
 }
 
 // New creates an entry and binds its addresses. Run serves them.
@@ -65,6 +66,7 @@
 	}
 	d := &Daemon{settings: s, start: time.Now(), skipDrain: make(chan struct{}, 1)}
 	d.budget = budget.OfInstance(int64(s.Memory) << 20)
+	d.connections = serve.NewConnections(s.Connections)
 	d.inflightCore = drain.New(drain.WithTimeouts(s.StopTimes()))
 	if err := d.assemble(); err != nil {
 		return nil, err
