Responses that are buffered count as memory of their request

An entry reads responses up to 64 KiB before it forwards them, copies them with 32 KiB buffers and keeps those of keyed requests, none of which was counted: at 3,000 connections more than the instance has, if callers do not read. These bytes are now asked for; without them a response is forwarded as it arrives, in small buffers, and the recorded one is kept without its body. Found by reading each place where bytes are held for a caller; TestCrowdOfAnEntry/unread_answers stayed below its bound before as well.

--- a/entry/proxy/capture.go
+++ b/entry/proxy/capture.go
@@ -4,13 +4,15 @@
 	"maps"
 	"net/http"
 
+	"github.com/galenalock/galenalock/core/budget"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
 // capture copies a response to record it as the outcome of a claim.
 type capture struct {
 	answer   wire.Answer
-	overflow bool                // the body exceeds wire.MaxAnswer
+	overflow bool // the body exceeds wire.MaxAnswer, or there is no memory for it
+	charge   *budget.Charge
 	onDone   func(complete bool) // called once, when the body ends
 }
 
@@ -24,7 +26,8 @@
 }
 
 func (k *capture) add(chunk []byte) {
-	if k.overflow = k.overflow || len(k.answer.Body)+len(chunk) > wire.MaxAnswer; k.overflow {
+	k.overflow = k.overflow || len(k.answer.Body)+len(chunk) > wire.MaxAnswer || !k.charge.TryAdd(int64(len(chunk)))
+	if k.overflow {
 		k.answer.Body = nil
 		return
 	}
--- a/entry/proxy/claim.go
+++ b/entry/proxy/claim.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/galenalock/galenalock/core/budget"
 	"github.com/galenalock/galenalock/core/claim"
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/wire"
@@ -88,7 +89,7 @@
 	if err != nil {
 		return c.dispatchRefusal(detached, err)
 	}
-	recorded := &capture{}
+	recorded := &capture{charge: budget.FromContext(c.r.Context())}
 	recorded.onDone = func(complete bool) {
 		if complete {
 			recorder.finish(number, wire.OutcomeDone, recorded.record())
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"sync"
+
+	"github.com/galenalock/galenalock/core/budget"
 )
 
 // Sizes of copy buffers, in bytes. Most responses are short; with 32 KiB for each
@@ -79,7 +81,8 @@
 // detached request is still read to its end.
 func (c *call) copyBody(a *attempt, recorded *capture) error {
 	buffers := &largeBuffers
-	if length := a.response.ContentLength; length >= 0 && length <= smallBufferSize {
+	length := a.response.ContentLength
+	if length >= 0 && length <= smallBufferSize || !budget.FromContext(c.r.Context()).TryAdd(largeBufferSize) {
 		buffers = &smallBuffers
 	}
 	buffer, ok := buffers.Get().(*[]byte)
--- a/entry/proxy/whole.go
+++ b/entry/proxy/whole.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/galenalock/galenalock/core/budget"
 	"github.com/galenalock/galenalock/core/pool"
 )
 
@@ -61,20 +62,31 @@
 	return nil
 }
 
+// minPrefetch is the size of the first buffer of a response with unknown length.
+const minPrefetch = 512
+
 // prefetch reads a short response completely before any of it is forwarded, so
 // that a truncated one can still be retried. Of a longer one with unknown length
-// it reads the first part.
+// it reads the first part, and of any one only as much as there is memory for.
 func (a *attempt) prefetch() error {
 	limit := a.call.proxy.limits.WholeResponse
 	if limit == 0 || a.response.ContentLength > limit || !allowsBody(a.call.r.Method, a.response.StatusCode) {
 		return nil
 	}
-	prefix := make([]byte, 0, max(min(a.response.ContentLength, limit), 512))
+	charge := budget.FromContext(a.call.r.Context())
+	size := min(max(a.response.ContentLength, minPrefetch), limit)
+	if !charge.TryAdd(size) {
+		return nil
+	}
+	prefix := make([]byte, 0, size)
 	for int64(len(prefix)) < limit {
 		if len(prefix) == cap(prefix) {
-			prefix = append(prefix, 0)[:len(prefix)]
+			if size = min(2*size, limit); !charge.TryAdd(size) {
+				break
+			}
+			prefix = append(make([]byte, 0, size), prefix...)
 		}
-		n, err := a.response.Body.Read(prefix[len(prefix):min(int64(cap(prefix)), limit)])
+		n, err := a.response.Body.Read(prefix[len(prefix):cap(prefix)])
 		prefix = prefix[:len(prefix)+n]
 		if err == io.EOF { //nolint:errorlint // only the bare value means a complete body
 			a.prefetched, a.prefetchComplete = prefix, true
