Bodies that do not arrive leave targets to other requests

Causes: a body above the buffer was forwarded at once and held a slot until its deadline; the late end then counted as the target's failure, so that the target was avoided. A buffer that grew was charged with all that came before it.

Now a body is forwarded only after its first bytes have arrived, and while the service lacks room after as many as would be buffered; such requests take half of the slots of a service at most, and others wait in line (core/stall). While requests lack room, bodies that stood still for a second are given up. Nothing counts against a target while it waits for a caller. A request for whose body there is no memory is refused with 503, before any target has it.

A service that has room forwards a single slow upload as before, until stall.

--- a/entry/agent/tick.go
+++ b/entry/agent/tick.go
@@ -54,10 +54,22 @@
 			e := u.gate.Room(now)
 			u.budget.SetBusy(waiting > 0 || a.settings.Pace && room.Limits(&e, waiting))
 			a.tickOverloadLog(now, u, e, waiting)
+			lacks := waiting > 0 || u.transfers.Waiting() > 0 || e.Sheds() || room.Limits(&e, waiting)
+			if lacks || u.lacksRoom.Load() {
+				u.lacksRoom.Store(lacks)
+				a.relieve(now, u)
+			}
 		}
 	}
 }
 
+// relieve gives up bodies that stand still, since other requests lack their room.
+func (a *Agent) relieve(now time.Time, u *upstream) {
+	if n := u.transfers.Relieve(now); n > 0 {
+		a.log.WithField("service", u.service.Name).WithField("bodies", n).Info("bodies that stand still given up")
+	}
+}
+
 // monitorDue reports whether the health monitor needs a tick. At the fleet size
 // that the system is designed for, an entry sends less than one request a second
 // to most services, and ticking all targets of all services would exceed the
--- a/entry/agent/traffic.go
+++ b/entry/agent/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/galenalock/galenalock/core/health"
@@ -12,6 +13,7 @@
 	"github.com/galenalock/galenalock/core/retry"
 	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/stall"
 	"github.com/galenalock/galenalock/core/susp"
 	"github.com/galenalock/galenalock/entry/proxy"
 )
@@ -28,7 +30,22 @@
 	call         health.Call
 	measured     bool
 	overdueTimer *time.Timer // records that the response is overdue, may be nil
-	silenceTimer *time.Timer // records that the target does not respond
+	silenceTimer *time.Timer // records that the target does not respond, may be nil
+
+	mu    sync.Mutex // guards the timers of a streamed attempt
+	ended bool
+}
+
+// stopTimers ends the watch over the attempt.
+func (d *attemptHandle) stopTimers() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+	for _, t := range []*time.Timer{d.overdueTimer, d.silenceTimer} {
+		if t != nil {
+			t.Stop()
+		}
+	}
 }
 
 func (a *Agent) upstream(service string) *upstream { return (*a.upstreamSnapshot.Load())[service] }
@@ -90,19 +107,63 @@
 	d.target.quota.Take(at.Start)
 	d.upstream.pending.Add(1)
 	d.upstream.active.Store(true)
+	if at.Streamed {
+		return // the duration depends on the caller until Sent is called
+	}
+	a.watchAttempt(d, at, at.Start)
+	// The duration of an upload depends on the caller, not on the target.
+	if !at.Request.Kind.Upload {
+		d.call, d.measured = d.target.health.Start(at.Start), true
+	}
+}
+
+// watchAttempt records if the target does not respond in time from now on.
+func (a *Agent) watchAttempt(d *attemptHandle, at proxy.Attempt, now time.Time) {
 	overdue := d.upstream.overdueDelay(at.Request.Kind)
 	if a.registry != nil && overdue > 0 {
-		d.overdueTimer = time.AfterFunc(overdue, func() { a.recordObservation(d.target, susp.Overdue, at.Start, time.Now()) })
+		d.overdueTimer = time.AfterFunc(overdue, func() { a.recordObservation(d.target, susp.Overdue, now, time.Now()) })
 	}
 	silence := maxSilence
 	if overdue > 0 {
 		silence = min(max(overdue, reach.QuietTime), maxSilence)
 	}
 	d.silenceTimer = time.AfterFunc(silence, func() { a.recordUnreached(d.target, time.Now()) })
-	// The duration of an upload depends on the caller, not on the target.
-	if !at.Request.Kind.Upload {
-		d.call, d.measured = d.target.health.Start(at.Start), true
+}
+
+// Sent records that the body of a streamed attempt has arrived.
+func (a *Agent) Sent(at proxy.Attempt) {
+	d, ok := at.Target.Handle.(*attemptHandle)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ended {
+		a.watchAttempt(d, at, time.Now())
+	}
+}
+
+// LacksRoom reports whether requests lack room at the targets of a service.
+func (a *Agent) LacksRoom(r proxy.Request) bool {
+	u := a.upstream(r.Service.Name)
+	return u != nil && u.lacksRoom.Load()
+}
+
+// forwardedShare is the part of the slots of a service that requests may take whose bodies
+// are forwarded while they arrive. The rest is for those that have arrived.
+const forwardedShare = 0.5
+
+// Forward waits until the body of a request may be forwarded while it arrives.
+func (a *Agent) Forward(ctx context.Context, r proxy.Request, giveUp func()) (*stall.Transfer, error) {
+	u := a.upstream(r.Service.Name)
+	if u == nil {
+		return nil, nil //nolint:nilnil // the request is refused because Pick finds no target
+	}
+	limit := 0
+	if slots := u.slots.Load(); slots > 0 {
+		limit = max(1, int(forwardedShare*float64(slots)))
 	}
+	return u.transfers.Begin(ctx, limit, giveUp)
 }
 
 // End records the outcome of an attempt.
@@ -116,10 +177,10 @@
 	if !ok {
 		return
 	}
-	if d.overdueTimer != nil {
-		d.overdueTimer.Stop()
+	d.stopTimers()
+	if o.Stalled && (o.Class == proxy.Failed || o.Class == proxy.Faulty) {
+		o.Class, o.Lost = proxy.Cancelled, false // the target gave up waiting for the caller
 	}
-	d.silenceTimer.Stop()
 	latency := time.Duration(0)
 	if o.Class == proxy.Answered {
 		a.recordAnswer(at, o)
--- a/entry/agent/upstream.go
+++ b/entry/agent/upstream.go
@@ -16,6 +16,7 @@
 	"github.com/galenalock/galenalock/core/roster"
 	"github.com/galenalock/galenalock/core/route"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/stall"
 	"github.com/galenalock/galenalock/core/susp"
 )
 
@@ -44,6 +45,9 @@
 	lastProbe atomic.Int64                     // Unix nanoseconds of the last probe
 	meter     quota.Meter                      // demand of this entry
 	volumes   volumes
+	transfers stall.Table  // bodies that are forwarded while they arrive
+	slots     atomic.Int64 // of all targets that take requests, 0 if unknown
+	lacksRoom atomic.Bool  // requests wait, or are refused, for lack of room at the targets
 	// limitEvents tells the control goroutine that limits of targets have changed.
 	limitEvents atomic.Bool
 
@@ -226,6 +230,7 @@
 	u.snapshots.Store(&snapshots)
 	u.targets, u.ejected, u.dirty, u.lastUpdate = next, ejected, false, now
 	a.confirmRestarts(now, u)
+	u.slots.Store(int64(slots))
 	u.gate.SetTiers(tiers)
 	deliverDecisions(u.gate.SetCapacity(now, float64(slots), a.entryCount()))
 }
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -172,7 +172,7 @@
 
 func (d *Daemon) newProxy(log *logrus.Entry, a *agent.Agent, m *meter.Meter, k certSet) (*proxy.Proxy, error) {
 	hooks, err := proxy.Hooks{
-		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
+		View: a.View, Await: a.Await, Pick: a.Pick, Begin: a.Begin, Sent: a.Sent, Forward: a.Forward, LacksRoom: a.LacksRoom, End: logAttempt(log, a.End), Finished: logRequest(log), Admit: a.Admit,
 		Quarantined: a.Quarantined, MayResend: a.MayResend, Unavailable: a.Unavailable, PathLost: a.PathLost,
 		RoomAfter: a.RoomAfter,
 		Stale:     func() bool { return a.IsStale(time.Now()) },
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/galenalock/galenalock/core/budget"
 	"github.com/galenalock/galenalock/core/pool"
 	"github.com/galenalock/galenalock/core/refuse"
 )
@@ -50,7 +51,7 @@
 }
 
 func (c *call) attempt(ctx context.Context, target Target, number int) *attempt {
-	a := &attempt{call: c, info: Attempt{Request: c.request, Target: target, Number: c.earlierAttempts + number}}
+	a := &attempt{call: c, info: Attempt{Request: c.request, Target: target, Number: c.earlierAttempts + number, Streamed: c.streaming}}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	if target.Relay {
 		a.allowance, c.passedOn = c.remainingAttempts(), true
@@ -240,8 +241,10 @@
 	if err := a.call.checkAccess(); err != nil {
 		return err
 	}
-	if a.call.streaming {
-		a.call.upload.enableDuplex()
+	if u := a.call.upload; a.call.streaming {
+		u.enableDuplex()
+		u.charge.SetStage(budget.Forwarding)
+		u.notifyWhole(func() { a.call.proxy.hooks.Sent(a.info) })
 	}
 	if a.call.beforeSend != nil {
 		if err := a.call.beforeSend(); err != nil {
@@ -296,6 +299,7 @@
 		a.outcome.End = a.call.proxy.hooks.Now()
 		a.outcome.Reused = a.reused.Load()
 		a.outcome.Lost = class == Failed && pool.ConnectionLost(err)
+		a.outcome.Stalled = a.info.Streamed && a.call.upload.isStalled()
 		a.outcome.BytesSent = a.call.upload.bytesRead.Load()
 		a.call.proxy.hooks.End(a.info, a.outcome)
 	})
--- a/entry/proxy/call.go
+++ b/entry/proxy/call.go
@@ -114,7 +114,7 @@
 	if limit := c.request.View.Text.Limits.BodyBytes; limit > 0 && c.r.Body != nil {
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
-	c.upload = newUpload(c.r, c.controller, c.proxy.rules.UploadError)
+	c.upload = newUpload(c.r, c.controller, c.proxy.rules.UploadError, c.proxy.hooks.Now)
 	c.upload.onEnd = c.removeTrailers
 	g := &guard{controller: c.controller, now: c.proxy.hooks.Now}
 	defer g.end()
@@ -131,6 +131,14 @@
 			return c.dispatchRefusal(ctx, err)
 		}
 	}
+	if c.streaming {
+		transfer, err := c.proxy.hooks.Forward(ctx, c.request, c.upload.giveUp)
+		if err != nil {
+			return admissionRefusal(ctx, err)
+		}
+		c.upload.transfer = transfer
+		defer transfer.End()
+	}
 	admitted, err := c.admit(ctx)
 	if err != nil {
 		return err
--- a/entry/proxy/dispatch.go
+++ b/entry/proxy/dispatch.go
@@ -152,7 +152,7 @@
 	var malformed *pool.RequestError
 	var access *accessError
 	var refused *refuse.Error
-	resend := !c.streaming || !c.upload.started.Load()
+	resend := !c.streaming || !c.upload.handed.Load()
 	switch {
 	case errors.As(err, &bodyErr), errors.As(err, &malformed), errors.Is(err, errStaleClaim),
 		errors.As(err, &access), errors.As(err, &refused):
@@ -217,6 +217,8 @@
 		if reason, wait := c.proxy.hooks.Unavailable(c.request, c.proxy.hooks.Now()); reason == refuse.Paused {
 			out.Reason, out.RetryAfter = reason, wait
 		}
+	case errors.Is(err, errUploadStalled):
+		out.Reason, out.Detail = refuse.Deadline, errUploadStalled.Error()
 	case errors.Is(err, errDigestMismatch):
 		out.Reason = refuse.BadDigest
 	case errors.As(err, &bodyErr), errors.As(err, &malformed):
--- a/entry/proxy/hooks.go
+++ b/entry/proxy/hooks.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/spec"
+	"github.com/galenalock/galenalock/core/stall"
 	"github.com/galenalock/galenalock/core/update"
 	"github.com/galenalock/galenalock/core/wire"
 )
@@ -69,10 +70,19 @@
 	// By default every view counts as the newest.
 	Freshness func() update.Freshness
 
-	// Begin is called before each attempt is sent, End once with its outcome.
+	// Begin is called before each attempt is sent, End once with its outcome. Sent is
+	// called in between when the body of a streamed attempt has arrived as a whole.
 	Begin func(Attempt)
+	Sent  func(Attempt)
 	End   func(Attempt, Outcome)
 
+	// LacksRoom reports whether requests wait for room at the targets of a service, or are
+	// refused for lack of it.
+	LacksRoom func(r Request) bool
+	// Forward waits until the body of a request may be forwarded while it arrives. giveUp
+	// ends it. The error is that of the context.
+	Forward func(ctx context.Context, r Request, giveUp func()) (*stall.Transfer, error)
+
 	// Admit waits for permission to run the request. Its error should be a
 	// *refuse.Error with Run set to refuse.NotRun.
 	Admit func(ctx context.Context, r Request) (Admission, error)
@@ -154,6 +164,15 @@
 	if h.Begin == nil {
 		h.Begin = func(Attempt) {}
 	}
+	if h.Sent == nil {
+		h.Sent = func(Attempt) {}
+	}
+	if h.LacksRoom == nil {
+		h.LacksRoom = func(Request) bool { return false }
+	}
+	if h.Forward == nil {
+		h.Forward = func(context.Context, Request, func()) (*stall.Transfer, error) { return nil, nil } //nolint:nilnil // nil is in no table
+	}
 	if h.End == nil {
 		h.End = func(Attempt, Outcome) {}
 	}
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenalock/galenalock/core/budget"
 	"github.com/galenalock/galenalock/core/refuse"
+	"github.com/galenalock/galenalock/core/stall"
 )
 
 // upload reads the request body from the caller and verifies its length and
@@ -25,39 +26,80 @@
 	bytesRead  atomic.Int64
 
 	duplex  bool        // net/http does not read the rest of the body before the response
-	started atomic.Bool // the body was read; a target may have received part of it
+	started atomic.Bool // the body was read
+	handed  atomic.Bool // a target may have received part of it
 	stopped atomic.Bool
 	ended   atomic.Bool
 	onEnd   func()     // called when the body and its trailer were read; may be nil
 	mu      sync.Mutex // held during a read
+	first   []byte     // first part of a body that is forwarded while it arrives
+	// firstBytes is the size of the buffer of first.
+	firstBytes int64
+	onWhole    func() // called when the whole body was read from the caller; may be nil
+
+	now      func() time.Time
+	transfer *stall.Transfer // nil unless the body is forwarded while it arrives
+	waiting  atomic.Int64    // Unix nanoseconds since which a read waits for the caller, 0: none does
+	stalled  atomic.Bool     // given up because it stood still
 
 	charge *budget.Charge // memory that the request holds
 }
 
 var errUploadStopped = errors.New("the body is no longer read")
 
-func newUpload(r *http.Request, controller *http.ResponseController, mapError func(error) error) *upload {
-	if r.Body == nil || r.Body == http.NoBody {
-		return &upload{controller: controller, body: http.NoBody, mapError: mapError}
+// errUploadStalled is the error of a body that was given up for other requests.
+var errUploadStalled = errors.New("the body stood still while other requests lacked room")
+
+// errNoMemory is the error of a body for which there is no memory.
+var errNoMemory = errors.New("the memory for callers is in use")
+
+func newUpload(r *http.Request, controller *http.ResponseController, mapError func(error) error, now func() time.Time) *upload {
+	u := &upload{controller: controller, body: http.NoBody, mapError: mapError, now: now}
+	if r.Body != nil && r.Body != http.NoBody {
+		u.body, u.length, u.charge = r.Body, r.ContentLength, budget.FromContext(r.Context())
 	}
-	return &upload{controller: controller, body: r.Body, length: r.ContentLength, mapError: mapError, charge: budget.FromContext(r.Context())}
+	return u
 }
 
-// Read returns io.EOF only after the digest was verified. It withholds the last
-// bytes of a body with a wrong digest, so that no target receives it completely.
+// Read reads the body for a target: first the part that was read before dispatch.
 func (u *upload) Read(p []byte) (int, error) {
+	u.handed.Store(true)
+	u.mu.Lock()
+	if len(u.first) > 0 {
+		defer u.mu.Unlock()
+		n := copy(p, u.first)
+		u.first = u.first[n:]
+		if len(u.first) == 0 {
+			u.first = nil
+			u.charge.Add(-u.firstBytes)
+		}
+		return n, nil
+	}
+	u.mu.Unlock()
+	return u.read(p)
+}
+
+// read returns io.EOF only after the digest was verified. It withholds the last
+// bytes of a body with a wrong digest, so that no target receives it completely.
+func (u *upload) read(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.stopped.Load() {
-		return 0, errUploadStopped
+		return 0, u.stopError()
 	}
 	u.started.Store(true)
-	n, err := u.body.Read(p)
+	n, err := u.awaitCaller(p)
+	if err != nil && u.stalled.Load() {
+		return 0, errUploadStalled
+	}
 	total := u.bytesRead.Add(int64(n))
 	if u.digest != nil {
 		u.digest.hash.Write(p[:n])
 	}
 	ended := errors.Is(err, io.EOF)
+	if ended || total == u.length {
+		u.endTransfer()
+	}
 	if ended && u.onEnd != nil {
 		u.onEnd()
 	}
@@ -79,6 +121,57 @@
 	return n, err
 }
 
+// awaitCaller reads from the caller and records how long that takes.
+func (u *upload) awaitCaller(p []byte) (int, error) {
+	now := u.now()
+	u.waiting.Store(now.UnixNano())
+	u.transfer.Wait(now)
+	n, err := u.body.Read(p)
+	if n > 0 || errors.Is(err, io.EOF) {
+		u.waiting.Store(0)
+		u.transfer.Advance()
+	}
+	return n, err
+}
+
+// notifyWhole sets the function that is called once the whole body was read.
+func (u *upload) notifyWhole(f func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.onWhole = f
+}
+
+// endTransfer records that nothing more is awaited from the caller.
+func (u *upload) endTransfer() {
+	u.transfer.End()
+	if u.onWhole != nil {
+		u.onWhole()
+		u.onWhole = nil
+	}
+}
+
+// isStalled reports whether the body stands still because the caller does not send it.
+func (u *upload) isStalled() bool {
+	if u.ended.Load() {
+		return false
+	}
+	since := u.waiting.Load()
+	return u.stalled.Load() || since != 0 && u.now().UnixNano()-since >= int64(stall.Time)
+}
+
+// giveUp ends a body that stands still.
+func (u *upload) giveUp() {
+	u.stalled.Store(true)
+	u.interrupt()
+}
+
+func (u *upload) stopError() error {
+	if u.stalled.Load() {
+		return errUploadStalled
+	}
+	return errUploadStopped
+}
+
 // enableDuplex lets the response be sent while the body is read. Without it, net/http
 // reads the whole body of an HTTP/1.1 request before it sends the first byte of the
 // response. With it, the body must be read or interrupted, since net/http panics if it
@@ -122,7 +215,7 @@
 // stop ends reading and returns when no read is in progress, since the request
 // body must not be read after the handler has returned.
 func (u *upload) stop() {
-	if u.ended.Load() || !u.started.Load() && !u.duplex {
+	if u.ended.Load() || !u.handed.Load() && !u.duplex {
 		u.stopped.Store(true)
 		return
 	}
@@ -157,21 +250,55 @@
 			return notRunError(refuse.TooLarge, "")
 		}
 	} else if r.ContentLength < 0 || r.ContentLength > limit || expectsContinue(r) {
-		c.streaming = true
-		c.upload.charge.Add(streamedBytes)
-		return nil
+		return c.loadFirst(ctx, limit)
 	}
 	if c.bufferedBody, err = c.upload.readAll(limit); err == nil && int64(len(c.bufferedBody)) <= limit {
 		return nil
 	}
-	switch {
-	case int64(len(c.bufferedBody)) > limit:
+	if int64(len(c.bufferedBody)) > limit {
 		return notRunError(refuse.TooLarge, "")
+	}
+	return bodyRefusal(ctx, err)
+}
+
+// loadFirst reads the first part of a body that is forwarded while it arrives, so that a
+// caller who sends nothing holds no room at a target. While the service lacks room, that is
+// as much as would be buffered.
+func (c *call) loadFirst(ctx context.Context, limit int64) error {
+	c.streaming = true
+	u := c.upload
+	if !u.charge.Add(streamedBytes) {
+		return bodyRefusal(ctx, errNoMemory)
+	}
+	if expectsContinue(c.r) {
+		return nil // the target decides whether it wants the body
+	}
+	data, err := u.readFirst()
+	if err == nil && c.proxy.hooks.LacksRoom(c.request) {
+		data, err = u.fill(data, limit)
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		c.streaming, c.bufferedBody = false, data
+	case err != nil:
+		return bodyRefusal(ctx, err)
+	default:
+		u.first, u.firstBytes = data, int64(cap(data))
+	}
+	return nil
+}
+
+// bodyRefusal returns the refusal of a request whose body could not be read before
+// dispatch.
+func bodyRefusal(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(err, errNoMemory):
+		return &refuse.Error{Reason: refuse.Overload, Run: refuse.NotRun, RetryAfter: retryAfter, Err: err}
 	case errors.Is(err, errDigestMismatch):
 		return notRunError(refuse.BadDigest, "")
 	case tooLarge(err):
 		return notRunError(refuse.TooLarge, "")
-	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return notRunError(refuse.Deadline, "the body did not arrive in time")
 	}
 	return notRunError(refuse.BadRequest, "the body broke off: "+err.Error())
@@ -182,8 +309,40 @@
 	return errors.As(err, &large)
 }
 
-// readAll reads the body, up to one byte more than the limit. The buffer grows as the
-// body arrives.
+// readFirst reads what arrives first of the body.
+func (u *upload) readFirst() ([]byte, error) {
+	data, err := u.grow(nil, firstBuffer)
+	if err != nil {
+		return nil, err
+	}
+	size := cap(data)
+	if u.length < 0 {
+		size = 1 // net/http fills the buffer with the rest of a chunk
+	}
+	n, err := u.read(data[:size])
+	return data[:n], err
+}
+
+// fill appends to data until it has that many bytes, or the body ends. The buffer grows as
+// they arrive.
+func (u *upload) fill(data []byte, most int64) ([]byte, error) {
+	for int64(len(data)) < most {
+		if len(data) == cap(data) {
+			var err error
+			if data, err = u.grow(data, most); err != nil {
+				return nil, err
+			}
+		}
+		n, err := u.read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err != nil {
+			return data, err
+		}
+	}
+	return data, nil
+}
+
+// readAll reads the body, up to one byte more than the limit.
 func (u *upload) readAll(limit int64) ([]byte, error) {
 	if u.length == 0 && u.digest == nil {
 		u.ended.Store(true)
@@ -193,24 +352,16 @@
 	if u.length > 0 && u.length <= limit {
 		most = u.length
 	}
-	var data []byte
-	for int64(len(data)) < most {
-		if len(data) == cap(data) {
-			data = u.grow(data, most)
-		}
-		n, err := u.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return data, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-	if most > limit {
+	data, err := u.fill(nil, most)
+	switch {
+	case errors.Is(err, io.EOF):
+		return data, nil
+	case err != nil:
+		return nil, err
+	case most > limit:
 		return data, nil
 	}
-	_, err := u.Read(nil) // lets net/http see the end of an HTTP/1.1 body
+	_, err = u.read(nil) // lets net/http see the end of an HTTP/1.1 body
 	if errors.Is(err, io.EOF) {
 		err = nil
 	}
@@ -218,12 +369,15 @@
 }
 
 // grow returns a larger buffer with the same content, for at most that many bytes.
-func (u *upload) grow(data []byte, most int64) []byte {
+func (u *upload) grow(data []byte, most int64) ([]byte, error) {
 	size := min(max(firstBuffer, 2*int64(cap(data))), most)
-	u.charge.Add(size) // the old one is counted until the end, since it becomes garbage
+	if !u.charge.Add(size) {
+		return nil, errNoMemory
+	}
 	out := make([]byte, len(data), size)
 	copy(out, data)
-	return out
+	u.charge.Add(-int64(cap(data)))
+	return out, nil
 }
 
 func expectsContinue(r *http.Request) bool {
--- a/entry/proxy/view.go
+++ b/entry/proxy/view.go
@@ -85,6 +85,9 @@
 	Target  Target
 	Number  int // 0 for the first attempt
 	Start   time.Time
+	// Streamed is set if the body is forwarded while it arrives. Until it has, the target
+	// waits for the caller.
+	Streamed bool
 }
 
 // Summary describes how a request ended.
@@ -138,6 +141,7 @@
 	ConnectTime   time.Duration // of a connection opened for the attempt, 0 without a response
 	BytesReceived int64         // of the response body
 	BytesSent     int64         // of the request body
+	Stalled       bool          // the caller did not go on with the body
 	Lost          bool          // the target or its host closed the connection before the response was complete
 	Err           error         // why the attempt failed
 }
