Idempotency keys are a feature of a dialect

The dialect names the header now. The one of the platform has none, so that the header is forwarded like any other; the native one is as before.

--- a/entry/proxy/dialect.go
+++ b/entry/proxy/dialect.go
@@ -28,6 +28,10 @@
 	Proof     string // set by targets only, on every response that they make
 	RefusalID string // request identifier in refusals
 
+	// IdempotencyKey is the header of the key under which control records a request that
+	// must not be repeated, and its response.
+	IdempotencyKey string
+
 	// KeyScheme is the scheme of the header Authorization in which callers send keys of
 	// workspaces. Without it keys have no effect.
 	KeyScheme string
@@ -58,7 +62,8 @@
 func Native() Dialect {
 	return Dialect{
 		Workspace: headerWorkspace, Deadline: headerDeadline, RefusalID: headerRequest,
-		KeyScheme: "Bearer", WorkspaceOut: headerWorkspace,
+		IdempotencyKey: headerKey,
+		KeyScheme:      "Bearer", WorkspaceOut: headerWorkspace,
 		Load: nativeLoad, Limit: LimitHeader(headerLimit), Leaving: LeavingHeader(headerLeaving),
 		NotRun: func(status int, h http.Header) (bool, bool) {
 			notRun := status == http.StatusServiceUnavailable && h.Get(headerRun) == string(refuse.NotRun)
--- a/entry/proxy/key.go
+++ b/entry/proxy/key.go
@@ -13,13 +13,15 @@
 
 const maxKeyLength = 255 // bytes
 
-// readKey reads the Idempotency-Key of a request that must not be repeated. For
-// other kinds the header has no meaning and is forwarded unchanged.
+// readKey reads the idempotency key of a request that must not be repeated. For other
+// kinds, and in a dialect without keys, the header has no meaning and is forwarded
+// unchanged.
 func (c *call) readKey() error {
-	if !c.atMostOnce {
+	header := c.proxy.dialect.IdempotencyKey
+	if !c.atMostOnce || header == "" {
 		return nil
 	}
-	values := c.r.Header[headerKey]
+	values := c.r.Header[header]
 	if len(values) == 0 {
 		if c.request.Kind.KeyRequired {
 			return notRunError(refuse.NoKey, "")
