HTTP/2 is off unless the settings ask for it

Cause: the traffic address accepted HTTP/2, which no caller of the platform speaks and whose heads have no time limit; with TLS every address did.

--- a/core/serve/server.go
+++ b/core/serve/server.go
@@ -84,7 +84,6 @@
 func New(opts ...Option) *Server {
 	s := &Server{http: &http.Server{Protocols: new(http.Protocols)}, limits: DefaultLimits()}
 	s.http.Protocols.SetHTTP1(true)
-	s.http.Protocols.SetHTTP2(true)
 	for _, opt := range opts {
 		opt(s)
 	}
