Claims stay within the memory of a control replica

An answer without room is recorded without its body, as one above 64 KiB always was. A claim of a new key is refused (fault full): the entry answers 503 with run no. The replica first catches up with the leader, so that a key whose request has run is never refused so. Only the replica that proposes decides; what a command does to the state is as before, so builds can be mixed, and stored forms are unchanged.

Also: a write of a response takes no lock that all connections share.

--- a/control/daemon/group.go
+++ b/control/daemon/group.go
@@ -7,10 +7,6 @@
 	"github.com/galenalock/galenalock/core/group"
 )
 
-// maxLogBytes is the size of the log after which a snapshot is taken, even if the
-// log has fewer entries than Settings.Snapshot.
-const maxLogBytes = 32 << 20
-
 // openGroup opens the data directory.
 func (p *parts) openGroup(s *Settings) error {
 	g, err := group.New(
@@ -18,7 +14,7 @@
 		group.WithPeers(s.founderAddresses()), group.WithMachine(p.machine.callbacks()), group.WithSend(p.links.SendRaft),
 		group.WithLeaderHook(p.leaderChanged),
 		group.WithLogger(p.log), group.WithClock(s.Clock),
-		group.WithSnapshotInterval(uint64(s.Snapshot), maxLogBytes),
+		group.WithSnapshotInterval(uint64(s.Snapshot), s.logBytes()),
 	)
 	p.group = g
 	return err
--- a/control/daemon/handle.go
+++ b/control/daemon/handle.go
@@ -119,6 +119,9 @@
 func (d *Daemon) proposeClaim(c state.Command) (any, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), entryTimeout)
 	defer cancel()
+	if err := d.boundClaims(ctx, &c); err != nil {
+		return nil, err
+	}
 	result, err := d.parts.relay.Propose(ctx, c)
 	if err != nil {
 		return nil, toFault(err)
--- a/control/daemon/machine.go
+++ b/control/daemon/machine.go
@@ -44,6 +44,13 @@
 	return result
 }
 
+// holds reports whether there is a record of a key.
+func (m *machine) holds(service, key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Holds(service, key)
+}
+
 func (m *machine) snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -89,7 +89,8 @@
 		synctest.Wait()
 		is.Equal(b.Used(), int64(70)) // the request has not ended, but there is room
 		is.Equal(len(results), 2)
-		is.True(<-results && <-results)
+		is.True(<-results)
+		is.True(<-results)
 		request.End()
 		is.Equal(b.Used(), int64(60))
 	})
--- a/core/serve/conn.go
+++ b/core/serve/conn.go
@@ -36,6 +36,7 @@
 	head      *budget.Charge // of the request head that is being read or served
 	streams   *budget.Charge // of an HTTP/2 connection, in place of head
 	closeOnce sync.Once
+	unread    bool         // the caller does not read a response
 	progress  atomic.Int64 // nanoseconds since the start of the server's connections, of the last bytes of a request body
 
 	mu            sync.Mutex
@@ -211,12 +212,15 @@
 // Write sends bytes. A caller that does not read them for a second may lose the connection
 // to others, and one that does not read for the time limit of stalls does.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.holder == nil || c.isHijacked() {
+	if c.holder == nil {
 		return c.Conn.Write(p)
 	}
 	written, waited := 0, time.Duration(0)
 	for {
-		deadline, own := c.nextWriteDeadline()
+		deadline, own, ok := c.nextWriteDeadline()
+		if !ok {
+			return c.Conn.Write(p)
+		}
 		_ = c.Conn.SetWriteDeadline(deadline)
 		n, err := c.Conn.Write(p[written:])
 		written += n
@@ -239,15 +243,15 @@
 }
 
 // nextWriteDeadline returns the time of the next check, or the deadline of the server if
-// that is earlier.
-func (c *conn) nextWriteDeadline() (at time.Time, own bool) {
+// that is earlier. It reports false on connections that the server does not own any more.
+func (c *conn) nextWriteDeadline() (at time.Time, own, ok bool) {
 	at = time.Now().Add(writeCheck)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if d := c.writeDeadline; !d.IsZero() && d.Before(at) {
-		return d, false
+		return d, false, !c.hijacked
 	}
-	return at, true
+	return at, true, !c.hijacked
 }
 
 // SetDeadline sets the deadlines of reads and writes.
@@ -274,8 +278,11 @@
 	return c.hijacked
 }
 
+// setUnread is called by Write only, which the server does not call concurrently.
 func (c *conn) setUnread(on bool) {
-	if c.listener.setUnread(c, on) {
+	if c.unread != on {
+		c.unread = on
+		c.listener.setUnread(c, on)
 		c.holder.SetUnread(on)
 	}
 }
--- a/core/serve/connections.go
+++ b/core/serve/connections.go
@@ -146,22 +146,16 @@
 	l.conns.changed.Broadcast()
 }
 
-// setUnread records whether the caller of a connection reads its response, and reports
-// whether that has changed.
-func (l *listener) setUnread(c *conn, on bool) bool {
+// setUnread records whether the caller of a connection reads its response.
+func (l *listener) setUnread(c *conn, on bool) {
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
-	_, was := l.group.unread[c]
-	if on == was || on && !c.place.counted {
-		return false
-	}
-	if on {
+	if on && c.place.counted {
 		l.group.unread[c] = struct{}{}
 	} else {
 		delete(l.group.unread, c)
 	}
 	l.conns.changed.Broadcast()
-	return true
 }
 
 func (l *listener) setWaiting(c *conn, on bool) {
--- a/core/state/claims.go
+++ b/core/state/claims.go
@@ -56,6 +56,7 @@
 	owners      map[string]*owner
 	expiries    expiryQueue
 	answerBytes int // total size of the stored answers
+	keyBytes    int // total size of the names and keys in table
 	running     int
 	unknown     int
 }
@@ -80,6 +81,26 @@
 	return c.Owner == owner && c.Incarnation.Equal(incarnation) && c.Attempt == attempt
 }
 
+// Estimated memory of a record in bytes, without its key and its answer.
+const (
+	claimCost   = 320 // struct, entries of the table and of the queue
+	retiredCost = 96
+)
+
+// bytes estimates the memory of all records.
+func (s *claims) bytes() int {
+	return s.answerBytes + s.keyBytes + claimCost*len(s.table) + retiredCost*len(s.retired)
+}
+
+// holds reports whether there is a record of a key.
+func (s *claims) holds(key claimKey) bool {
+	if _, ok := s.table[key]; ok {
+		return true
+	}
+	_, ok := s.retired[key.digest()]
+	return ok
+}
+
 // claim executes a Claim. If lock is false, earlier claims are ignored.
 func (s *claims) claim(c *wire.Claim, now time.Time, lock bool) *wire.Claimed {
 	s.observeOwner(c.Owner, c.Incarnation, now)
--- a/core/state/expiry.go
+++ b/core/state/expiry.go
@@ -39,6 +39,7 @@
 // owner.
 func (s *claims) addToTotals(key claimKey, c *claim) {
 	s.answerBytes += len(c.Answer)
+	s.keyBytes += len(key.Service) + len(key.Key)
 	switch c.State {
 	case wire.ClaimRunning:
 		s.running++
@@ -53,6 +54,7 @@
 // removeFromTotals reverts addToTotals before a record changes its state.
 func (s *claims) removeFromTotals(key claimKey, c *claim) {
 	s.answerBytes -= len(c.Answer)
+	s.keyBytes -= len(key.Service) + len(key.Key)
 	switch c.State {
 	case wire.ClaimRunning:
 		s.running--
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -19,7 +19,10 @@
 	Running    int       // running claims
 	Unknown    int       // claims of unknown outcome that are not retired yet
 	Keys       int       // claims and retired keys
-	Targets    enrol.View
+	ClaimBytes int       // estimated memory of claims, their answers and retired keys
+	// AnswerBytes is the total size of the stored answers.
+	AnswerBytes int
+	Targets     enrol.View
 
 	text      []byte
 	revisions []storedRevision
@@ -40,7 +43,8 @@
 		Index: m.index, Time: m.now, NextExpiry: m.NextExpiry(),
 		Leases: m.grants.list(), Sets: m.grants.setNumbers(), Drains: m.drained,
 		Running: m.claims.running, Unknown: m.claims.unknown,
-		Keys:    len(m.claims.table) + len(m.claims.retired),
+		Keys:       len(m.claims.table) + len(m.claims.retired),
+		ClaimBytes: m.claims.bytes(), AnswerBytes: m.claims.answerBytes,
 		Targets: m.enrol.View(),
 		text:    m.texts.text, revisions: m.texts.revisions,
 	}
@@ -48,6 +52,11 @@
 	return v
 }
 
+// Holds reports whether there is a record of a key, which decides on further claims of it.
+func (m *Machine) Holds(service, key string) bool {
+	return m.claims.holds(claimKey{Service: service, Key: key})
+}
+
 // rebuildDrained updates the list of drains that views share.
 func (m *Machine) rebuildDrained() {
 	m.drained = nil
--- a/core/wire/message.go
+++ b/core/wire/message.go
@@ -48,6 +48,9 @@
 	Body   cbor.RawMessage `cbor:"body,omitempty"`
 }
 
+// FaultFull is the code of a claim that was refused because there is no memory for it.
+const FaultFull = "full"
+
 // FaultError is the answer to a call that failed.
 type FaultError struct {
 	Code   string `cbor:"code"` // one word, such as "notleader" or "unknown"
--- a/entry/agent/claims.go
+++ b/entry/agent/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenalock/galenalock/core/link"
+	"github.com/galenalock/galenalock/core/refuse"
 	"github.com/galenalock/galenalock/core/wire"
 )
 
@@ -13,6 +14,10 @@
 // try another one if the replica does not respond.
 const replicaTimeout = 700 * time.Millisecond
 
+// fullRetryAfter is the time after which a keyed request may be resent for which control
+// had no room. Room comes free as keys expire.
+const fullRetryAfter = 10 * time.Second
+
 // ControlError reports that no control replica answered a call. The command may
 // or may not have been applied.
 type ControlError struct{ Err error }
@@ -48,7 +53,11 @@
 		}
 		last = err
 		var fault *wire.FaultError
-		if errors.As(err, &fault) && fault.Code == "malformed" || ctx.Err() != nil {
+		known := errors.As(err, &fault)
+		if known && fault.Code == wire.FaultFull {
+			return wire.Claimed{}, &refuse.Error{Reason: refuse.Overload, Run: refuse.NotRun, RetryAfter: fullRetryAfter, Err: err}
+		}
+		if known && fault.Code == "malformed" || ctx.Err() != nil {
 			break
 		}
 	}
