Ordinary callers get memory while bodies that stand still hold it

Causes: the first bytes of any head made its connection the first to go, so that a newcomer was refused while stalled bodies held all; and a connection that was given up while it waited for memory answered before it was marked, for which net/http keeps a connection with an unread body for 500 ms, one after the other.

Small starts of heads count as idle connections now, a connection is marked before it is closed, and one that is about to end by itself is not given up in place of one that returns its bytes at once.

--- a/core/budget/holder.go
+++ b/core/budget/holder.go
@@ -10,10 +10,10 @@
 
 // The stages.
 const (
-	Head       Stage = iota // the head is not whole
+	Head       Stage = iota // a large head is not whole
 	Body                    // the body is not whole, and no target has any of it
 	Unread                  // the caller does not read the response
-	Idle                    // there is no request
+	Idle                    // there is no request, or the small start of one
 	Forwarding              // a target has a part of the body
 	Serving                 // the request is whole, or its response is on the way; never given up
 	stageCount
@@ -28,8 +28,9 @@
 	waiting    int64 // asked for
 	ofRequests int64 // part of held that belongs to requests
 	requests   [stageCount]int
-	reading    bool // a head has begun
+	reading    bool // a large head has begun
 	unread     bool // the caller does not read
+	lingering  bool // ends by itself soon
 	ended      bool
 
 	stage    Stage // in the ranking
@@ -51,8 +52,20 @@
 	return h
 }
 
+// isOpen reports whether the connection may get bytes. The caller holds the lock of the
+// budget.
 func (h *Holder) isOpen() bool { return h.index >= 0 }
 
+// IsGivenUp reports whether the connection was given up or closed.
+func (h *Holder) IsGivenUp() bool {
+	if h == nil {
+		return false
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return !h.isOpen()
+}
+
 // Abandon counts what the connection holds as ending, since it was closed.
 func (h *Holder) Abandon() {
 	if h == nil {
@@ -87,7 +100,7 @@
 	b.grantWaiting()
 }
 
-// SetReading records whether the connection has sent a part of a head.
+// SetReading records whether the connection has sent a part of a large head.
 func (h *Holder) SetReading(on bool) {
 	h.update(func() { h.reading = on })
 }
@@ -97,6 +110,12 @@
 	h.update(func() { h.unread = on })
 }
 
+// SetLingering records whether the connection is about to end by itself. Giving it up would
+// not return its bytes sooner.
+func (h *Holder) SetLingering(on bool) {
+	h.update(func() { h.lingering = on })
+}
+
 func (h *Holder) update(change func()) {
 	if h == nil {
 		return
@@ -114,6 +133,9 @@
 		return
 	}
 	stage := Idle
+	if h.lingering {
+		stage = Serving
+	}
 	for s := stageCount - 1; s >= 0; s-- {
 		if h.requests[s] > 0 {
 			stage = s
--- a/core/serve/conn.go
+++ b/core/serve/conn.go
@@ -41,7 +41,7 @@
 
 	mu            sync.Mutex
 	receiving     bool // the next head is being read or awaited
-	reading       bool // a part of it has arrived
+	largeHead     bool // what has arrived of it costs more than smallHead
 	hijacked      bool
 	preface       int         // matched bytes of requestLineHTTP2, negative for HTTP/1
 	http2         *http2State // nil for HTTP/1
@@ -96,11 +96,13 @@
 		return true
 	}
 	c.size = c.size.plus(size)
-	cost, began := c.size.cost(c.listener.encrypted), !c.reading
-	c.reading = true
+	cost := c.size.cost(c.listener.encrypted)
+	large := cost > smallHead
+	changed := large != c.largeHead
+	c.largeHead = large
 	c.mu.Unlock()
-	if began {
-		c.holder.SetReading(true)
+	if changed {
+		c.holder.SetReading(large)
 	}
 	return c.head.Set(cost)
 }
@@ -131,12 +133,12 @@
 
 // chargeStreams charges an HTTP/2 connection. The caller holds the lock, which is released.
 func (c *conn) chargeStreams() bool {
-	cost, reading := c.http2.cost(), c.http2.isReading()
-	changed := reading != c.reading
-	c.reading = reading
+	cost, large := c.http2.cost(), c.http2.unfinishedHead() > smallHead
+	changed := large != c.largeHead
+	c.largeHead = large
 	c.mu.Unlock()
 	if changed {
-		c.holder.SetReading(reading)
+		c.holder.SetReading(large)
 	}
 	return c.streams.Set(cost)
 }
@@ -170,15 +172,16 @@
 func (c *conn) setState(state http.ConnState) {
 	switch state {
 	case http.StateNew, http.StateIdle:
+		c.holder.SetLingering(false)
 		c.updateHTTP2((*http2State).idle)
 		c.awaitHead()
 		c.listener.setWaiting(c, true)
 	case http.StateActive:
 		c.mu.Lock()
-		c.receiving, c.reading = false, c.http2 != nil && c.reading
-		reading := c.reading
+		c.receiving, c.largeHead = false, c.http2 != nil && c.largeHead
+		large := c.largeHead
 		c.mu.Unlock()
-		c.holder.SetReading(reading)
+		c.holder.SetReading(large)
 		c.listener.setWaiting(c, false)
 	case http.StateHijacked: // belongs to another process of the fleet
 		c.mu.Lock()
@@ -193,7 +196,6 @@
 }
 
 // awaitHead counts the start of the next head, which may have arrived with the last read.
-// A short last read is that of the request before.
 func (c *conn) awaitHead() {
 	c.mu.Lock()
 	if c.http2 != nil {
@@ -202,10 +204,10 @@
 	}
 	c.receiving, c.size = true, c.lastRead
 	cost := c.size.cost(c.listener.encrypted)
-	c.reading = cost > connCost
-	reading := c.reading
+	c.largeHead = cost > smallHead
+	large := c.largeHead
 	c.mu.Unlock()
-	c.holder.SetReading(reading)
+	c.holder.SetReading(large)
 	c.head.Set(cost)
 }
 
--- a/core/serve/conn_test.go
+++ b/core/serve/conn_test.go
@@ -213,3 +213,27 @@
 	is.Equal(c.exchange(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n%s", strings.Repeat("x", 500000))), 0)
 	<-held
 }
+
+// Guards against an ordinary caller who gets no memory, or waits for connections that end
+// late, while bodies that stand still hold all of it.
+func TestStandingBodiesMakeRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	const held = 64 << 10
+	b := budget.New(1 << 20)
+	closed := make(chan string, 256)
+	_, addr, _ := start(t, serve.WithBudget(b), serve.WithCloseHook(func(reason string) { closed <- reason }), serve.WithHandler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet || !budget.FromContext(r.Context()).Add(held) {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})))
+	for range 100 {
+		_, err := io.WriteString(dialRaw(t, addr), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 64\r\n\r\n")
+		is.NoErr(err)
+	}
+	for range 10 {
+		is.Equal(dialRaw(t, addr).exchange(get), 200)
+	}
+	is.Equal(<-closed, serve.ClosedForMemory)
+	is.True(b.Used() <= b.Limit())
+}
--- a/core/serve/cost.go
+++ b/core/serve/cost.go
@@ -10,6 +10,7 @@
 const (
 	connCost     = 16 << 10 // goroutine, buffers of net/http
 	requestCost  = 12 << 10 // goroutines, copy of the head, connection to a target
+	smallHead    = 16 << 10 // head that is worth as much as an idle connection
 	headLineCost = 160      // parsed line: name, value, entry in the map
 	headByteCost = 2        // line in a buffer and its copy
 	// encryptedByteCost replaces both on TLS connections, whose lines are not visible.
--- a/core/serve/guard.go
+++ b/core/serve/guard.go
@@ -44,6 +44,7 @@
 		defer charge.End()
 		c.begin(r)
 		if !charge.Add(parsedCost(r)) {
+			c.holder.SetLingering(hasBody && r.ProtoMajor == 1)
 			w.Header().Set("Connection", "close")
 			WriteProblem(w, r, &ProblemError{
 				Status: http.StatusServiceUnavailable, Reason: "overload", Detail: errNoMemory.Error(), RetryAfter: overloadRetryAfter,
@@ -61,6 +62,9 @@
 			body := &guardedBody{ReadCloser: r.Body, conn: c, charge: charge, byteCost: s.bodyByteCost}
 			c.listener.addBody(c, 1)
 			defer body.finish()
+			if r.ProtoMajor == 1 {
+				defer body.linger()
+			}
 			if s.limits.StallTimeout > 0 {
 				body.interval = s.limits.StallTimeout / stallChecks
 				body.stallTimer = time.AfterFunc(body.interval, body.checkStall)
@@ -69,7 +73,7 @@
 			r.Body = body
 		}
 		next.ServeHTTP(w, r)
-		if c.isGivenUp() {
+		if c.isGivenUp() || c.holder.IsGivenUp() {
 			// net/http would keep the request for another 500 ms, in which the caller of
 			// an open connection could read the response.
 			panic(http.ErrAbortHandler)
@@ -148,6 +152,17 @@
 	return n, err
 }
 
+// linger records that net/http may keep the connection open for the rest of the body, so
+// that the caller receives the response.
+func (b *guardedBody) linger() {
+	b.mu.Lock()
+	ended := b.ended
+	b.mu.Unlock()
+	if !ended {
+		b.conn.holder.SetLingering(true)
+	}
+}
+
 // finish records that nothing more of the body is awaited.
 func (b *guardedBody) finish() {
 	b.mu.Lock()
--- a/core/serve/http2.go
+++ b/core/serve/http2.go
@@ -132,5 +132,10 @@
 	return http2ConnCost + min(s.data, http2Buffer) + fields*headLineCost + s.heads*requestCost + min(s.replies, http2Replies)*http2ReplyCost
 }
 
-// isReading reports whether a head has begun that is not whole.
-func (s *http2State) isReading() bool { return s.headBytes > 0 && s.heads == 0 }
+// unfinishedHead estimates the memory of a head that has begun and is not whole.
+func (s *http2State) unfinishedHead() int64 {
+	if s.heads > 0 {
+		return 0
+	}
+	return min(s.headBytes, s.maxFields) * headLineCost
+}
--- a/core/serve/listener.go
+++ b/core/serve/listener.go
@@ -51,11 +51,11 @@
 }
 
 func (l *listener) giveUp(c *conn, reason string) {
-	err := c.Close()
 	c.mu.Lock()
-	c.givenUp = true
+	c.givenUp = true // before the handler notices that the connection is closed
 	cancel := c.cancel
 	c.mu.Unlock()
+	err := c.Close()
 	if cancel != nil {
 		cancel()
 	}
