--- a/core/meter/table.go
+++ b/core/meter/table.go
@@ -77,7 +77,7 @@
 	Connections:         {"counter", "{attempt}", "use", "Attempts that ended with a complete response, by connection: opened or reused"},
 	Commits:             {"counter", "{command}", "command", "Commands applied by a control replica"},
 	Fsyncs:              {"counter", "{sync}", "", "Calls of fsync by a control replica"},
-	ClosedConnections:   {"counter", "{connection}", "reason", "Connections closed to protect other callers, by reason: memory (it held most), connections (at the limit, idle or with a stopped body for longest) or stall (a request body did not go on)"},
+	ClosedConnections:   {"counter", "{connection}", "reason", "Connections closed to protect other callers, by reason: memory (it was needed for others), connections (at the limit, idle for longest or not going on) or stall (a request body or a response did not go on)"},
 	HeldBytes:           {"gauge", "By", "", "Estimated memory of connections of callers and the requests on them, 0 if the memory of the instance is not set"},
 	DroppedLogLines:     {"gauge", "{line}", "", "Lines left out of the log since the start"},
 	DroppedMessages:     {"counter", "{message}", "queue", "Messages dropped from full statistics queues"},
