Waiting for memory does not depend on one connection that ends late

Found by reading: a connection that was given up while its caller did not read may go on at its target until the response ends (a request that must not be repeated), and all who waited for memory waited with it. A charge that waits for 100 ms gives up another connection now. One that asks for more than there is costs nobody their connection any more. TestAnotherHolderIsGivenUpForOneThatEndsLate.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -67,21 +67,45 @@
 	decided chan bool
 }
 
+// patience is how long a charge waits for connections that were given up before another
+// one is. Their handlers may go on for some time, such as one that reads the rest of a
+// response after its caller has left.
+const patience = 100 * time.Millisecond
+
 // reserve grants bytes to a charge. It gives up other connections if there are too few and
 // waits until those have ended. It reports false if the connection itself is given up, or
 // if no other one may be.
 func (b *Budget) reserve(c *Charge, n int64) bool {
+	w, given := b.ask(c, n)
+	endAll(given)
+	if w == nil {
+		return false
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		select {
+		case granted := <-w.decided:
+			return granted
+		case <-timer.C:
+			b.giveUpAnother(c.holder)
+			timer.Reset(patience)
+		}
+	}
+}
+
+// ask queues a charge that wants bytes. It returns no waiter if the charge cannot get
+// them, and the connections that the caller has to end.
+func (b *Budget) ask(c *Charge, n int64) (*waiter, []*Holder) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	h := c.holder
-	if !h.isOpen() || c.ended {
-		b.mu.Unlock()
-		return false
+	if !h.isOpen() || c.ended || h.held+h.waiting+n > b.limit {
+		return nil, nil
 	}
 	given, ok := b.makeRoom(h, n)
 	if !ok {
-		b.mu.Unlock()
-		endAll(given)
-		return false
+		return nil, given
 	}
 	w := &waiter{charge: c, bytes: n, decided: make(chan bool, 1)}
 	b.waiters = append(b.waiters, w)
@@ -89,9 +113,27 @@
 	h.waiting += n
 	b.ranking.fix(h)
 	b.grantWaiting()
+	return w, given
+}
+
+// giveUpAnother gives up one more connection for one that waits.
+func (b *Budget) giveUpAnother(waiting *Holder) {
+	b.mu.Lock()
+	var victim *Holder
+	if waiting.isOpen() && len(b.waiters) > 0 {
+		victim = b.ranking.worst(b.now(), waiting, 0)
+	}
+	if victim == waiting {
+		victim = nil
+	}
+	if victim != nil {
+		b.abandon(victim)
+		b.grantWaiting()
+	}
 	b.mu.Unlock()
-	endAll(given)
-	return <-w.decided
+	if victim != nil {
+		victim.giveUp()
+	}
 }
 
 // makeRoom gives up connections until the bytes of the others leave room for n more. It
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -96,6 +96,28 @@
 	})
 }
 
+// Guards against callers who wait for as long as the handler of one connection goes on after
+// that was given up, and against one that asks for more than there is and costs all others
+// their connections.
+func TestAnotherHolderIsGivenUpForOneThatEndsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := scene{budget: budget.New(100)}
+		late := s.budget.Open(func() { s.given = append(s.given, "late") })
+		is.True(late.Charge().Add(50))
+		_, small := s.open("small")
+		is.True(small.Add(40))
+		h, c := s.open("asking")
+		is.True(!c.Add(101))
+		is.Equal(len(s.given), 0)
+		is.True(c.Add(30))
+		is.Equal(s.given, []string{"late", "small"})
+		late.Close()
+		h.Close()
+		is.Equal(s.budget.Used(), int64(0))
+	})
+}
+
 // Guards against a connection that waits for memory for good although it was closed.
 func TestClosedConnectionDoesNotWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
