Links accept only a short greeting until the peer is known

A greeting has 16 KiB at most now, a few hundred bytes in practice; after it the limit is as before.

--- a/bench/procs/crowd_test.go
+++ b/bench/procs/crowd_test.go
@@ -305,3 +305,27 @@
 	f.startControl(1)
 	f.checkBounds(t, f.control[1], answers)
 }
+
+// Guards against peers that open links without a greeting, or with a long one that does not
+// end.
+func TestCrowdOfLinks(t *testing.T) {
+	const upgrade = "GET /v1/link HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+	// A masked binary message of 4 MiB.
+	message := "\x82\xff\x00\x00\x00\x00\x00\x40\x00\x00" + "mask" + strings.Repeat("x", 1<<20)
+	f := launchCrowdFleet(t, 10*time.Millisecond)
+	for i, a := range []attack{
+		{"silent", 400, write(upgrade)},
+		{"long", 200, write(upgrade + message)},
+	} {
+		t.Run("entry "+a.name, func(t *testing.T) {
+			p, served := f.startAttacked(t, fmt.Sprintf("linked-%d", i))
+			f.attackProcess(t, p, p.Address("peer"), a, served)
+		})
+		t.Run("control "+a.name, func(t *testing.T) {
+			f.attackProcess(t, f.control[1], f.control[1].Address("peer"), a, func() bool {
+				var status map[string]any
+				return procs.ReadJSON(f.admins[1], "/v1/status", &status)
+			})
+		})
+	}
+}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -45,7 +45,7 @@
 }
 
 func newConn(ws *websocket.Conn, o options, dialed bool) *Conn {
-	ws.SetReadLimit(wire.MaxMessage)
+	ws.SetReadLimit(maxHello) // until the peer is known
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Conn{
 		opts: o, ws: ws, dialed: dialed, ctx: ctx, cancel: cancel,
--- a/core/link/hello.go
+++ b/core/link/hello.go
@@ -11,7 +11,10 @@
 	"github.com/galenalock/galenalock/core/wire"
 )
 
-const helloTimeout = 3 * time.Second
+const (
+	helloTimeout = 3 * time.Second
+	maxHello     = 16 << 10 // bytes; a name has at most a few hundred
+)
 
 // HelloError reports a peer whose Hello was refused: its protocol version or
 // fleet differs, or its first message was not a Hello.
@@ -54,6 +57,7 @@
 	if c.peer.Fleet != own.Fleet {
 		return &HelloError{Reason: fmt.Sprintf("fleet %q, want %q", c.peer.Fleet, own.Fleet)}
 	}
+	c.ws.SetReadLimit(wire.MaxMessage)
 	use := own.Use
 	if !c.dialed {
 		use = c.peer.Use
