--- a/bench/procs/crowd_test.go
+++ b/bench/procs/crowd_test.go
@@ -329,3 +329,15 @@
 		})
 	}
 }
+
+// Guards against announcements of targets that are read without a bound.
+func TestCrowdOfAnnouncements(t *testing.T) {
+	f := launchCrowdFleet(t, 10*time.Millisecond)
+	announcement := attack{"announcement", 400, write(bodyOf("POST /v1/announce HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n", `{"service":"`+strings.Repeat("x", 400_000), 60<<20))}
+	for i, address := range []string{"peer", "announce"} {
+		t.Run(address, func(t *testing.T) {
+			p, served := f.startAttacked(t, fmt.Sprintf("announced-%d", i))
+			f.attackProcess(t, p, p.Address(address), announcement, served)
+		})
+	}
+}
--- a/entry/agent/announce.go
+++ b/entry/agent/announce.go
@@ -13,6 +13,9 @@
 // AnnouncePath is the HTTP path for announcements of targets.
 const AnnouncePath = "/v1/announce"
 
+// maxAnnouncement is the size of an announcement in bytes. Most have a few hundred.
+const maxAnnouncement = 16 << 10
+
 // AnnounceResponse is the response to an accepted announcement.
 type AnnounceResponse struct {
 	Instance string `json:"instance"`
@@ -22,9 +25,15 @@
 // Announce handles an announcement of a target, a wire.Renew encoded as JSON.
 func (a *Agent) Announce(w http.ResponseWriter, r *http.Request) {
 	var renew wire.Renew
-	decoder := json.NewDecoder(r.Body)
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&renew); err != nil {
+	err := decoder.Decode(&renew)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		serve.WriteProblem(w, r, err)
+		return
+	}
+	if err != nil {
 		serve.WriteProblem(w, r, &serve.ProblemError{
 			Status: http.StatusBadRequest, Reason: "badrequest", Detail: err.Error(),
 		})
