--- a/bench/procs/crowd_test.go
+++ b/bench/procs/crowd_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/hpack"
 
 	"github.com/galenalock/galenalock/bench/procs"
 	"github.com/galenalock/galenalock/bench/stub"
@@ -67,34 +66,6 @@
 	}
 }
 
-// http2Streams opens many streams whose bodies do not begin.
-func http2Streams(path string, streams int) func(c net.Conn) error {
-	return func(c net.Conn) error {
-		if _, err := io.WriteString(c, http2.ClientPreface); err != nil {
-			return err
-		}
-		framer := http2.NewFramer(c, c)
-		if err := framer.WriteSettings(); err != nil {
-			return err
-		}
-		var head bytes.Buffer
-		encoder := hpack.NewEncoder(&head)
-		for stream := range streams {
-			head.Reset()
-			for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":authority", "h"}, {":path", path}} {
-				if err := encoder.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]}); err != nil {
-					return err
-				}
-			}
-			err := framer.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(2*stream + 1), BlockFragment: head.Bytes(), EndHeaders: true})
-			if err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-}
-
 // trailerNames returns a head that announces n trailers with different names.
 func trailerNames(head string, n int) string {
 	var names strings.Builder
@@ -119,7 +90,7 @@
 	lookup := "GET /tables/x HTTP/1.1\r\nHost: h\r\n\r\n"
 	for i, a := range []attack{
 		{"unfinished heads of HTTP2", 400, unfinishedHTTP2Head(2000)},
-		{"streams of HTTP2", 100, http2Streams("/uploads/x", 100)},
+		{"streams of HTTP2", 100, http2Heads("/uploads/x", 100, 0)},
 		{"names of trailers", 400, write(trailerNames(upload, 3900))},
 		{"unread answers", 400, write(strings.Repeat(lookup, 150))},
 		{"expected permission", 400, write(upload + "Expect: 100-continue\r\nContent-Length: 60000000\r\n\r\n")},
@@ -144,7 +115,7 @@
 		{"short lines", 400, write(upload + shortLines(2200))},
 		{"uploads with short lines", 400, write(body(upload+shortLines(2200), 4<<20, 1000))},
 		{"small orders", 400, keyedBody(keyed, 1<<20, 200_000)},
-		{"streams", 100, http2Streams("/uploads/x", 100)},
+		{"streams", 100, http2Heads("/uploads/x", 100, 0)},
 		{"heads of HTTP/2", 400, unfinishedHTTP2Head(2000)},
 		{"whole orders", 200, keyedBody(keyed, 1<<20, 1<<20)},
 	} {
--- a/core/budget/holder.go
+++ b/core/budget/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"sync"
 	"time"
 )
 
@@ -162,6 +163,8 @@
 	request bool
 	stage   Stage
 	ended   bool // of a request
+
+	setMu sync.Mutex // held during Set
 }
 
 // Charge returns a new part of the connection without bytes.
@@ -215,11 +218,13 @@
 // connection. The caller holds the lock of the budget.
 func (c *Charge) returned() bool { return c.ended || c.holder.ended && !c.request }
 
-// Set replaces the number of bytes, as Add does. Only one goroutine may call it.
+// Set replaces the number of bytes, as Add does.
 func (c *Charge) Set(n int64) bool {
 	if c == nil {
 		return true
 	}
+	c.setMu.Lock()
+	defer c.setMu.Unlock()
 	c.holder.budget.mu.Lock()
 	old := c.bytes
 	c.holder.budget.mu.Unlock()
--- a/core/serve/conn.go
+++ b/core/serve/conn.go
@@ -97,14 +97,20 @@
 	}
 	c.size = c.size.plus(size)
 	cost := c.size.cost(c.listener.encrypted)
-	large := cost > smallHead
+	return c.charge(c.head, cost, cost)
+}
+
+// charge sets what the connection holds besides its requests, and notes the memory of the
+// part of a head in it. The caller holds the lock, which is released.
+func (c *conn) charge(to *budget.Charge, cost, head int64) bool {
+	large := head > smallHead
 	changed := large != c.largeHead
 	c.largeHead = large
 	c.mu.Unlock()
 	if changed {
 		c.holder.SetReading(large)
 	}
-	return c.head.Set(cost)
+	return to.Set(cost)
 }
 
 // detectHTTP2 compares the first bytes of a connection with the preface of HTTP/2 and
@@ -133,14 +139,7 @@
 
 // chargeStreams charges an HTTP/2 connection. The caller holds the lock, which is released.
 func (c *conn) chargeStreams() bool {
-	cost, large := c.http2.cost(), c.http2.unfinishedHead() > smallHead
-	changed := large != c.largeHead
-	c.largeHead = large
-	c.mu.Unlock()
-	if changed {
-		c.holder.SetReading(large)
-	}
-	return c.streams.Set(cost)
+	return c.charge(c.streams, c.http2.cost(), c.http2.unfinishedHead())
 }
 
 // updateHTTP2 changes the state of an HTTP/2 connection; on others it does nothing.
@@ -204,11 +203,7 @@
 	}
 	c.receiving, c.size = true, c.lastRead
 	cost := c.size.cost(c.listener.encrypted)
-	c.largeHead = cost > smallHead
-	large := c.largeHead
-	c.mu.Unlock()
-	c.holder.SetReading(large)
-	c.head.Set(cost)
+	c.charge(c.head, cost, cost)
 }
 
 // Write sends bytes. A caller that does not read them for a second may lose the connection
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -32,9 +32,9 @@
 	ended   atomic.Bool
 	onEnd   func()     // called when the body and its trailer were read; may be nil
 	mu      sync.Mutex // held during a read
-	first   []byte     // first part of a body that is forwarded while it arrives
-	// firstBytes is the size of the buffer of first.
-	firstBytes int64
+
+	first      []byte // first part of a body that is forwarded while it arrives
+	firstBytes int64  // size of its buffer
 	onWhole    func() // called when the whole body was read from the caller; may be nil
 
 	now      func() time.Time
