--- a/core/serve/guard.go
+++ b/core/serve/guard.go
@@ -73,7 +73,7 @@
 			r.Body = body
 		}
 		next.ServeHTTP(w, r)
-		if c.isGivenUp() || c.holder.IsGivenUp() {
+		if !c.isHijacked() && (c.isGivenUp() || c.holder.IsGivenUp()) {
 			// net/http would keep the request for another 500 ms, in which the caller of
 			// an open connection could read the response.
 			panic(http.ErrAbortHandler)
